feat: add workspace, design page, error table and pool interface

Cause: the project starts here; every later part needs the shared types. Conclusion: the decision crates can be built against fixed interfaces.

--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Administration API.
--- /dev/null
+++ b/crates/answer/tests/table.rs
@@ -0,0 +1,31 @@
+//! Tests of the table from error kind to answer.
+
+use std::collections;
+
+use answer::{Advice, Kind, Run};
+
+/// Guards against two kinds that a caller cannot tell apart.
+#[test]
+fn names_are_unique_and_resolve() {
+    let mut seen = collections::HashSet::new();
+    for kind in Kind::ALL {
+        assert!(seen.insert(kind.entry().name), "{kind} stands twice");
+        assert_eq!(Kind::from_name(kind.entry().name), Some(kind));
+    }
+}
+
+/// Guards against a refusal with a success status, and against advice to
+/// repeat a request that is wrong in itself.
+#[test]
+fn every_kind_has_a_consistent_row() {
+    for kind in Kind::ALL {
+        let entry = kind.entry();
+        assert!((400..600).contains(&entry.status), "{kind}");
+        if matches!(entry.status, 400 | 401 | 404 | 405 | 413 | 422 | 431) {
+            assert_eq!(entry.advice, Advice::Never, "{kind}");
+        }
+        if entry.advice == Advice::Elsewhere {
+            assert_eq!(entry.run, Run::NotRun, "{kind}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/back/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP client for endpoints.
--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level windows and the burn report.
--- /dev/null
+++ b/crates/carobbay/src/main.rs
@@ -0,0 +1,3 @@
+//! The carobbay program.
+
+fn main() {}
--- /dev/null
+++ b/crates/class/src/lib.rs
@@ -0,0 +1,1 @@
+//! Caller recognition and class resolution.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, configuration versions and discovery.
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP interface for callers.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-idempotent requests.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Transport between hosts and the platform client.
--- /dev/null
+++ b/crates/pool/src/baseline.rs
@@ -0,0 +1,179 @@
+//! The yardstick: first come first served with round robin.
+
+use core::time;
+use std::collections;
+
+use crate::action::Action;
+use crate::ask;
+use crate::endpoint;
+use crate::finish;
+use crate::load;
+use crate::options;
+use crate::policy;
+use crate::stats;
+
+struct Place {
+    endpoint: endpoint::Endpoint,
+    in_flight: u32,
+}
+
+/// First come first served across all classes, endpoints in turn.
+///
+/// It looks at no load report, no target and no tier.
+pub struct Baseline {
+    queue: collections::VecDeque<ask::Ask>,
+    queue_max: usize,
+    places: Vec<Place>,
+    running: collections::HashMap<ask::AskId, endpoint::EndpointId>,
+    next: usize,
+}
+
+impl Baseline {
+    /// Returns a shard without endpoints.
+    pub fn new(options: &options::Options) -> Self {
+        Self {
+            queue: collections::VecDeque::new(),
+            queue_max: options.queue_max,
+            places: Vec::new(),
+            running: collections::HashMap::new(),
+            next: 0,
+        }
+    }
+
+    fn free_place(&mut self) -> Option<usize> {
+        let count = self.places.len();
+        let found = (0..count)
+            .map(|step| (self.next + step) % count)
+            .find(|&index| {
+                let place = &self.places[index];
+                place.endpoint.phase == endpoint::Phase::Up
+                    && place.in_flight < place.endpoint.slots
+            })?;
+        self.next = (found + 1) % count;
+        Some(found)
+    }
+
+    fn dispatch(&mut self, now: time::Duration, out: &mut Vec<Action>) {
+        self.expire(now, out);
+        while !self.queue.is_empty() {
+            let Some(index) = self.free_place() else {
+                return;
+            };
+            let Some(ask) = self.queue.pop_front() else {
+                return;
+            };
+            let place = &mut self.places[index];
+            place.in_flight += 1;
+            self.running.insert(ask.id, place.endpoint.id);
+            out.push(Action::Grant {
+                ask: ask.id,
+                endpoint: place.endpoint.id,
+            });
+        }
+    }
+
+    fn expire(&mut self, now: time::Duration, out: &mut Vec<Action>) {
+        self.queue.retain(|ask| {
+            let live = ask.deadline > now;
+            if !live {
+                out.push(refuse(ask.id, answer::Kind::Expired));
+            }
+            live
+        });
+    }
+}
+
+impl policy::Policy for Baseline {
+    fn configure(&mut self, _now: time::Duration, options: options::Options) {
+        self.queue_max = options.queue_max;
+    }
+
+    fn endpoints(
+        &mut self,
+        now: time::Duration,
+        set: &[endpoint::Endpoint],
+        out: &mut Vec<Action>,
+    ) {
+        let running = &self.running;
+        self.places = set
+            .iter()
+            .map(|&endpoint| Place {
+                endpoint,
+                in_flight: running.values().filter(|&&id| id == endpoint.id).count() as u32,
+            })
+            .collect();
+        self.next = 0;
+        self.dispatch(now, out);
+    }
+
+    fn ask(&mut self, now: time::Duration, ask: ask::Ask, out: &mut Vec<Action>) {
+        if self.queue.len() >= self.queue_max {
+            out.push(refuse(ask.id, answer::Kind::Overload));
+            return;
+        }
+        self.queue.push_back(ask);
+        self.dispatch(now, out);
+    }
+
+    fn cancel(&mut self, _now: time::Duration, id: ask::AskId, _out: &mut Vec<Action>) {
+        self.queue.retain(|ask| ask.id != id);
+    }
+
+    fn first(&mut self, _now: time::Duration, _id: ask::AskId) {}
+
+    fn done(
+        &mut self,
+        now: time::Duration,
+        id: ask::AskId,
+        _finish: finish::Finish,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(endpoint) = self.running.remove(&id) else {
+            return;
+        };
+        let place = self
+            .places
+            .iter_mut()
+            .find(|place| place.endpoint.id == endpoint);
+        if let Some(place) = place {
+            place.in_flight = place.in_flight.saturating_sub(1);
+        }
+        self.dispatch(now, out);
+    }
+
+    fn report(
+        &mut self,
+        _now: time::Duration,
+        _id: endpoint::EndpointId,
+        _load: load::Load,
+        _out: &mut Vec<Action>,
+    ) {
+    }
+
+    fn tick(&mut self, now: time::Duration, out: &mut Vec<Action>) {
+        self.dispatch(now, out);
+    }
+
+    fn stats(&self, _now: time::Duration) -> stats::Stats {
+        stats::Stats {
+            queued: vec![self.queue.len()],
+            in_flight: self
+                .places
+                .iter()
+                .map(|place| (place.endpoint.id.0, place.in_flight))
+                .collect(),
+            wait: time::Duration::ZERO,
+        }
+    }
+}
+
+fn refuse(ask: ask::AskId, kind: answer::Kind) -> Action {
+    Action::Refuse {
+        ask,
+        kind,
+        retry_after: Some(RETRY_AFTER),
+    }
+}
+
+/// Delay that every refusal advises.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,27 @@
+//! One shard of a pool: the queue and the endpoints that serve it.
+//!
+//! A home host keeps one [`Policy`] per shard. The policy does no I/O and
+//! reads no clock: each input carries the time, and decisions come back as
+//! [`Action`]s.
+
+mod action;
+mod ask;
+pub mod baseline;
+mod class;
+mod endpoint;
+mod finish;
+mod load;
+mod options;
+mod policy;
+mod stats;
+
+pub use action::Action;
+pub use ask::{Ask, AskId};
+pub use baseline::Baseline;
+pub use class::Class;
+pub use endpoint::{Endpoint, EndpointId, Phase};
+pub use finish::{Finish, Result};
+pub use load::Load;
+pub use options::Options;
+pub use policy::Policy;
+pub use stats::Stats;
--- /dev/null
+++ b/crates/pool/src/policy.rs
@@ -0,0 +1,61 @@
+use core::time;
+
+use crate::action;
+use crate::ask;
+use crate::endpoint;
+use crate::finish;
+use crate::load;
+use crate::options;
+use crate::stats;
+
+/// Decides which ask runs when and where.
+///
+/// Times are durations since the start of the process. Decisions are pushed
+/// onto `out`; an input may cause decisions about other asks.
+pub trait Policy: Send {
+    /// Replaces the options. Class indices that are in use keep their meaning.
+    fn configure(&mut self, now: time::Duration, options: options::Options);
+
+    /// Replaces the set of endpoints. An endpoint that is no longer listed gets
+    /// no new work; its running asks still end with [`Policy::done`].
+    fn endpoints(
+        &mut self,
+        now: time::Duration,
+        set: &[endpoint::Endpoint],
+        out: &mut Vec<action::Action>,
+    );
+
+    /// Queues an ask.
+    fn ask(&mut self, now: time::Duration, ask: ask::Ask, out: &mut Vec<action::Action>);
+
+    /// Withdraws an ask that is queued. A granted ask ends with [`Policy::done`].
+    fn cancel(&mut self, now: time::Duration, id: ask::AskId, out: &mut Vec<action::Action>);
+
+    /// Notes the first output of a granted ask.
+    fn first(&mut self, now: time::Duration, id: ask::AskId);
+
+    /// Notes the end of a granted ask.
+    fn done(
+        &mut self,
+        now: time::Duration,
+        id: ask::AskId,
+        finish: finish::Finish,
+        out: &mut Vec<action::Action>,
+    );
+
+    /// Notes a load report.
+    fn report(
+        &mut self,
+        now: time::Duration,
+        id: endpoint::EndpointId,
+        load: load::Load,
+        out: &mut Vec<action::Action>,
+    );
+
+    /// Does what is due: expiry, floors, limits, ejection. Called every 20 ms
+    /// while anything is queued or running.
+    fn tick(&mut self, now: time::Duration, out: &mut Vec<action::Action>);
+
+    /// Returns figures for status and metrics.
+    fn stats(&self, now: time::Duration) -> stats::Stats;
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Endpoint choice, limits, ejection, retries and crash blame.
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,1 @@
+//! Queue with tiers, floors, deadlines and weighted fairness.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between hosts in Cap'n Proto.
