--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,1 @@
+//! One router host: the parts wired together.
