--- /dev/null
+++ b/crates/front/src/body.rs
@@ -0,0 +1,41 @@
+use core::time;
+
+use answer::{Kind, Refusal};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+
+/// Reads a whole request body within its limits.
+///
+/// # Errors
+///
+/// Refuses a body above `limit` bytes, a caller that is silent for longer than
+/// `idle`, and a body that ends early.
+pub(crate) async fn read(
+    body: axum::body::Body,
+    limit: u64,
+    idle: time::Duration,
+) -> Result<Bytes, Refusal> {
+    let mut body = body;
+    let mut whole = bytes::BytesMut::new();
+    loop {
+        let frame = match tokio::time::timeout(idle, body.frame()).await {
+            Err(_) => {
+                let text = format!("no data for {} ms", idle.as_millis());
+                return Err(Refusal::new(Kind::CallerTimeout, text));
+            }
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(Err(cause))) => {
+                return Err(Refusal::new(Kind::BadRequest, cause.to_string()));
+            }
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (whole.len() + data.len()) as u64 > limit {
+            let text = format!("the body is above the limit of {limit} bytes");
+            return Err(Refusal::new(Kind::BodyTooLarge, text));
+        }
+        whole.extend_from_slice(&data);
+    }
+}
--- /dev/null
+++ b/crates/front/src/reply.rs
@@ -0,0 +1,58 @@
+use answer::Refusal;
+use axum::response::IntoResponse;
+use http::header;
+
+use crate::answer_body;
+
+/// Header with the request's identity.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+/// Header with the class that the request was given.
+const CLASS: &str = "x-class";
+/// Header with the time spent queued in milliseconds.
+const QUEUE_MS: &str = "x-queue-ms";
+
+/// Turns a refusal into an HTTP answer.
+pub fn refusal(refusal: &Refusal, id: &str) -> axum::response::Response {
+    let entry = refusal.kind.entry();
+    let status = http::StatusCode::from_u16(entry.status)
+        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let body = serde_json::json!({
+        "error": {
+            "kind": entry.name,
+            "message": refusal.message,
+            "run_state": entry.run.name(),
+        }
+    });
+    let mut response = (status, axum::Json(body)).into_response();
+    let headers = response.headers_mut();
+    set(headers, REQUEST_ID, id);
+    if let Some(delay) = refusal.retry_after {
+        // The header has whole seconds; rounding down would invite a retry
+        // before the queue has room.
+        let seconds = delay.as_millis().div_ceil(1_000).max(1);
+        set(headers, header::RETRY_AFTER.as_str(), &seconds.to_string());
+    }
+    response
+}
+
+/// Turns an answer into an HTTP answer.
+pub(crate) fn answer(answer: answer_body::Answer, id: &str) -> axum::response::Response {
+    let mut response = axum::response::Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    let headers = response.headers_mut();
+    *headers = answer.headers;
+    set(headers, REQUEST_ID, id);
+    set(headers, CLASS, &answer.class);
+    let queued = answer.queued.as_millis().to_string();
+    set(headers, QUEUE_MS, &queued);
+    response
+}
+
+fn set(headers: &mut http::HeaderMap, name: &str, value: &str) {
+    let Ok(name) = http::HeaderName::from_bytes(name.as_bytes()) else {
+        return;
+    };
+    if let Ok(value) = http::HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/front/src/routes.rs
@@ -0,0 +1,198 @@
+use std::net;
+use std::sync;
+
+use answer::{Kind, Refusal};
+use axum::extract;
+use axum::response::IntoResponse;
+use axum::routing;
+
+use crate::body;
+use crate::parse;
+use crate::reply;
+use crate::request;
+use crate::server;
+use crate::service;
+
+/// Address of the caller of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Remote(pub(crate) net::SocketAddr);
+
+#[derive(Clone)]
+pub(crate) struct State {
+    pub(crate) service: sync::Arc<dyn service::Service>,
+    pub(crate) options: sync::Arc<server::Options>,
+}
+
+/// Returns the routes of the caller interface.
+pub(crate) fn build(state: State) -> axum::Router {
+    axum::Router::new()
+        .route("/v1/chat/completions", routing::post(chat))
+        .route("/v1/completions", routing::post(completions))
+        .route("/v1/models", routing::get(models))
+        .route("/v1/hosts", routing::get(hosts))
+        .route("/services/{name}/{*path}", routing::any(service))
+        .fallback(not_found)
+        .method_not_allowed_fallback(bad_method)
+        .with_state(state)
+}
+
+async fn models(extract::State(state): extract::State<State>) -> axum::response::Response {
+    axum::Json(state.service.models()).into_response()
+}
+
+async fn hosts(
+    extract::State(state): extract::State<State>,
+    extract::Extension(remote): extract::Extension<Remote>,
+) -> axum::response::Response {
+    axum::Json(state.service.hosts(remote.0.ip())).into_response()
+}
+
+async fn not_found() -> axum::response::Response {
+    let refusal = Refusal::new(Kind::NotFound, "no such path");
+    reply::refusal(&refusal, &new_id())
+}
+
+async fn bad_method() -> axum::response::Response {
+    let refusal = Refusal::new(Kind::BadMethod, "the path does not take this method");
+    reply::refusal(&refusal, &new_id())
+}
+
+async fn chat(
+    extract::State(state): extract::State<State>,
+    extract::Extension(remote): extract::Extension<Remote>,
+    request: extract::Request,
+) -> axum::response::Response {
+    model(state, remote, request, "/v1/chat/completions").await
+}
+
+async fn completions(
+    extract::State(state): extract::State<State>,
+    extract::Extension(remote): extract::Extension<Remote>,
+    request: extract::Request,
+) -> axum::response::Response {
+    model(state, remote, request, "/v1/completions").await
+}
+
+async fn model(
+    state: State,
+    remote: Remote,
+    request: extract::Request,
+    path: &'static str,
+) -> axum::response::Response {
+    let id = new_id();
+    let outcome = match read_model(&state, remote, request, path, &id).await {
+        Ok(request) => state.service.serve(request).await,
+        Err(refusal) => Err(refusal),
+    };
+    finish(outcome, &id)
+}
+
+async fn read_model(
+    state: &State,
+    remote: Remote,
+    request: extract::Request,
+    path: &'static str,
+    id: &str,
+) -> Result<request::Request, Refusal> {
+    let (parts, raw) = request.into_parts();
+    let head = parse::head(&parts.headers, state.options.header_max)?;
+    let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
+    let model = parse::model(&body)?;
+    let path = request::Path::Model {
+        path,
+        model: model.name,
+    };
+    Ok(request::Request {
+        id: id.to_owned(),
+        address: remote.0.ip(),
+        fingerprint: parse::fingerprint(&path, head.bearer.as_deref(), &body),
+        bearer: head.bearer,
+        path,
+        method: parts.method,
+        headers: head.passed,
+        body,
+        stream: model.stream,
+        max_tokens: model.max_tokens,
+        prompt_tokens: model.prompt_tokens,
+        prefix: model.prefix,
+        deadline: head.deadline,
+        key: head.key,
+        request_time: head.request_time,
+        idempotent: head.idempotent,
+    })
+}
+
+async fn service(
+    extract::State(state): extract::State<State>,
+    extract::Extension(remote): extract::Extension<Remote>,
+    extract::Path((name, path)): extract::Path<(String, String)>,
+    request: extract::Request,
+) -> axum::response::Response {
+    let id = new_id();
+    let outcome = match read_service(&state, remote, name, path, request, &id).await {
+        Ok(request) => state.service.serve(request).await,
+        Err(refusal) => Err(refusal),
+    };
+    finish(outcome, &id)
+}
+
+async fn read_service(
+    state: &State,
+    remote: Remote,
+    name: String,
+    path: String,
+    request: extract::Request,
+    id: &str,
+) -> Result<request::Request, Refusal> {
+    let (parts, raw) = request.into_parts();
+    let head = parse::head(&parts.headers, state.options.header_max)?;
+    let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
+    let path = match parts.uri.query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    let path = request::Path::Service { name, path };
+    Ok(request::Request {
+        id: id.to_owned(),
+        address: remote.0.ip(),
+        fingerprint: parse::fingerprint(&path, head.bearer.as_deref(), &body),
+        bearer: head.bearer,
+        path,
+        method: parts.method,
+        headers: head.passed,
+        body,
+        stream: false,
+        max_tokens: None,
+        prompt_tokens: 0,
+        prefix: 0,
+        deadline: head.deadline,
+        key: head.key,
+        request_time: head.request_time,
+        idempotent: head.idempotent,
+    })
+}
+
+fn finish(
+    outcome: Result<crate::Answer, Refusal>,
+    id: &str,
+) -> axum::response::Response {
+    match outcome {
+        Ok(answer) => reply::answer(answer, id),
+        Err(refusal) => {
+            let level = refusal.kind.entry().level;
+            log::log!(
+                target: "front",
+                level,
+                "request {id} refused: {} ({}): {}",
+                refusal.kind,
+                refusal.run(),
+                refusal.message
+            );
+            reply::refusal(&refusal, id)
+        }
+    }
+}
+
+fn new_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
