--- /dev/null
+++ b/crates/conf/src/settings/metrics.rs
@@ -0,0 +1,8 @@
+use std::net;
+
+/// The `[metrics]` section.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Metrics {
+    /// StatsD address.
+    pub statsd: Option<net::SocketAddr>,
+}
--- /dev/null
+++ b/crates/conf/src/settings/tls.rs
@@ -0,0 +1,10 @@
+use std::path;
+
+/// The `[tls]` section.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tls {
+    /// PEM file with the certificate chain.
+    pub certificate: path::PathBuf,
+    /// PEM file with the private key.
+    pub key: path::PathBuf,
+}
