feat(conf): parse, merge and check settings files

Cause: nothing turned INI files into settings, and hosts must reach the same verdict on a configuration whatever host reads it. Wrong values are reported even when a later file replaces them. conf::print renders the merged result with masked shared keys; problems mask values that may be secrets, under a misspelled key too. conf::folder reads a folder for programs. New key: [endpoint] leaving, which the settings type already had. Conclusion: the program can load, check and explain a settings folder.

--- /dev/null
+++ b/crates/conf/examples/reference.rs
@@ -0,0 +1,5 @@
+//! Writes the settings reference to standard output.
+
+fn main() {
+    print!("{}", conf::reference());
+}
--- /dev/null
+++ b/crates/conf/src/check/team.rs
@@ -0,0 +1,24 @@
+use std::collections;
+
+use crate::check;
+use crate::merge;
+use crate::problem;
+
+/// Requires each bearer key to belong to one team.
+pub(super) fn check(merge: &merge::Merge, problems: &mut Vec<problem::Problem>) {
+    let mut owners = collections::BTreeMap::new();
+    for team in merge.all("team") {
+        let hashes = team.hashes("key_hash");
+        if check::repeated(hashes).is_some() {
+            problems.push(team.problem("key_hash", "each hash once"));
+        }
+        for hash in hashes {
+            let name = team.header.name.as_str();
+            let first = *owners.entry(hash).or_insert(name);
+            if first != name {
+                let expected = format!("a key of one team; [team {first}] has it too");
+                problems.push(team.problem("key_hash", expected));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/conf/src/place.rs
@@ -0,0 +1,36 @@
+use std::fmt;
+
+/// Where a value belongs in the settings.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Place {
+    /// Section, such as `class`.
+    pub section: String,
+    /// Name after the section in its header; empty for sections without one.
+    pub name: String,
+    /// Key.
+    pub key: String,
+}
+
+impl Place {
+    /// Returns the place of a key; `name` is empty for sections without one.
+    pub fn new(
+        section: impl Into<String>,
+        name: impl Into<String>,
+        key: impl Into<String>,
+    ) -> Self {
+        Self {
+            section: section.into(),
+            name: name.into(),
+            key: key.into(),
+        }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.name.as_str() {
+            "" => write!(f, "[{}] {}", self.section, self.key),
+            name => write!(f, "[{} {name}] {}", self.section, self.key),
+        }
+    }
+}
--- /dev/null
+++ b/crates/conf/src/reference.rs
@@ -0,0 +1,63 @@
+use core::fmt;
+
+use crate::schema;
+
+/// Text before the sections.
+const HEAD: &str = "\
+# Settings
+
+This page is generated from the schema table of the crate `conf`:
+
+```sh
+cargo run -p conf --example reference > docs/operate/settings.md
+```
+
+Settings are a folder of INI files (`*.ini`). The files are merged key by key in the byte order of their names; a later file refines an earlier one. `carobbay check DIR` prints every problem with file, line, section, key, value and what was expected.
+
+- A section header starts in the first column and ends its line: `[class status]`.
+- A key may occur once per section and file. An unknown section or key is a problem.
+- `;` and `#` start a comment at the start of a line. A comment after a value is a part of the value.
+- Durations are whole numbers with the unit `us`, `ms`, `s`, `m`, `h` or `d`. Sizes are whole numbers with the unit `B`, `KiB`, `MiB` or `GiB`.
+- Lists are separated by commas.
+- An empty value turns an optional key off or empties its list, so that a later file can take back an earlier one.
+- The hash of a bearer key is its SHA-256 in hexadecimal: `printf %s KEY | sha256sum`.
+";
+
+/// Renders the settings reference in Markdown.
+pub fn reference() -> String {
+    let mut out = HEAD.to_owned();
+    // Writing to a string does not fail.
+    let _ = write(&mut out);
+    out
+}
+
+fn write(out: &mut impl fmt::Write) -> fmt::Result {
+    for section in schema::SECTIONS {
+        writeln!(out, "\n## `{}`\n\n{}", section.title(), section.doc)?;
+        if section.naming != schema::Naming::None {
+            writeln!(out, "\nNAME is {}.", section.naming.expected())?;
+        }
+        writeln!(
+            out,
+            "\n| key | value | default | meaning |\n|---|---|---|---|"
+        )?;
+        for key in section.keys {
+            row(out, key)?;
+        }
+    }
+    Ok(())
+}
+
+fn row(out: &mut impl fmt::Write, key: &schema::Key) -> fmt::Result {
+    let default = match key.need {
+        schema::Need::Required => "required".to_owned(),
+        schema::Need::Optional => "none".to_owned(),
+        schema::Need::Default(text) => format!("`{text}`"),
+    };
+    let expected = key.kind.expected();
+    writeln!(
+        out,
+        "| `{}` | {expected} | {default} | {} |",
+        key.name, key.doc
+    )
+}
--- /dev/null
+++ b/crates/conf/src/schema.rs
@@ -0,0 +1,38 @@
+//! The table of every section and key.
+
+mod host;
+mod key;
+mod kind;
+mod model;
+mod naming;
+mod need;
+mod section;
+mod shared;
+
+pub use key::Key;
+pub use kind::Kind;
+pub use naming::Naming;
+pub use need::Need;
+pub use section::Section;
+
+/// Every section, in the order of the settings reference.
+pub const SECTIONS: [&Section; 13] = [
+    &host::HOST,
+    &host::LIMITS,
+    &model::CLASS,
+    &model::TEAM,
+    &model::ANONYMOUS,
+    &model::POOL,
+    &model::ENDPOINT,
+    &shared::ONCE,
+    &shared::FLEET,
+    &host::METRICS,
+    &host::LOG,
+    &host::TLS,
+    &host::ADMIN,
+];
+
+/// Returns the section with this name.
+pub fn section(name: &str) -> Option<&'static Section> {
+    SECTIONS.into_iter().find(|section| section.name == name)
+}
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,5 +1,7 @@
 //! Checked settings.
 
+use core::time;
+
 mod admin;
 mod all;
 mod anonymous;
@@ -35,3 +37,6 @@
 pub use pool::Pool;
 pub use team::Team;
 pub use tls::Tls;
+
+/// Longest deadline of a request.
+pub const DEADLINE_MAX: time::Duration = time::Duration::from_secs(3_600);
--- /dev/null
+++ b/crates/conf/src/unit.rs
@@ -0,0 +1,73 @@
+//! Values with units.
+
+use core::time;
+
+/// Duration units with their length in nanoseconds, longest first.
+const DURATIONS: [(&str, u64); 6] = [
+    ("d", 86_400_000_000_000),
+    ("h", 3_600_000_000_000),
+    ("m", 60_000_000_000),
+    ("s", 1_000_000_000),
+    ("ms", 1_000_000),
+    ("us", 1_000),
+];
+
+/// Size units with their length in bytes, longest first.
+const SIZES: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+/// Parses a whole number with a duration unit.
+pub(crate) fn duration(text: &str) -> Option<time::Duration> {
+    scaled(text, &DURATIONS).map(time::Duration::from_nanos)
+}
+
+/// Parses a whole number with a size unit; returns bytes.
+pub(crate) fn size(text: &str) -> Option<u64> {
+    scaled(text, &SIZES)
+}
+
+/// Parses a whole number without a unit.
+pub(crate) fn integer(text: &str) -> Option<u64> {
+    let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    digits.then(|| text.parse().ok()).flatten()
+}
+
+/// Parses a decimal number without sign and exponent.
+pub(crate) fn number(text: &str) -> Option<f64> {
+    let plain = |byte: u8| byte.is_ascii_digit() || byte == b'.';
+    let decimal = text.starts_with(|first: char| first.is_ascii_digit()) && text.bytes().all(plain);
+    decimal.then(|| text.parse().ok()).flatten()
+}
+
+/// Renders a duration in the longest unit that gives a whole number.
+pub(crate) fn show_duration(value: time::Duration) -> String {
+    let nanos = u64::try_from(value.as_nanos()).unwrap_or(u64::MAX);
+    match nanos {
+        0 => "0ms".to_owned(),
+        _ => show(nanos, &DURATIONS),
+    }
+}
+
+/// Renders a size in the longest unit that gives a whole number.
+pub(crate) fn show_size(bytes: u64) -> String {
+    show(bytes, &SIZES)
+}
+
+fn scaled(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let split = text.find(|c: char| !c.is_ascii_digit())?;
+    let (digits, unit) = text.split_at(split);
+    let (_, scale) = units.iter().find(|(name, _)| *name == unit)?;
+    integer(digits)?.checked_mul(*scale)
+}
+
+fn show(value: u64, units: &[(&str, u64)]) -> String {
+    let fits = |scale: u64| value >= scale && value.is_multiple_of(scale);
+    match units.iter().find(|(_, scale)| fits(*scale)) {
+        Some((name, scale)) => format!("{}{name}", value / scale),
+        None => format!("{value}{}", units.last().map_or("", |(name, _)| name)),
+    }
+}
