feat(wire): add schema and bounded codec for messages between hosts

Cause: hosts need one format for asks, runs, digests and claims that stays bounded and survives any bytes. Change: schema with committed generated code and a script that regenerates and compares it; plain structs with bounded encode and decode; signed datagrams whose HMAC is checked before the body is parsed; keyrings for key rotation; handshake frames.

--- /dev/null
+++ b/crates/wire/schema/peer.capnp
@@ -0,0 +1,240 @@
+@0xb7210f540f009a0a;
+
+# Messages between hosts.
+#
+# Datagrams (Digest, Claim) travel as the packed body of a signed packet; see
+# crates/wire/src/packet.rs for the header. A TCP connection starts with the
+# frames Hello, Welcome and Proof, each prefixed with its length as a
+# little-endian UInt16. After Proof the connection carries Cap'n Proto RPC with
+# Session as the bootstrap interface of the accepting side.
+
+# --- datagrams -------------------------------------------------------------
+
+struct Packet {
+  union {
+    digest @0 :Digest;
+    claim @1 :Claim;
+  }
+}
+
+struct Digest {
+  # Stored by column: 24 entries as structs do not fit 1,200 bytes.
+  revision @0 :UInt64;
+  content @1 :Data;
+  # Names of the entries, each followed by a newline except the last.
+  names @2 :Text;
+  # Distinct names of data centres and regions, separated by newlines.
+  places @3 :Text;
+  # The first as it is, the others as the zigzag difference from the first.
+  incarnations @4 :List(UInt64);
+  counters @5 :List(UInt64);
+  # Bit 0: leaving. Bit 1: suspected. Bit 2: the peer address is IPv6. Bit 3: the
+  # caller address is IPv6. Bit 4: both addresses have the same IP, given once.
+  # Bit 5: both ports are those of the first entry and not given.
+  flags @6 :List(UInt8);
+  # Indices into places.
+  dataCentres @7 :List(UInt8);
+  regions @8 :List(UInt8);
+  # Peer port, then caller port, unless they are those of the first entry.
+  ports @9 :List(UInt16);
+  # Peer IP, then caller IP unless it is the same, 4 or 16 bytes each.
+  addresses @10 :Data;
+}
+
+struct Claim {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;
+  serial @3 :UInt64;
+  ack :union {
+    none @4 :Void;
+    some @5 :Ack;
+  }
+}
+
+struct Ack {
+  incarnation @0 :UInt64;
+  epoch @1 :UInt64;
+  serial @2 :UInt64;
+}
+
+# --- handshake -------------------------------------------------------------
+
+struct Hello {
+  # First frame, from the connecting side.
+  version @0 :UInt16;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  nonce @3 :Data;
+  # Ids of the keys that the connecting side accepts, its signing key first.
+  keys @4 :List(UInt32);
+}
+
+struct Welcome {
+  # Answer of the accepting side.
+  version @0 :UInt16;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  nonce @3 :Data;
+  # Id of the key that both sides use.
+  key @4 :UInt32;
+  # HMAC over the Hello frame and this message with an empty proof.
+  proof @5 :Data;
+}
+
+struct Proof {
+  # Last frame, from the connecting side.
+  # HMAC over the Hello frame and the Welcome frame.
+  proof @0 :Data;
+}
+
+# --- calls -----------------------------------------------------------------
+
+interface Session {
+  # Resolves when the request is granted or refused.
+  ask @0 (ask :Ask) -> (reply :Reply);
+  # Withdraws an ask or gives a grant back.
+  cancel @1 (id :UInt64) -> ();
+  # First output of a granted ask.
+  first @2 (id :UInt64) -> ();
+  # End of a granted ask.
+  done @3 (done :Done) -> ();
+  # Runs a non-idempotent request at its owner.
+  run @4 (run :Run) -> (outcome :Outcome);
+  # Reads the configuration files that differ.
+  fetch @5 (fetch :Fetch) -> (files :Files);
+  # A request was in flight when an endpoint crashed.
+  blame @6 (blame :Blame) -> ();
+  # The calling host is leaving and sends no new asks.
+  leave @7 () -> ();
+  # Shows that the link and the host behind it are alive.
+  ping @8 () -> ();
+}
+
+struct Ask {
+  pool @0 :Text;
+  shard @1 :UInt32;
+  id @2 :UInt64;
+  class @3 :Text;
+  team @4 :UInt32;
+  caller @5 :UInt64;
+  promptTokens @6 :UInt32;
+  maxTokens :union {
+    none @7 :Void;
+    some @8 :UInt32;
+  }
+  prefix @9 :UInt64;
+  fingerprint @10 :UInt64;
+  budgetMs @11 :UInt64;
+  attempt @12 :UInt16;
+  avoid @13 :Text;
+  # Empty for none.
+}
+
+struct Reply {
+  union {
+    grant @0 :Grant;
+    refusal @1 :Refusal;
+  }
+}
+
+struct Grant {
+  endpoint @0 :Text;
+  ip @1 :Data;
+  port @2 :UInt16;
+  fence @3 :UInt64;
+  dispatchByMs @4 :UInt32;
+  waitMs @5 :UInt32;
+}
+
+struct Refusal {
+  kind @0 :Text;
+  message @1 :Text;
+  retryAfterMs :union {
+    none @2 :Void;
+    some @3 :UInt64;
+  }
+  waitMs @4 :UInt32;
+}
+
+struct Done {
+  id @0 :UInt64;
+  result @1 :Result;
+  tokens @2 :UInt32;
+}
+
+enum Result {
+  complete @0;
+  cancelled @1;
+  refused @2;
+  unreachable @3;
+  failed @4;
+  unused @5;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+struct Request {
+  method @0 :Text;
+  path @1 :Text;
+  headers @2 :List(Header);
+  body @3 :Data;
+}
+
+struct Run {
+  request @0 :Request;
+  class @1 :Text;
+  team @2 :UInt32;
+  caller @3 :UInt64;
+  key @4 :Text;
+  fingerprint @5 :UInt64;
+  requestTimeMs :union {
+    none @6 :Void;
+    some @7 :UInt64;
+  }
+  budgetMs @8 :UInt64;
+}
+
+struct Outcome {
+  union {
+    answer @0 :Answer;
+    refusal @1 :Refusal;
+  }
+}
+
+struct Answer {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  body @2 :Data;
+}
+
+struct Fetch {
+  known @0 :List(Known);
+}
+
+struct Known {
+  name @0 :Text;
+  hash @1 :Data;
+}
+
+struct Files {
+  revision @0 :UInt64;
+  content @1 :Data;
+  changed @2 :List(File);
+  removed @3 :List(Text);
+}
+
+struct File {
+  name @0 :Text;
+  text @1 :Text;
+}
+
+struct Blame {
+  pool @0 :Text;
+  fingerprint @1 :UInt64;
+  endpoint @2 :Text;
+  count @3 :UInt32;
+}
--- /dev/null
+++ b/crates/wire/src/answer.rs
@@ -0,0 +1,37 @@
+use crate::error;
+use crate::field;
+use crate::limit;
+use crate::message;
+use crate::peer_capnp::answer;
+use crate::request;
+
+/// A whole HTTP answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers as pairs of name and value.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl message::Message for Answer {
+    type Owned = answer::Owned;
+
+    fn write(&self, mut builder: answer::Builder<'_>) -> Result<(), error::Error> {
+        builder.set_status(self.status);
+        let count = request::count_headers(&self.headers)?;
+        request::write_headers(&self.headers, builder.reborrow().init_headers(count));
+        builder.set_body(field::fits(self.body.as_slice(), limit::BODY, "body")?);
+        Ok(())
+    }
+
+    fn read(reader: answer::Reader<'_>) -> Result<Self, error::Error> {
+        Ok(Self {
+            status: reader.get_status(),
+            headers: request::read_headers(reader.get_headers()?)?,
+            body: field::data(reader.get_body(), limit::BODY, "body")?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/blame.rs
@@ -0,0 +1,40 @@
+use crate::error;
+use crate::field;
+use crate::limit;
+use crate::message;
+use crate::peer_capnp::blame;
+
+/// A request was in flight when an endpoint crashed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Blame {
+    /// Pool of the endpoint.
+    pub pool: String,
+    /// Hash of the whole request.
+    pub fingerprint: u64,
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// Number of distinct endpoints that crashed with the request so far.
+    pub count: u32,
+}
+
+impl message::Message for Blame {
+    type Owned = blame::Owned;
+
+    fn write(&self, mut builder: blame::Builder<'_>) -> Result<(), error::Error> {
+        builder.set_pool(field::fits(self.pool.as_str(), limit::NAME, "pool")?);
+        builder.set_fingerprint(self.fingerprint);
+        let endpoint = field::fits(self.endpoint.as_str(), limit::NAME, "endpoint")?;
+        builder.set_endpoint(endpoint);
+        builder.set_count(self.count);
+        Ok(())
+    }
+
+    fn read(reader: blame::Reader<'_>) -> Result<Self, error::Error> {
+        Ok(Self {
+            pool: field::text(reader.get_pool(), limit::NAME, "pool")?,
+            fingerprint: reader.get_fingerprint(),
+            endpoint: field::text(reader.get_endpoint(), limit::NAME, "endpoint")?,
+            count: reader.get_count(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/done.rs
@@ -0,0 +1,76 @@
+use crate::error;
+use crate::message;
+use crate::peer_capnp::{self, done};
+
+/// How a granted ask ended; the variants are those of the pool's result.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Finish {
+    /// The whole answer was delivered.
+    Complete,
+    /// The caller hung up or the entry host cancelled.
+    Cancelled,
+    /// The endpoint refused before it took the request.
+    Refused,
+    /// The connection could not be made.
+    Unreachable,
+    /// The endpoint failed after it may have received the request.
+    Failed,
+    /// The grant was not used in time.
+    Unused,
+}
+
+/// Report of the end of a granted ask.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Done {
+    /// Identity of the ask.
+    pub id: u64,
+    /// How it ended.
+    pub result: Finish,
+    /// Output tokens generated, delivered or not.
+    pub tokens: u32,
+}
+
+impl message::Message for Done {
+    type Owned = done::Owned;
+
+    fn write(&self, mut builder: done::Builder<'_>) -> Result<(), error::Error> {
+        builder.set_id(self.id);
+        builder.set_result(self.result.into());
+        builder.set_tokens(self.tokens);
+        Ok(())
+    }
+
+    fn read(reader: done::Reader<'_>) -> Result<Self, error::Error> {
+        Ok(Self {
+            id: reader.get_id(),
+            result: reader.get_result()?.into(),
+            tokens: reader.get_tokens(),
+        })
+    }
+}
+
+impl From<Finish> for peer_capnp::Result {
+    fn from(finish: Finish) -> Self {
+        match finish {
+            Finish::Complete => Self::Complete,
+            Finish::Cancelled => Self::Cancelled,
+            Finish::Refused => Self::Refused,
+            Finish::Unreachable => Self::Unreachable,
+            Finish::Failed => Self::Failed,
+            Finish::Unused => Self::Unused,
+        }
+    }
+}
+
+impl From<peer_capnp::Result> for Finish {
+    fn from(result: peer_capnp::Result) -> Self {
+        match result {
+            peer_capnp::Result::Complete => Self::Complete,
+            peer_capnp::Result::Cancelled => Self::Cancelled,
+            peer_capnp::Result::Refused => Self::Refused,
+            peer_capnp::Result::Unreachable => Self::Unreachable,
+            peer_capnp::Result::Failed => Self::Failed,
+            peer_capnp::Result::Unused => Self::Unused,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/messages.rs
@@ -0,0 +1,154 @@
+//! Guards against fields that are lost or changed on the wire, against
+//! messages above their bounds and against panics on foreign bytes.
+
+use proptest::prelude::*;
+use proptest::test_runner;
+
+fn ask() -> wire::Ask {
+    wire::Ask {
+        pool: "plate-check".into(),
+        shard: 3,
+        id: 77,
+        class: "proof".into(),
+        team: 9,
+        caller: 0x1234_5678_9abc_def0,
+        prompt_tokens: 900,
+        max_tokens: Some(0),
+        prefix: 5,
+        fingerprint: 6,
+        budget_ms: 30_000,
+        attempt: 1,
+        avoid: Some("engine-4".into()),
+    }
+}
+
+fn run(body: usize) -> wire::Run {
+    wire::Run {
+        request: wire::Request {
+            method: "POST".into(),
+            path: "/services/orders/confirm?x=1".into(),
+            headers: vec![("x-note".into(), vec![0xe9, 0x20])],
+            body: vec![7; body],
+        },
+        class: "orders".into(),
+        team: 1,
+        caller: 2,
+        key: "k-1".into(),
+        fingerprint: 3,
+        request_time_ms: Some(0),
+        budget_ms: 4,
+    }
+}
+
+fn grant() -> wire::Reply {
+    wire::Reply::Grant(wire::Grant {
+        endpoint: "engine-1".into(),
+        address: "[2001:db8::1]:8000".parse().expect("address"),
+        fence: 12,
+        dispatch_by_ms: 1_000,
+        wait_ms: 40,
+    })
+}
+
+fn round<M: wire::Message + PartialEq + std::fmt::Debug>(message: &M) {
+    let bytes = wire::encode(message).expect("encodes");
+    assert_eq!(&wire::decode::<M>(&bytes).expect("decodes"), message);
+}
+
+#[test]
+fn every_field_survives() {
+    round(&ask());
+    round(&wire::Ask {
+        max_tokens: None,
+        avoid: None,
+        ..ask()
+    });
+    round(&grant());
+    let refusal = wire::Refusal {
+        kind: "overload".into(),
+        message: "the queue is full".into(),
+        retry_after_ms: Some(0),
+        wait_ms: 1,
+    };
+    round(&wire::Reply::Refusal(refusal.clone()));
+    round(&wire::Outcome::Refusal(refusal));
+    round(&wire::Done {
+        id: 1,
+        result: wire::Finish::Failed,
+        tokens: 5,
+    });
+    round(&run(10));
+    round(&wire::Outcome::Answer(wire::Answer {
+        status: 201,
+        headers: vec![("a".into(), b"b".to_vec())],
+        body: b"{}".to_vec(),
+    }));
+    round(&wire::Fetch {
+        known: vec![("10.ini".into(), [4; 32])],
+    });
+    round(&wire::Files {
+        revision: 8,
+        content: [1; 32],
+        changed: vec![("20.ini".into(), "[host]\n".into())],
+        removed: vec!["30.ini".into()],
+    });
+    round(&wire::Blame {
+        pool: "p".into(),
+        fingerprint: 1,
+        endpoint: "e".into(),
+        count: 2,
+    });
+}
+
+#[test]
+fn bounds_hold_when_encoding() {
+    let name = "x".repeat(wire::limit::NAME + 1);
+    let long = wire::Ask {
+        pool: name,
+        ..ask()
+    };
+    assert_eq!(wire::encode(&long), Err(wire::Error::TooLong("pool")));
+    let long = run(wire::limit::BODY + 1);
+    assert_eq!(wire::encode(&long), Err(wire::Error::TooLong("body")));
+    let text = "x".repeat(wire::limit::CONFIGURATION);
+    let files = wire::Files {
+        changed: vec![("a".into(), text)],
+        ..wire::Files::default()
+    };
+    assert_eq!(wire::encode(&files), Err(wire::Error::TooLong("files")));
+    round(&run(wire::limit::BODY));
+}
+
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: 1_000,
+        rng_seed: test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn foreign_bytes_do_not_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let _ = wire::decode::<wire::Ask>(&bytes);
+        let _ = wire::decode::<wire::Hello>(&bytes);
+        let _ = wire::decode::<wire::Files>(&bytes);
+        let _ = wire::Packet::parse(&bytes);
+    }
+
+    #[test]
+    fn changed_bytes_do_not_panic(at in 0usize..600, value: u8, second in 0usize..600, other: u8) {
+        let change = |mut bytes: Vec<u8>| {
+            let length = bytes.len();
+            bytes[at % length] = value;
+            bytes[second % length] = other;
+            bytes
+        };
+        let _ = wire::decode::<wire::Ask>(&change(wire::encode(&ask()).expect("encodes")));
+        let _ = wire::decode::<wire::Run>(&change(wire::encode(&run(20)).expect("encodes")));
+        let _ = wire::decode::<wire::Reply>(&change(wire::encode(&grant()).expect("encodes")));
+    }
+}
