feat(testkit): add the stand-in engine with a checkable answer text

Tests and measurements need an endpoint that behaves like a model engine: continuous batch, internal queue, prefix cache, cancellation on disconnect, lagging load reports, fencing numbers and crashes on the same port.

The output length comes from the field seed, so that a router cannot know it. Each token carries the request's tag and its number, so that a lost, doubled or foreign token is visible to the caller.

--- /dev/null
+++ b/crates/testkit/src/engine/routes.rs
@@ -0,0 +1,147 @@
+use std::sync;
+use std::sync::atomic::Ordering::Relaxed;
+
+use axum::extract;
+use axum::response;
+use axum::response::IntoResponse as _;
+use axum::routing;
+use futures_util::stream;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::engine::answer::{Answer, Style};
+use crate::engine::batch;
+use crate::engine::body;
+use crate::engine::cache;
+use crate::engine::length;
+use crate::engine::sequence;
+use crate::engine::ticket;
+use crate::server;
+use crate::text;
+
+/// Header with the fencing number of the host that gives the order.
+const FENCE_HEADER: &str = "x-fencing-number";
+
+type Shared = sync::Arc<batch::Batch>;
+
+pub(crate) fn router(batch: Shared) -> axum::Router {
+    axum::Router::new()
+        .route("/v1/chat/completions", routing::post(chat))
+        .route("/v1/completions", routing::post(plain))
+        .route("/load", routing::get(load))
+        .with_state(batch)
+}
+
+async fn load(extract::State(batch): extract::State<Shared>) -> response::Response {
+    axum::Json(batch.load()).into_response()
+}
+
+async fn chat(
+    extract::State(batch): extract::State<Shared>,
+    extract::Extension(cut): extract::Extension<server::Cut>,
+    headers: http::HeaderMap,
+    axum::Json(body): axum::Json<body::Body>,
+) -> response::Response {
+    serve(batch, &cut, &headers, Style::Chat, &body).await
+}
+
+async fn plain(
+    extract::State(batch): extract::State<Shared>,
+    extract::Extension(cut): extract::Extension<server::Cut>,
+    headers: http::HeaderMap,
+    axum::Json(body): axum::Json<body::Body>,
+) -> response::Response {
+    serve(batch, &cut, &headers, Style::Plain, &body).await
+}
+
+async fn serve(
+    batch: Shared,
+    cut: &server::Cut,
+    headers: &http::HeaderMap,
+    style: Style,
+    body: &body::Body,
+) -> response::Response {
+    if batch.options.fencing && !fresh(&batch, headers) {
+        batch.counters.fenced.fetch_add(1, Relaxed);
+        return refuse(http::StatusCode::CONFLICT, "the fencing number is old");
+    }
+    let Some(mut answer) = queue(batch, style, body) else {
+        let status = http::StatusCode::SERVICE_UNAVAILABLE;
+        return refuse(status, "the engine takes no new requests");
+    };
+    if body.stream {
+        answer.include_usage = body.stream_options.include_usage;
+        return events(answer);
+    }
+    match answer.whole().await {
+        Some(value) => axum::Json(value).into_response(),
+        None => {
+            cut.cut();
+            core::future::pending().await
+        }
+    }
+}
+
+/// Returns whether the request carries no older fencing number than the newest seen.
+fn fresh(batch: &batch::Batch, headers: &http::HeaderMap) -> bool {
+    let number = headers
+        .get(FENCE_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    number.is_none_or(|number| batch.fence(number))
+}
+
+fn queue(batch: Shared, style: Style, body: &body::Body) -> Option<Answer> {
+    let prompt = body.text();
+    let prompt_tokens = (prompt.len() / cache::TOKEN_BYTES).max(1) as u32;
+    let options = &batch.options;
+    let wanted = length::Length::of_seed(&options.lengths, options.seed, body.seed);
+    let crash = options.crash.as_ref();
+    let crash = crash.filter(|crash| prompt.contains(&crash.marker));
+    let (sink, events) = mpsc::unbounded_channel();
+    let progress = sync::Arc::<sequence::Progress>::default();
+    let tag = text::clean(&body.user);
+    let sequence = sequence::Sequence {
+        serial: 0,
+        tag: tag.clone(),
+        priority: body.priority,
+        prompt_left: prompt_tokens,
+        prompt,
+        chunk: 0,
+        length: wanted.min(body.bound()),
+        crash_after: crash.map(|crash| crash.after_tokens),
+        progress: sync::Arc::clone(&progress),
+        sink,
+    };
+    let serial = batch.queue(sequence)?;
+    Some(Answer {
+        style,
+        model: options.model.clone(),
+        tag,
+        prompt_tokens,
+        include_usage: false,
+        cut: wanted > body.bound(),
+        tokens: 0,
+        ended: false,
+        ticket: ticket::Ticket {
+            priority: body.priority,
+            serial,
+            progress,
+            events,
+            batch,
+        },
+    })
+}
+
+fn events(answer: Answer) -> response::Response {
+    let pieces = stream::unfold(answer, |mut answer| async {
+        let piece = answer.piece().await?;
+        Some((piece, answer))
+    });
+    let body = axum::body::Body::from_stream(pieces);
+    ([(http::header::CONTENT_TYPE, "text/event-stream")], body).into_response()
+}
+
+fn refuse(status: http::StatusCode, message: &str) -> response::Response {
+    (status, axum::Json(json!({"error": {"message": message}}))).into_response()
+}
--- /dev/null
+++ b/crates/testkit/src/engine/state.rs
@@ -0,0 +1,129 @@
+use std::collections;
+use std::sync;
+use std::sync::atomic::Ordering::Relaxed;
+
+use crate::engine::cache;
+use crate::engine::counters;
+use crate::engine::load;
+use crate::engine::sequence::{Event, Sequence};
+
+/// Waiting and running requests of an engine.
+pub(crate) struct State {
+    pub(crate) waiting: collections::BTreeMap<(i64, u64), Sequence>,
+    pub(crate) running: Vec<Sequence>,
+    pub(crate) cache: cache::Cache,
+    pub(crate) history: load::History,
+    pub(crate) draining: bool,
+    /// Newest fencing number seen.
+    pub(crate) fence: u64,
+    pub(crate) serial: u64,
+    /// Tags in the order in which they entered the batch.
+    pub(crate) runs: Vec<String>,
+}
+
+/// Result of a step.
+pub(crate) enum Step {
+    /// The engine goes on.
+    Done,
+    /// A request crashed the engine.
+    Crash,
+}
+
+impl State {
+    pub(crate) fn new(cache_blocks: usize) -> Self {
+        Self {
+            waiting: collections::BTreeMap::new(),
+            running: Vec::new(),
+            cache: cache::Cache::new(cache_blocks),
+            history: load::History::default(),
+            draining: false,
+            fence: 0,
+            serial: 0,
+            runs: Vec::new(),
+        }
+    }
+
+    /// Moves waiting requests into free slots, in order of priority.
+    pub(crate) fn admit(&mut self, slots: usize, counters: &counters::Counters) {
+        while self.running.len() < slots {
+            let Some((_, mut sequence)) = self.waiting.pop_first() else {
+                return;
+            };
+            let cached = self.cache.visit(&sequence.prompt);
+            // The last prompt token is always computed, because it gives the first output.
+            let cached = cached.min(sequence.prompt_left.saturating_sub(1));
+            sequence.prompt_left -= cached;
+            counters.cached.fetch_add(u64::from(cached), Relaxed);
+            counters.executions.fetch_add(1, Relaxed);
+            self.runs.push(sequence.tag.clone());
+            self.running.push(sequence);
+        }
+    }
+
+    /// Hands out at most `budget` prompt tokens for the step and returns how many,
+    /// with the number of sequences that decode.
+    pub(crate) fn plan(&mut self, budget: u32) -> (u32, usize) {
+        let mut left = budget;
+        let mut decoding = 0;
+        for sequence in &mut self.running {
+            sequence.chunk = sequence.prompt_left.min(left);
+            left -= sequence.chunk;
+            decoding += usize::from(sequence.prompt_left == 0);
+        }
+        (budget - left, decoding)
+    }
+
+    /// Ends the step: every sequence whose prompt is done gets a token.
+    pub(crate) fn finish(&mut self, counters: &counters::Counters) -> Step {
+        let mut crash = false;
+        self.running.retain_mut(|sequence| {
+            sequence.prompt_left -= sequence.chunk;
+            sequence.chunk = 0;
+            if sequence.prompt_left > 0 {
+                return true;
+            }
+            let tokens = sequence.progress.tokens.load(Relaxed);
+            if sequence.crash_after.is_some_and(|after| tokens >= after) {
+                crash = true;
+                return true;
+            }
+            generate(sequence, counters) < sequence.length
+        });
+        if crash { Step::Crash } else { Step::Done }
+    }
+
+    /// Removes a request whose caller left.
+    pub(crate) fn leave(&mut self, priority: i64, serial: u64) {
+        self.waiting.remove(&(priority, serial));
+        self.running.retain(|sequence| sequence.serial != serial);
+    }
+
+    /// Drops everything, as a crash does.
+    pub(crate) fn crash(&mut self, counters: &counters::Counters) {
+        let waiting = core::mem::take(&mut self.waiting);
+        let running = core::mem::take(&mut self.running);
+        for sequence in waiting.into_values().chain(running) {
+            if !sequence.progress.settled.swap(true, Relaxed) {
+                let tokens = sequence.progress.tokens.load(Relaxed);
+                counters.lost.fetch_add(u64::from(tokens), Relaxed);
+            }
+        }
+    }
+}
+
+/// Gives a sequence one token and returns how many it has.
+fn generate(sequence: &Sequence, counters: &counters::Counters) -> u32 {
+    let tokens = sequence.progress.tokens.fetch_add(1, Relaxed) + 1;
+    counters.tokens.fetch_add(1, Relaxed);
+    let event = if tokens < sequence.length {
+        Event::Token
+    } else {
+        Event::End
+    };
+    // The receiver is gone when the caller has just left; its ticket counts the waste.
+    sequence.sink.send(event).ok();
+    tokens
+}
+
+/// State shared between the batch, the routes and the handle.
+pub(crate) type Shared = sync::Mutex<State>;
--- /dev/null
+++ b/crates/testkit/src/engine/ticket.rs
@@ -0,0 +1,43 @@
+use std::sync;
+use std::sync::atomic::Ordering::Relaxed;
+
+use tokio::sync::mpsc;
+
+use crate::engine::batch;
+use crate::engine::sequence::{Event, Progress};
+
+/// The answer's side of a request. Dropping it before the end cancels the request.
+pub(crate) struct Ticket {
+    pub(crate) batch: sync::Arc<batch::Batch>,
+    pub(crate) priority: i64,
+    pub(crate) serial: u64,
+    pub(crate) progress: sync::Arc<Progress>,
+    pub(crate) events: mpsc::UnboundedReceiver<Event>,
+}
+
+impl Ticket {
+    /// Returns the next event, or `None` after a crash.
+    pub(crate) async fn next(&mut self) -> Option<Event> {
+        self.events.recv().await
+    }
+
+    /// Notes that the caller took the whole answer.
+    pub(crate) fn complete(&self) {
+        if !self.progress.settled.swap(true, Relaxed) {
+            self.batch.counters.completed.fetch_add(1, Relaxed);
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if self.progress.settled.swap(true, Relaxed) {
+            return;
+        }
+        self.batch.leave(self.priority, self.serial);
+        let tokens = self.progress.tokens.load(Relaxed);
+        let counters = &self.batch.counters;
+        counters.wasted.fetch_add(u64::from(tokens), Relaxed);
+        counters.cancelled.fetch_add(1, Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/server.rs
@@ -0,0 +1,154 @@
+//! HTTP server on loopback whose listener and connections can be cut.
+
+use core::time;
+use std::io;
+use std::net;
+use std::sync;
+
+use hyper::service::Service as _;
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use hyper_util::service;
+use tokio::net as tokio_net;
+use tokio::sync::watch;
+
+use crate::sync::lock;
+
+/// Upper bound of connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Delay between attempts to bind a port whose old listener is still closing.
+const REBIND_DELAY: time::Duration = time::Duration::from_millis(5);
+/// Attempts to bind the port again.
+const REBIND_ATTEMPTS: u32 = 400;
+
+/// Cuts the connection that a request came on. Handlers find it in the extensions.
+#[derive(Clone)]
+pub struct Cut(sync::Arc<tokio::sync::Notify>);
+
+impl Cut {
+    /// Closes the connection without an answer.
+    pub fn cut(&self) {
+        self.0.notify_one();
+    }
+}
+
+/// Server for HTTP/1.1 and HTTP/2 on a port of 127.0.0.1 that the system chose.
+pub struct Server {
+    address: net::SocketAddr,
+    router: axum::Router,
+    generation: watch::Sender<u64>,
+    listener: sync::Mutex<Option<tokio::task::JoinHandle<()>>>,
+    // Keeps the port from being given to another process while the listener is closed.
+    _reserved: tokio_net::TcpSocket,
+}
+
+impl Server {
+    /// Binds a port and serves the router on it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if no port can be bound.
+    pub fn start(router: axum::Router) -> io::Result<Self> {
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let reserved = socket(any)?;
+        let server = Self {
+            address: reserved.local_addr()?,
+            router,
+            generation: watch::Sender::new(0),
+            listener: sync::Mutex::new(None),
+            _reserved: reserved,
+        };
+        let listener = socket(server.address)?.listen(BACKLOG)?;
+        server.serve(listener);
+        Ok(server)
+    }
+
+    /// Returns the address; it stays the same for the life of the server.
+    pub const fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and cuts all connections.
+    pub fn close(&self) {
+        if let Some(task) = lock(&self.listener).take() {
+            task.abort();
+        }
+        self.generation.send_modify(|number| *number += 1);
+    }
+
+    /// Listens on the same port again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the port cannot be bound within two seconds.
+    pub async fn open(&self) -> io::Result<()> {
+        for _ in 0..REBIND_ATTEMPTS {
+            if let Ok(listener) = socket(self.address)?.listen(BACKLOG) {
+                self.serve(listener);
+                return Ok(());
+            }
+            tokio::time::sleep(REBIND_DELAY).await;
+        }
+        Err(io::ErrorKind::AddrInUse.into())
+    }
+
+    fn serve(&self, listener: tokio_net::TcpListener) {
+        let router = self.router.clone();
+        let generation = self.generation.subscribe();
+        let task = tokio::spawn(accept(listener, router, generation));
+        if let Some(old) = lock(&self.listener).replace(task) {
+            old.abort();
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+fn socket(address: net::SocketAddr) -> io::Result<tokio_net::TcpSocket> {
+    let socket = tokio_net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+async fn accept(
+    listener: tokio_net::TcpListener,
+    router: axum::Router,
+    generation: watch::Receiver<u64>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Running out of descriptors passes; accepting at once again would spin.
+            tokio::time::sleep(REBIND_DELAY).await;
+            continue;
+        };
+        tokio::spawn(connection(stream, router.clone(), generation.clone()));
+    }
+}
+
+async fn connection(
+    stream: tokio_net::TcpStream,
+    router: axum::Router,
+    mut generation: watch::Receiver<u64>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("testkit: cannot disable Nagle's algorithm: {error}");
+    }
+    let cut = Cut(sync::Arc::default());
+    let inner = service::TowerToHyperService::new(router);
+    let handed = cut.clone();
+    let service = hyper::service::service_fn(move |mut request: http::Request<_>| {
+        request.extensions_mut().insert(handed.clone());
+        inner.call(request)
+    });
+    let builder = auto::Builder::new(rt::TokioExecutor::new());
+    tokio::select! {
+        _ = builder.serve_connection(rt::TokioIo::new(stream), service) => {}
+        () = cut.0.notified() => {}
+        _ = generation.changed() => {}
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/text.rs
@@ -0,0 +1,22 @@
+//! Answer text whose wholeness can be checked.
+//!
+//! Token `n` of the answer to the request `tag` is `"tag/n "`, so that a lost,
+//! doubled, reordered or foreign token is visible in the text alone.
+
+mod check;
+mod verdict;
+
+pub use check::Check;
+pub use verdict::Verdict;
+
+/// Returns one token of an answer.
+pub fn token(tag: &str, number: u32) -> String {
+    format!("{tag}/{number} ")
+}
+
+/// Returns the tag with everything but letters, digits, `-` and `_` removed.
+pub fn clean(tag: &str) -> String {
+    tag.chars()
+        .filter(|c| c.is_ascii_alphanumeric() || matches!(c, '-' | '_'))
+        .collect()
+}
--- /dev/null
+++ b/crates/testkit/src/text/verdict.rs
@@ -0,0 +1,16 @@
+/// What a check of an answer found.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Verdict {
+    /// Every token is there once, in order.
+    Whole,
+    /// The answer ends before its last token.
+    Short,
+    /// The answer has more tokens than expected.
+    Excess,
+    /// A token is missing between others.
+    Lost,
+    /// A token came twice or late.
+    Doubled,
+    /// A token belongs to another request.
+    Foreign,
+}
