feat(host,carobbay): serve requests through one host

Cause: nothing served a request from end to end. Change: shards with the first-come-first-served policy, retries that keep the run state true, streams with whole-answer detection, load polls, graceful shutdown, and the commands serve, check and completions. Conclusion: the path is whole on one host; other hosts come next.

--- /dev/null
+++ b/crates/carobbay/src/check.rs
@@ -0,0 +1,44 @@
+use std::path;
+use std::process;
+
+use crate::cli;
+
+/// Exit code for settings with problems.
+pub(crate) const PROBLEMS: u8 = 3;
+
+/// Checks a folder and prints its problems or the merged settings.
+pub(crate) fn run(options: &cli::Check) -> anyhow::Result<process::ExitCode> {
+    match load(&options.folder)? {
+        Ok(outcome) => {
+            if options.print {
+                print!("{}", conf::print(&outcome));
+            } else {
+                println!("{}: no problems", options.folder.display());
+            }
+            Ok(process::ExitCode::SUCCESS)
+        }
+        Err(problems) => {
+            for problem in &problems {
+                println!("{problem}");
+            }
+            eprintln!(
+                "carobbay: {} problems in {}",
+                problems.len(),
+                options.folder.display()
+            );
+            Ok(process::ExitCode::from(PROBLEMS))
+        }
+    }
+}
+
+/// Reads and checks a folder.
+///
+/// # Errors
+///
+/// Fails if the folder cannot be read.
+pub(crate) fn load(
+    folder: &path::Path,
+) -> anyhow::Result<Result<conf::Outcome, Vec<conf::Problem>>> {
+    let files = conf::folder::read(folder)?;
+    Ok(conf::load(&files))
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,7 +16,7 @@
 pub use reply::refusal as refusal_reply;
 pub use request::{Path, Request};
 pub use server::{Options, Server};
-pub use service::Service;
+pub use service::{Service, Serving};
 
 /// Body of an answer.
 pub type Body = axum::body::Body;
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -14,8 +14,8 @@
 /// Turns a refusal into an HTTP answer.
 pub fn refusal(refusal: &Refusal, id: &str) -> axum::response::Response {
     let entry = refusal.kind.entry();
-    let status = http::StatusCode::from_u16(entry.status)
-        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let status =
+        http::StatusCode::from_u16(entry.status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     let body = serde_json::json!({
         "error": {
             "kind": entry.name,
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -172,10 +172,7 @@
     })
 }
 
-fn finish(
-    outcome: Result<crate::Answer, Refusal>,
-    id: &str,
-) -> axum::response::Response {
+fn finish(outcome: Result<crate::Answer, Refusal>, id: &str) -> axum::response::Response {
     match outcome {
         Ok(answer) => reply::answer(answer, id),
         Err(refusal) => {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -96,7 +96,9 @@
         if let Err(cause) = stream.set_nodelay(true) {
             log::debug!(target: "front", "no-delay not set for {remote}: {cause}");
         }
-        let router = router.clone().layer(axum::Extension(routes::Remote(remote)));
+        let router = router
+            .clone()
+            .layer(axum::Extension(routes::Remote(remote)));
         let service = hyper_util::service::TowerToHyperService::new(router);
         let connection = builder
             .serve_connection_with_upgrades(rt::TokioIo::new(stream), service)
--- /dev/null
+++ b/crates/host/src/poll.rs
@@ -0,0 +1,81 @@
+use core::time;
+use std::collections;
+use std::sync;
+
+use crate::clock;
+use crate::shard;
+use crate::state;
+
+/// Period of the policies' periodic work.
+const TICK: time::Duration = time::Duration::from_millis(20);
+/// Period of load polls per endpoint.
+const POLL: time::Duration = time::Duration::from_millis(500);
+/// Longest wait for a load report.
+const POLL_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// Runs the periodic work of all shards until the task is aborted.
+pub(crate) async fn tick(state: sync::Arc<state::State>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        for shard in state.shards() {
+            shard.tick();
+        }
+    }
+}
+
+/// Polls the load of the endpoints of all shards until the task is aborted.
+pub(crate) async fn loads(
+    state: sync::Arc<state::State>,
+    client: back::Client,
+    clock: clock::Clock,
+) {
+    let mut interval = tokio::time::interval(POLL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut pending = tokio::task::JoinSet::new();
+    let mut busy = collections::HashSet::new();
+    loop {
+        interval.tick().await;
+        while let Some(ended) = pending.try_join_next() {
+            if let Ok(id) = ended {
+                busy.remove(&id);
+            }
+        }
+        for shard in state.shards() {
+            for member in shard.members() {
+                // An endpoint that does not answer is asked once at a time.
+                if busy.insert(member.endpoint.id) {
+                    pending.spawn(poll(shard.clone(), member, client.clone(), clock));
+                }
+            }
+        }
+    }
+}
+
+async fn poll(
+    shard: sync::Arc<shard::Shard>,
+    member: shard::Member,
+    client: back::Client,
+    clock: clock::Clock,
+) -> pool::EndpointId {
+    let id = member.endpoint.id;
+    let sent = clock.now();
+    let Ok(Ok(load)) = tokio::time::timeout(POLL_TIMEOUT, client.load(member.address)).await else {
+        log::debug!(target: "host", "no load report from {}", member.name);
+        return id;
+    };
+    let age = match load.at_ms {
+        0 => time::Duration::ZERO,
+        at => time::Duration::from_millis(clock::Clock::wall_ms().saturating_sub(at)),
+    };
+    let report = pool::Load {
+        running: load.running,
+        waiting: load.waiting,
+        slots: load.slots,
+        draining: load.draining,
+        at: sent.saturating_sub(age),
+    };
+    shard.report(id, report);
+    id
+}
--- /dev/null
+++ b/crates/host/src/shard.rs
@@ -0,0 +1,214 @@
+use core::time;
+use std::collections;
+use std::net;
+use std::sync;
+
+use pool::Action;
+use tokio::sync::oneshot;
+
+use crate::clock;
+
+/// A place at an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub(crate) endpoint: pool::EndpointId,
+    pub(crate) name: String,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) fence: u64,
+}
+
+pub(crate) type Verdict = Result<Grant, answer::Refusal>;
+
+/// An endpoint as the settings list it.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) endpoint: pool::Endpoint,
+    pub(crate) name: String,
+    pub(crate) address: net::SocketAddr,
+}
+
+struct Inner {
+    policy: Box<dyn pool::Policy>,
+    members: collections::HashMap<pool::EndpointId, Member>,
+    waiting: collections::HashMap<pool::AskId, oneshot::Sender<Verdict>>,
+    next: u64,
+    actions: Vec<Action>,
+}
+
+/// One shard of a pool at its home host, under one lock.
+pub(crate) struct Shard {
+    inner: sync::Mutex<Inner>,
+    clock: clock::Clock,
+    fence: u64,
+}
+
+impl Shard {
+    pub(crate) fn new(policy: Box<dyn pool::Policy>, clock: clock::Clock) -> Self {
+        let inner = Inner {
+            policy,
+            members: collections::HashMap::new(),
+            waiting: collections::HashMap::new(),
+            next: 0,
+            actions: Vec::new(),
+        };
+        Self {
+            inner: sync::Mutex::new(inner),
+            clock,
+            // Of two hosts that are home one after the other, the later one
+            // has the higher number.
+            fence: clock::Clock::wall_ms(),
+        }
+    }
+
+    /// Takes over what the settings say.
+    pub(crate) fn configure(&self, options: pool::Options, members: Vec<Member>) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.policy.configure(now, options);
+        let set: Vec<pool::Endpoint> = members.iter().map(|member| member.endpoint).collect();
+        inner.members = members
+            .into_iter()
+            .map(|member| (member.endpoint.id, member))
+            .collect();
+        self.apply(&mut inner, |policy, out| policy.endpoints(now, &set, out));
+    }
+
+    /// Queues an ask; `fill` gets the identity that the shard gives it.
+    pub(crate) fn ask(
+        &self,
+        fill: impl FnOnce(pool::AskId, time::Duration) -> pool::Ask,
+    ) -> (pool::AskId, oneshot::Receiver<Verdict>) {
+        let now = self.clock.now();
+        let (sender, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        let id = pool::AskId(inner.next);
+        inner.next += 1;
+        inner.waiting.insert(id, sender);
+        let ask = fill(id, now);
+        self.apply(&mut inner, |policy, out| policy.ask(now, ask, out));
+        (id, receiver)
+    }
+
+    /// Withdraws a queued ask.
+    pub(crate) fn cancel(&self, id: pool::AskId) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if inner.waiting.remove(&id).is_some() {
+            self.apply(&mut inner, |policy, out| policy.cancel(now, id, out));
+        }
+    }
+
+    /// Notes the first output of a granted ask.
+    pub(crate) fn first(&self, id: pool::AskId) {
+        let now = self.clock.now();
+        self.lock().policy.first(now, id);
+    }
+
+    /// Notes the end of a granted ask.
+    pub(crate) fn done(&self, id: pool::AskId, finish: pool::Finish) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        self.apply(&mut inner, |policy, out| policy.done(now, id, finish, out));
+    }
+
+    /// Notes a load report.
+    pub(crate) fn report(&self, id: pool::EndpointId, load: pool::Load) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        self.apply(&mut inner, |policy, out| policy.report(now, id, load, out));
+    }
+
+    /// Lets the policy do what is due.
+    pub(crate) fn tick(&self) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        self.apply(&mut inner, |policy, out| policy.tick(now, out));
+    }
+
+    /// Lists the endpoints of the shard.
+    pub(crate) fn members(&self) -> Vec<Member> {
+        self.lock().members.values().cloned().collect()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Inner> {
+        // A panic under the lock leaves the policy in an unknown state, but
+        // refusing all further work of the shard would be worse.
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Runs one input of the policy and carries out its decisions. A grant
+    /// whose asker has gone is returned at once, which may cause further
+    /// decisions.
+    fn apply(
+        &self,
+        inner: &mut Inner,
+        input: impl FnOnce(&mut dyn pool::Policy, &mut Vec<Action>),
+    ) {
+        let mut actions = core::mem::take(&mut inner.actions);
+        input(inner.policy.as_mut(), &mut actions);
+        let mut index = 0;
+        while index < actions.len() {
+            let action = actions[index];
+            index += 1;
+            if let Some(unused) = self.carry_out(inner, action) {
+                let finish = pool::Finish {
+                    result: pool::Result::Unused,
+                    tokens: 0,
+                };
+                let now = self.clock.now();
+                inner.policy.done(now, unused, finish, &mut actions);
+            }
+        }
+        actions.clear();
+        inner.actions = actions;
+    }
+
+    /// Returns the ask if its grant could not be delivered.
+    fn carry_out(&self, inner: &mut Inner, action: Action) -> Option<pool::AskId> {
+        match action {
+            Action::Grant { ask, endpoint } => {
+                let sender = inner.waiting.remove(&ask)?;
+                let Some(member) = inner.members.get(&endpoint) else {
+                    return Some(ask);
+                };
+                let grant = Grant {
+                    endpoint,
+                    name: member.name.clone(),
+                    address: member.address,
+                    fence: self.fence,
+                };
+                sender.send(Ok(grant)).err().map(|_| ask)
+            }
+            Action::Refuse {
+                ask,
+                kind,
+                retry_after,
+            } => {
+                let sender = inner.waiting.remove(&ask)?;
+                let refusal = answer::Refusal {
+                    kind,
+                    message: message(kind),
+                    retry_after,
+                };
+                // An asker that has gone needs no refusal.
+                drop(sender.send(Err(refusal)));
+                None
+            }
+        }
+    }
+}
+
+fn message(kind: answer::Kind) -> String {
+    let text = match kind {
+        answer::Kind::Overload => "the deadline cannot be met at the present load",
+        answer::Kind::Shed => "a request of a higher tier or an earlier deadline took the place",
+        answer::Kind::Expired => "the deadline passed while the request was queued",
+        answer::Kind::NoEndpoint => "no endpoint of the pool is up",
+        answer::Kind::Poison => "the request crashed endpoints",
+        answer::Kind::RetryBudget => "the retry budget is used up",
+        _ => "the request was refused",
+    };
+    text.to_owned()
+}
--- /dev/null
+++ b/crates/host/src/state.rs
@@ -0,0 +1,189 @@
+use std::collections;
+use std::sync;
+
+use crate::clock;
+use crate::layout;
+use crate::names;
+use crate::options;
+use crate::shard;
+
+/// The settings in force with what is derived from them.
+pub(crate) struct Force {
+    pub(crate) settings: sync::Arc<conf::Settings>,
+    pub(crate) classes: class::Table,
+    pub(crate) layout: collections::BTreeMap<String, Vec<Vec<String>>>,
+}
+
+type Key = (String, u32);
+
+#[derive(Default)]
+struct Numbers {
+    classes: names::Names,
+    known: Vec<pool::Class>,
+    endpoints: names::Names,
+}
+
+/// The shards that this host is home of, and the settings in force.
+pub(crate) struct State {
+    clock: clock::Clock,
+    policy: options::Choice,
+    force: arc_swap::ArcSwap<Force>,
+    numbers: sync::Mutex<Numbers>,
+    shards: sync::Mutex<collections::HashMap<Key, sync::Arc<shard::Shard>>>,
+}
+
+impl State {
+    pub(crate) fn new(
+        settings: sync::Arc<conf::Settings>,
+        policy: options::Choice,
+        clock: clock::Clock,
+    ) -> Self {
+        let state = Self {
+            clock,
+            policy,
+            force: arc_swap::ArcSwap::from_pointee(derive(settings.clone())),
+            numbers: sync::Mutex::default(),
+            shards: sync::Mutex::default(),
+        };
+        state.note_classes(&settings);
+        state
+    }
+
+    /// Returns the settings in force.
+    pub(crate) fn force(&self) -> sync::Arc<Force> {
+        self.force.load_full()
+    }
+
+    /// Puts settings in force and passes them to every shard.
+    pub(crate) fn replace(&self, settings: sync::Arc<conf::Settings>) {
+        self.note_classes(&settings);
+        self.force.store(sync::Arc::new(derive(settings)));
+        let shards: Vec<(Key, sync::Arc<shard::Shard>)> = lock(&self.shards)
+            .iter()
+            .map(|(key, shard)| (key.clone(), shard.clone()))
+            .collect();
+        for (key, shard) in shards {
+            self.configure(&key, &shard);
+        }
+    }
+
+    /// Returns the shard, creating it on its first use at this host.
+    pub(crate) fn shard(&self, pool: &str, index: u32) -> sync::Arc<shard::Shard> {
+        let key = (pool.to_owned(), index);
+        let mut shards = lock(&self.shards);
+        if let Some(shard) = shards.get(&key) {
+            return shard.clone();
+        }
+        let options = self.options(pool);
+        let policy: Box<dyn pool::Policy> = match self.policy {
+            options::Choice::Current => Box::new(pool::Baseline::new(&options)),
+            options::Choice::Baseline => Box::new(pool::Baseline::new(&options)),
+        };
+        let shard = sync::Arc::new(shard::Shard::new(policy, self.clock));
+        self.configure(&key, &shard);
+        shards.insert(key, shard.clone());
+        shard
+    }
+
+    /// Lists the shards that this host is or was home of.
+    pub(crate) fn shards(&self) -> Vec<sync::Arc<shard::Shard>> {
+        lock(&self.shards).values().cloned().collect()
+    }
+
+    /// Returns the number of a class, which shards use as its index.
+    pub(crate) fn class_number(&self, name: &str) -> Option<u16> {
+        let number = lock(&self.numbers).classes.find(name)?;
+        u16::try_from(number).ok()
+    }
+
+    fn configure(&self, key: &Key, shard: &shard::Shard) {
+        let options = self.options(&key.0);
+        let members = self.members(&key.0, key.1);
+        shard.configure(options, members);
+    }
+
+    fn note_classes(&self, settings: &conf::Settings) {
+        let mut numbers = lock(&self.numbers);
+        for (name, class) in &settings.classes {
+            let number = numbers.classes.number(name) as usize;
+            let class = pool::Class {
+                tier: class.tier,
+                target_first: class.target_first,
+                target_gap: class.target_gap,
+                floor: class.floor,
+                starvation_window: class.starvation_window,
+            };
+            if number < numbers.known.len() {
+                numbers.known[number] = class;
+            } else {
+                numbers.known.push(class);
+            }
+        }
+    }
+
+    fn options(&self, name: &str) -> pool::Options {
+        let force = self.force();
+        let settings = &force.settings;
+        let mut weights: collections::HashMap<u32, f64> = settings
+            .teams
+            .iter()
+            .map(|(team, options)| (class::team_key(team), options.weight))
+            .collect();
+        weights.insert(class::ANONYMOUS, settings.anonymous.weight);
+        let pool = settings.pools.get(name);
+        pool::Options {
+            classes: lock(&self.numbers).known.clone(),
+            weights,
+            queue_max: settings.limits.queue_max,
+            long_tokens: pool.map_or(u32::MAX, |pool| pool.long_tokens),
+            long_share: pool.map_or(1.0, |pool| pool.long_share),
+            seed: clock::Clock::wall_ms(),
+        }
+    }
+
+    fn members(&self, pool: &str, index: u32) -> Vec<shard::Member> {
+        let force = self.force();
+        let listed = force
+            .layout
+            .get(pool)
+            .and_then(|shards| shards.get(index as usize));
+        let mut numbers = lock(&self.numbers);
+        let mut members = Vec::new();
+        for name in listed.into_iter().flatten() {
+            let Some(endpoint) = force.settings.endpoints.get(name) else {
+                continue;
+            };
+            // An endpoint that moves to another address is another endpoint:
+            // its observations and its load do not carry over.
+            let identity = format!("{name}@{}", endpoint.address);
+            let id = pool::EndpointId(numbers.endpoints.number(&identity));
+            let phase = if endpoint.leaving {
+                pool::Phase::Leaving
+            } else {
+                pool::Phase::Up
+            };
+            members.push(shard::Member {
+                endpoint: pool::Endpoint {
+                    id,
+                    phase,
+                    slots: endpoint.slots,
+                },
+                name: identity,
+                address: endpoint.address,
+            });
+        }
+        members
+    }
+}
+
+fn derive(settings: sync::Arc<conf::Settings>) -> Force {
+    Force {
+        classes: class::Table::new(&settings),
+        layout: layout::shards(&settings),
+        settings,
+    }
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/host/tests/raw.rs
@@ -0,0 +1,85 @@
+//! Tests with callers and endpoints that do not speak proper HTTP.
+
+mod common;
+
+use core::net;
+
+use rstest::rstest;
+use testkit::load;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+
+async fn exchange(address: net::SocketAddr, request: &str) -> String {
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("the host accepts");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the host reads");
+    let mut answer = Vec::new();
+    // A reset after the answer is as good as a close.
+    drop(stream.read_to_end(&mut answer).await);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against bodies that are not JSON or end early, and callers that stop
+/// sending and hold a connection for ever.
+#[rstest]
+#[case::malformed(
+    "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 9\r\n\r\n{\"model\":",
+    "bad_request"
+)]
+#[case::silent(
+    "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 900\r\n\r\n{",
+    "caller_timeout"
+)]
+#[tokio::test]
+async fn broken_bodies_get_their_reason(#[case] request: &str, #[case] kind: &str) {
+    let engine = common::engine(4, None);
+    let host = common::host(&[engine.address()]).await;
+    let answer = exchange(host.caller_addr(), request).await;
+    assert!(answer.contains(&format!("\"kind\":\"{kind}\"")), "{answer}");
+    assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+    host.shutdown().await;
+}
+
+/// Starts an endpoint that answers every connection with these bytes.
+async fn endpoint(bytes: &'static [u8]) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            drop(stream.read(&mut request).await);
+            drop(stream.write_all(bytes).await);
+        }
+    });
+    address
+}
+
+/// Guards against a host that hangs, panics or passes on garbage when an
+/// endpoint does not answer with HTTP or closes early.
+#[rstest]
+#[case::garbage(b"\x00\x01\x02 not http at all\r\n\r\n")]
+#[case::nothing(b"")]
+#[case::short(b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{}")]
+#[tokio::test]
+async fn endpoints_that_send_garbage_are_reported(#[case] bytes: &'static [u8]) {
+    let host = common::host(&[endpoint(bytes).await]).await;
+    let mut call = common::call("r1", 4);
+    call.stream = false;
+    let record = call.send(&common::client(), host.caller_addr()).await;
+    match record.outcome {
+        load::Outcome::Refused {
+            status, run_state, ..
+        } => {
+            assert_eq!(status, 502);
+            assert_eq!(run_state, "unknown");
+        }
+        other => panic!("not refused: {other:?}"),
+    }
+    host.shutdown().await;
+}
--- /dev/null
+++ b/crates/host/tests/whole_path.rs
@@ -0,0 +1,183 @@
+//! Tests of one host in front of stand-in engines.
+
+mod common;
+
+use core::time;
+
+use rstest::rstest;
+use testkit::engine;
+use testkit::load;
+
+/// Guards against answers that are lost, cut, doubled or mixed up between
+/// callers when many run at once.
+#[rstest]
+#[case::streamed(true)]
+#[case::whole(false)]
+#[tokio::test]
+async fn every_caller_gets_its_own_whole_answer(#[case] stream: bool) {
+    let engines = [common::engine(12, None), common::engine(12, None)];
+    let host = common::host(&[engines[0].address(), engines[1].address()]).await;
+    let client = common::client();
+    let calls = (0..40).map(|number| {
+        let mut call = common::call(&format!("r{number}"), 12);
+        call.stream = stream;
+        let client = client.clone();
+        let address = host.caller_addr();
+        async move { call.send(&client, address).await }
+    });
+    for record in futures_util::future::join_all(calls).await {
+        assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+        assert_eq!(record.class.as_deref(), Some("urgent"));
+    }
+    let runs: usize = engines.iter().map(|engine| engine.runs().len()).sum();
+    assert_eq!(runs, 40);
+    host.shutdown().await;
+}
+
+/// Guards against a caller who pays for an endpoint that cannot be reached.
+#[tokio::test]
+async fn an_endpoint_that_refuses_connections_costs_a_retry_only() {
+    let gone = common::engine(4, None);
+    let dead = gone.address();
+    drop(gone);
+    let live = common::engine(4, None);
+    let host = common::host(&[dead, live.address()]).await;
+    let client = common::client();
+    for number in 0..5 {
+        let call = common::call(&format!("r{number}"), 4);
+        let record = call.send(&client, host.caller_addr()).await;
+        assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+    }
+    host.shutdown().await;
+}
+
+/// Guards against a stream that an endpoint cut and that its caller takes for
+/// a whole answer.
+#[tokio::test]
+async fn a_cut_stream_is_never_taken_for_whole() {
+    let crash = engine::Crash {
+        marker: "fault".to_owned(),
+        after_tokens: 3,
+        back_after: None,
+    };
+    let engine = common::engine(12, Some(crash));
+    let host = common::host(&[engine.address()]).await;
+    let mut call = common::call("r1", 12);
+    call.prompt = "fault".to_owned();
+    let record = call.send(&common::client(), host.caller_addr()).await;
+    assert!(!record.outcome.is_whole(), "{:?}", record.outcome);
+    host.shutdown().await;
+}
+
+/// Guards against work that goes on at the endpoint after its caller has left.
+#[tokio::test]
+async fn a_caller_that_hangs_up_frees_its_place() {
+    let engine = common::engine(100_000, None);
+    let host = common::host(&[engine.address()]).await;
+    let call = common::call("r1", 100_000);
+    let client = common::client();
+    let sending = call.send(&client, host.caller_addr());
+    let started = async {
+        while engine.runs().is_empty() {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    };
+    tokio::select! {
+        record = sending => panic!("the answer ended: {:?}", record.outcome),
+        () = started => {}
+    }
+    drop(client);
+    while engine.counters().figures().cancelled == 0 {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    host.shutdown().await;
+}
+
+/// Guards against a shutdown that cuts a stream in flight.
+#[tokio::test]
+async fn a_graceful_shutdown_finishes_streams() {
+    let engine = common::engine(60, None);
+    let host = common::host(&[engine.address()]).await;
+    let address = host.caller_addr();
+    let running = tokio::spawn(async move {
+        let call = common::call("r1", 60);
+        call.send(&common::client(), address).await
+    });
+    while engine.runs().is_empty() {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    host.shutdown().await;
+    let record = running.await.expect("the caller does not panic");
+    assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+}
+
+fn kind(outcome: &load::Outcome) -> (u16, &str, &str) {
+    match outcome {
+        load::Outcome::Refused {
+            status,
+            kind,
+            run_state,
+            ..
+        } => (*status, kind, run_state),
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Guards against bad input that is served, or answered without its reason.
+#[tokio::test]
+async fn bad_requests_get_their_reason() {
+    let engine = common::engine(4, None);
+    let host = common::host(&[engine.address()]).await;
+    let client = common::client();
+    let good = common::call("r1", 4);
+    let cases: [(load::Call, (u16, &str)); 6] = [
+        (
+            load::Call {
+                model: Some("other".to_owned()),
+                ..good.clone()
+            },
+            (404, "unknown_model"),
+        ),
+        (
+            load::Call {
+                key: Some("wrong".to_owned()),
+                ..good.clone()
+            },
+            (401, "unknown_key"),
+        ),
+        (
+            load::Call {
+                prompt: "x".repeat(70_000),
+                ..good.clone()
+            },
+            (413, "body_too_large"),
+        ),
+        (
+            load::Call {
+                headers: vec![("x-long".to_owned(), "y".repeat(5_000))],
+                ..good.clone()
+            },
+            (431, "header_too_large"),
+        ),
+        (
+            load::Call {
+                headers: vec![("request-deadline".to_owned(), "soon".to_owned())],
+                ..good.clone()
+            },
+            (400, "bad_request"),
+        ),
+        (
+            load::Call {
+                path: "/v2/nothing".to_owned(),
+                ..good.clone()
+            },
+            (404, "not_found"),
+        ),
+    ];
+    for (call, (status, name)) in cases {
+        let record = call.send(&client, host.caller_addr()).await;
+        assert_eq!(kind(&record.outcome), (status, name, "not_run"));
+    }
+    assert!(engine.runs().is_empty());
+    host.shutdown().await;
+}
