feat(conf): reserve the team names anonymous and other

Cause: reports use these names for callers without a key and for teams beyond a cap; a team of that name would be indistinguishable. Change: [team anonymous] and [team other] are problems. Conclusion: names in reports and metrics are unambiguous.

--- a/crates/conf/src/check/team.rs
+++ b/crates/conf/src/check/team.rs
@@ -4,8 +4,21 @@
 use crate::merge;
 use crate::problem;
 
-/// Requires each bearer key to belong to one team.
+/// Names that reports use for callers without a key and for teams beyond a cap.
+const RESERVED: [&str; 2] = ["anonymous", "other"];
+
+/// Checks the teams.
 pub(super) fn check(merge: &merge::Merge, problems: &mut Vec<problem::Problem>) {
+    for name in RESERVED {
+        let team = merge.named("team", name);
+        let expected = "another name, because reports use this one";
+        problems.extend(team.map(|team| team.header_problem(expected)));
+    }
+    keys(merge, problems);
+}
+
+/// Requires each bearer key to belong to one team.
+fn keys(merge: &merge::Merge, problems: &mut Vec<problem::Problem>) {
     let mut owners = collections::BTreeMap::new();
     for team in merge.all("team") {
         let hashes = team.hashes("key_hash");
--- a/crates/conf/src/group.rs
+++ b/crates/conf/src/group.rs
@@ -57,6 +57,20 @@
         }
     }
 
+    /// Returns a problem with the header.
+    pub(crate) fn header_problem(&self, expected: impl Into<String>) -> problem::Problem {
+        let start = self.start.as_ref();
+        problem::Problem {
+            file: start.map(|origin| origin.file.clone()).unwrap_or_default(),
+            line: start.map_or(0, |origin| origin.line),
+            section: self.header.to_string(),
+            key: String::new(),
+            value: String::new(),
+            expected: expected.into(),
+            hint: None,
+        }
+    }
+
     pub(crate) fn text(&self, key: &str) -> Option<&str> {
         match self.values.get(key)? {
             value::Value::Text(text) => Some(text),
--- a/crates/conf/src/schema/model.rs
+++ b/crates/conf/src/schema/model.rs
@@ -87,7 +87,7 @@
 pub(super) const TEAM: section::Section = section::Section {
     name: "team",
     naming: naming::Naming::Plain,
-    doc: "A team of callers, recognised by its bearer keys.",
+    doc: "A team of callers, recognised by its bearer keys. `anonymous` and `other` are reserved names.",
     keys: &[
         Key::required(
             "key_hash",
--- a/crates/conf/tests/check.rs
+++ b/crates/conf/tests/check.rs
@@ -151,6 +151,10 @@
     "[team t]\nclass = only",
     "20-test.ini:1: [team t] key_hash: expected SHA-256 hashes of 64 hexadecimal digits, separated by commas"
 )]
+#[case(
+    "[team other]\nclass = only\nkey_hash = abababababababababababababababababababababababababababababababab",
+    "20-test.ini:1: [team other] expected another name, because reports use this one"
+)]
 fn reports_one_problem(#[case] text: &str, #[case] expected: &str) {
     let found: Vec<_> = problems(text).iter().map(ToString::to_string).collect();
     assert_eq!(found, [expected]);
