feat(class): recognise callers and resolve classes

Cause: nothing mapped a bearer key and a pool to a class. Team keys are stable hashes of names; two teams with one hash get different keys.

--- /dev/null
+++ b/crates/class/src/table.rs
@@ -0,0 +1,181 @@
+use std::collections;
+use std::sync;
+
+use conf::settings;
+use sha2::Digest as _;
+
+use crate::caller;
+use crate::index;
+use crate::outcome;
+use crate::query;
+use crate::team;
+
+/// Characters of an unknown name that a refusal repeats.
+const NAME_SHOWN: usize = 64;
+
+/// Classes, teams and pools of the settings, ready for look-ups.
+#[derive(Clone, Debug)]
+pub struct Table {
+    classes: Vec<Class>,
+    teams: Vec<team::Team>,
+    anonymous: team::Team,
+    pools: collections::HashMap<String, Pool>,
+    index: index::Index,
+}
+
+#[derive(Clone, Debug)]
+struct Class {
+    name: sync::Arc<str>,
+    settings: settings::Class,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pool {
+    class: Option<u16>,
+    idempotent: Option<bool>,
+}
+
+impl Table {
+    /// Returns the table of settings that passed the check of `conf`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the settings name a class that they lack, or have more than
+    /// 65,536 classes; the check refuses such settings.
+    pub fn new(settings: &conf::Settings) -> Self {
+        let classes: Vec<_> = settings.classes.iter().map(class).collect();
+        let teams = teams(settings, &classes);
+        let hashes = settings.teams.values().enumerate();
+        let hashes = hashes
+            .flat_map(|(position, team)| team.key_hashes.iter().map(move |hash| (*hash, position)));
+        let index = index::Index::new(hashes);
+        Self {
+            anonymous: team::Team {
+                name: team::ANONYMOUS.into(),
+                key: team::ANONYMOUS_KEY,
+                class: position(&classes, &settings.anonymous.class),
+                weight: settings.anonymous.weight,
+            },
+            pools: pools(settings, &classes),
+            classes,
+            teams,
+            index,
+        }
+    }
+
+    /// Recognises the caller of a request and resolves its class.
+    ///
+    /// The pool gives the class, or else the team. The pool says whether the
+    /// request may run more than once, or else the class; the request may take
+    /// that permission back and never gives it.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown bearer key and then an unknown pool.
+    pub fn resolve(&self, query: &query::Query<'_>) -> Result<outcome::Outcome, answer::Refusal> {
+        let (team, caller) = self.recognise(query)?;
+        let pool = self.pool(query.pool)?;
+        let index = pool.class.unwrap_or(team.class);
+        let class = &self.classes[usize::from(index)];
+        let settings = &class.settings;
+        let permitted = pool.idempotent.unwrap_or(settings.idempotent);
+        let taken_back = query.idempotent == Some(false);
+        Ok(outcome::Outcome {
+            class: class.name.clone(),
+            index,
+            tier: settings.tier,
+            target_first: settings.target_first,
+            target_gap: settings.target_gap,
+            deadline: query
+                .deadline
+                .map_or(settings.deadline, |own| own.min(settings::DEADLINE_MAX)),
+            team: team.name.clone(),
+            team_key: team.key,
+            caller,
+            idempotent: permitted && !taken_back,
+            pool: query.pool.to_owned(),
+            choice: outcome::Choice {
+                class_by_pool: pool.class.is_some(),
+                idempotent_by_pool: pool.idempotent.is_some(),
+                idempotent_by_request: permitted && taken_back,
+                deadline_by_request: query.deadline.is_some(),
+            },
+        })
+    }
+
+    /// Returns the names of the classes; the position of a name is
+    /// [`outcome::Outcome::index`].
+    pub fn classes(&self) -> impl ExactSizeIterator<Item = &str> {
+        self.classes.iter().map(|class| &*class.name)
+    }
+
+    /// Returns the key and weight of each team, and of all anonymous callers
+    /// together under key 0.
+    pub fn weights(&self) -> impl Iterator<Item = (u32, f64)> {
+        let teams = self.teams.iter().chain([&self.anonymous]);
+        teams.map(|team| (team.key, team.weight))
+    }
+
+    /// Returns the name of the team with this key; `anonymous` for key 0.
+    pub fn team_name(&self, key: u32) -> Option<&str> {
+        let mut teams = self.teams.iter().chain([&self.anonymous]);
+        teams.find(|team| team.key == key).map(|team| &*team.name)
+    }
+
+    fn recognise(&self, query: &query::Query<'_>) -> Result<(&team::Team, u64), answer::Refusal> {
+        let Some(bearer) = query.bearer else {
+            return Ok((&self.anonymous, caller::anonymous(query.address)));
+        };
+        let hash = sha2::Sha256::digest(bearer.as_bytes()).into();
+        let position = self.index.find(&hash).ok_or_else(|| {
+            answer::Refusal::new(answer::Kind::UnknownKey, "the bearer key is not known")
+        })?;
+        Ok((&self.teams[position], caller::known(&hash)))
+    }
+
+    fn pool(&self, name: &str) -> Result<Pool, answer::Refusal> {
+        let found = self.pools.get(name).copied();
+        found.ok_or_else(|| {
+            let shown: String = name.chars().take(NAME_SHOWN).collect();
+            let message = format!("the model or service {shown:?} is not configured");
+            answer::Refusal::new(answer::Kind::UnknownModel, message)
+        })
+    }
+}
+
+fn class((name, settings): (&String, &settings::Class)) -> Class {
+    Class {
+        name: name.as_str().into(),
+        settings: settings.clone(),
+    }
+}
+
+fn teams(settings: &conf::Settings, classes: &[Class]) -> Vec<team::Team> {
+    let mut keys = team::Keys::default();
+    let teams = settings.teams.iter();
+    teams
+        .map(|(name, team)| team::Team {
+            name: name.as_str().into(),
+            key: keys.take(name),
+            class: position(classes, &team.class),
+            weight: team.weight,
+        })
+        .collect()
+}
+
+fn pools(settings: &conf::Settings, classes: &[Class]) -> collections::HashMap<String, Pool> {
+    let pool = |pool: &settings::Pool| Pool {
+        class: pool.class.as_ref().map(|name| position(classes, name)),
+        idempotent: pool.idempotent,
+    };
+    let pools = settings.pools.iter();
+    pools
+        .map(|(name, value)| (name.clone(), pool(value)))
+        .collect()
+}
+
+fn position(classes: &[Class], name: &str) -> u16 {
+    let found = classes.binary_search_by(|class| (*class.name).cmp(name));
+    let found = found.unwrap_or_else(|_| panic!("the settings lack class {name}"));
+    u16::try_from(found).expect("the check bounds the number of classes")
+}
