feat(route): add endpoint table, limits, ejection, budgets and blame

Cause: one shard needs to know which endpoint has room, and which one is slow, down or at risk from a request that crashes endpoints.

Change: Table counts own requests per endpoint and subtracts the foreign load of reports, compared with the own count at the time of the report. Limits follow observed first-token and inter-token times. Weights follow recent speed against the past and the peers' median. Connection failures lead to probing. Budget, Length, Pace and Blame are separate parts.

Figures: cargo test -p route: an endpoint that meets its target with ten requests at once settles between 4 and 12 of 32 places; a dead endpoint gets 8 to 20 attempts in 10 s.

Conclusion: the table can carry the shard policy.

--- /dev/null
+++ b/crates/route/src/budget.rs
@@ -0,0 +1,38 @@
+/// Retry budget of one class.
+///
+/// It starts empty, so that retries are never more than a tenth of the fresh
+/// requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Budget {
+    /// Saved retries in units of [`PART`].
+    parts: u32,
+}
+
+impl Budget {
+    /// Notes that a fresh request was sent to an endpoint.
+    pub fn earn(&mut self) {
+        self.parts = (self.parts + 1).min(PARTS_MAX);
+    }
+
+    /// Takes one retry; returns whether there was one.
+    pub const fn spend(&mut self) -> bool {
+        match self.parts.checked_sub(PART) {
+            Some(rest) => {
+                self.parts = rest;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Gives back a retry that was not sent.
+    pub fn refund(&mut self) {
+        self.parts = (self.parts + PART).min(PARTS_MAX);
+    }
+}
+
+/// Fresh requests that earn one retry.
+const PART: u32 = 10;
+
+/// Upper bound of saved retries, in units of [`PART`].
+const PARTS_MAX: u32 = 10 * PART;
--- /dev/null
+++ b/crates/route/src/options.rs
@@ -0,0 +1,10 @@
+/// Settings of a table.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Output length in tokens above which a request counts as long.
+    pub long_tokens: u32,
+    /// Share of places that long requests may hold, 0 to 1.
+    pub long_share: f64,
+    /// Seed for tie-breaking and jitter.
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/route/src/work.rs
@@ -0,0 +1,45 @@
+use core::time;
+
+/// Kind of place that a request needs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Need {
+    /// The request is expected to be long.
+    pub long: bool,
+    /// The request was in flight at a crash.
+    pub suspect: bool,
+}
+
+impl Need {
+    /// Number of kinds.
+    pub const COUNT: usize = 4;
+
+    /// Returns the index of the kind, below [`Need::COUNT`].
+    pub const fn index(self) -> usize {
+        self.long as usize | (self.suspect as usize) << 1
+    }
+
+    /// Returns the kind with this index.
+    pub const fn from_index(index: usize) -> Self {
+        Self {
+            long: index & 1 != 0,
+            suspect: index & 2 != 0,
+        }
+    }
+}
+
+/// A request as far as endpoint choice needs to know it.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// Kind of place that it needs.
+    pub need: Need,
+    /// Index of the class.
+    pub class: u16,
+    /// Target for the time to the first token.
+    pub target_first: time::Duration,
+    /// Target for the time between tokens; `None` for plain services.
+    pub target_gap: Option<time::Duration>,
+    /// Hash of the leading part of the prompt; 0 for none.
+    pub prefix: u64,
+    /// Endpoint of the last failed attempt.
+    pub avoid: Option<u32>,
+}
--- /dev/null
+++ b/crates/route/tests/parts.rs
@@ -0,0 +1,90 @@
+//! Tests of retry budget, length estimates and crash blame.
+
+use core::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use route::{Blame, Budget, Length, Verdict};
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// Guards against more than one retry per ten fresh requests.
+#[test]
+fn retries_are_a_tenth_of_fresh_requests() {
+    let mut budget = Budget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        while budget.spend() {
+            retries += 1;
+        }
+    }
+    assert_eq!(retries, 1_000);
+    (0..10_000).for_each(|_| budget.earn());
+    let saved = (0..100).filter(|_| budget.spend()).count();
+    assert_eq!(saved, 10);
+}
+
+/// Guards against estimates that do not follow a change of the lengths.
+#[test]
+fn length_estimates_follow_the_class() {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(3);
+    let mut length = Length::new();
+    assert!(length.long(Some(4_000), 1_000), "only the bound is known");
+    (0..1_000).for_each(|_| length.observe(rng.random_range(20..60)));
+    assert!(!length.long(Some(4_000), 1_000));
+    assert!((30.0..50.0).contains(&length.mean(None)));
+    (0..300).for_each(|_| length.observe(rng.random_range(2_000..6_000)));
+    assert!(length.long(None, 1_000));
+    assert!(!length.long(Some(100), 1_000));
+    let middle = length.quantile(0.5);
+    assert!((3_300.0..4_700.0).contains(&middle), "{middle}");
+}
+
+/// Guards against a request that crashes more than two endpoints, and against
+/// co-runners that stay suspects.
+#[test]
+fn two_distinct_crashes_are_poison_and_clear_the_others() {
+    let mut blame = Blame::new();
+    for fingerprint in 1..=20 {
+        blame.accuse(SECOND, fingerprint, 0);
+    }
+    assert_eq!(blame.verdict(SECOND, 1), Verdict::Suspect);
+    blame.clear(5);
+    assert_eq!(blame.verdict(SECOND, 5), Verdict::Clear);
+    blame.accuse(2 * SECOND, 30, 1);
+    blame.accuse(2 * SECOND, 1, 1);
+    blame.accuse(2 * SECOND, 31, 1);
+    assert_eq!(blame.verdict(2 * SECOND, 1), Verdict::Poison);
+    for innocent in [2, 20, 30, 31] {
+        assert_eq!(blame.verdict(2 * SECOND, innocent), Verdict::Clear);
+    }
+    let later = blame.until(1).unwrap();
+    assert_eq!(blame.verdict(later, 1), Verdict::Suspect);
+    blame.tick(2 * later);
+    assert!(blame.is_empty());
+}
+
+/// Guards against a request that crashes the only endpoint again and again, and
+/// against one crash that is counted several times.
+#[test]
+fn the_same_endpoint_counts_once_until_the_third_crash() {
+    let mut blame = Blame::new();
+    blame.accuse(SECOND, 1, 0);
+    blame.accuse(9 * SECOND, 1, 0);
+    assert_eq!(blame.verdict(9 * SECOND, 1), Verdict::Suspect);
+    blame.accuse(20 * SECOND, 1, 0);
+    assert_eq!(blame.verdict(20 * SECOND, 1), Verdict::Poison);
+}
+
+/// Guards against memory that grows with the number of crashed requests.
+#[test]
+fn blame_is_bounded() {
+    let mut blame = Blame::new();
+    for fingerprint in 1..=100_000_u32 {
+        blame.accuse(fingerprint * MILLISECOND, u64::from(fingerprint), 0);
+    }
+    assert!(blame.len() <= 4_096);
+    assert_eq!(blame.verdict(100 * SECOND, 100_000), Verdict::Suspect);
+    assert_eq!(blame.verdict(Duration::from_secs(100), 1), Verdict::Clear);
+}
--- /dev/null
+++ b/crates/route/tests/table.rs
@@ -0,0 +1,239 @@
+//! Tests of load correction, limits, long share and failures.
+
+use core::time::Duration;
+use std::collections;
+
+use route::{End, Need, Report, Work};
+
+mod common;
+
+use common::{MILLISECOND, SECOND, list, table, work};
+
+fn report(running: u32, waiting: u32, at: Duration) -> Report {
+    Report {
+        running,
+        waiting,
+        slots: 0,
+        draining: false,
+        at,
+    }
+}
+
+/// Guards against over-commit by a host that takes over a shard whose endpoints
+/// still run what the last home host granted.
+#[test]
+fn foreign_load_takes_room() {
+    let mut table = table(1, 8);
+    table.report(SECOND, 0, report(5, 1, SECOND));
+    assert_eq!(table.places(), 2);
+    assert!(table.grant(SECOND, work()).is_some());
+    assert!(table.grant(SECOND, work()).is_some());
+    assert!(table.grant(SECOND, work()).is_none());
+    table.report(2 * SECOND, 0, report(3, 0, 2 * SECOND));
+    assert_eq!(table.places(), 7, "one of the three is foreign");
+}
+
+/// Guards against counting own work twice when a report lags.
+#[test]
+fn a_late_report_is_compared_with_the_count_at_its_time() {
+    let mut table = table(1, 8);
+    let runs: Vec<_> = (0..4)
+        .filter_map(|step| table.grant(SECOND + step * 20 * MILLISECOND, work()))
+        .collect();
+    for &run in &runs {
+        table.finish(2 * SECOND, run, End::Complete, 1);
+    }
+    // The report saw two of the four that have ended since.
+    table.report(3 * SECOND, 0, report(2, 0, SECOND + 30 * MILLISECOND));
+    assert_eq!(table.places(), 8);
+}
+
+/// Guards against long work that holds every place, by estimate or by attained
+/// service, on one endpoint or over endpoints with a single place.
+#[test]
+fn long_work_holds_at_most_its_share() {
+    let long = Work {
+        need: Need {
+            long: true,
+            suspect: false,
+        },
+        ..work()
+    };
+    let mut one = table(1, 8);
+    let granted = (0..8).filter_map(|_| one.grant(SECOND, long)).count();
+    assert_eq!(granted, 4);
+    assert!(one.grant(SECOND, work()).is_some());
+
+    let mut many = table(6, 1);
+    let granted = (0..6).filter_map(|_| many.grant(SECOND, long)).count();
+    assert_eq!(granted, 3);
+
+    let mut attained = table(1, 8);
+    for _ in 0..4 {
+        let run = attained.grant(SECOND, work()).unwrap();
+        attained.first(2 * SECOND, run);
+    }
+    attained.tick(30 * SECOND);
+    assert!(attained.has_room(long.need), "700 tokens at 40 ms each");
+    attained.tick(43 * SECOND);
+    assert!(!attained.has_room(long.need), "1,025 tokens at 40 ms each");
+    assert!(attained.has_room(work().need));
+}
+
+/// Serves `count` requests at a time for a while; the first token takes `took`.
+fn drive(
+    table: &mut route::Table,
+    from: Duration,
+    seconds: u32,
+    took: impl Fn(u32, u32) -> Duration,
+) {
+    let mut due = collections::BTreeMap::new();
+    let mut serial = 0_u32;
+    let mut held = collections::HashMap::<u32, u32>::new();
+    for step in 0..seconds * 100 {
+        let now = from + step * 10 * MILLISECOND;
+        while let Some((&(at, _), _)) = due.first_key_value() {
+            if at > now {
+                break;
+            }
+            let (_, run) = due.pop_first().unwrap();
+            let endpoint = table.endpoint(run).unwrap();
+            *held.entry(endpoint).or_default() -= 1;
+            table.first(now, run);
+            table.finish(now, run, End::Complete, 1);
+        }
+        table.tick(now);
+        while let Some(run) = table.grant(now, work()) {
+            let endpoint = table.endpoint(run).unwrap();
+            let count = held.entry(endpoint).or_default();
+            *count += 1;
+            serial += 1;
+            due.insert((now + took(endpoint, *count), serial), run);
+        }
+    }
+    for run in due.into_values() {
+        table.finish(from + seconds * SECOND, run, End::Cancelled, 0);
+    }
+}
+
+/// Guards against a fixed limit: the limit must follow the observed times.
+#[test]
+fn the_limit_falls_under_misses_and_recovers() {
+    let mut table = table(1, 32);
+    // Each request in flight adds 100 ms, so ten meet the target of a second.
+    drive(&mut table, Duration::ZERO, 20, |_, held| {
+        held * 100 * MILLISECOND
+    });
+    let low = table.places();
+    assert!((4..=12).contains(&low), "{low}");
+    drive(&mut table, 20 * SECOND, 20, |_, _| 50 * MILLISECOND);
+    assert_eq!(table.places(), 32);
+}
+
+/// Guards against sending full load to slow endpoints, against ejecting more
+/// than a third of the shard, and against an ejection that never ends.
+#[test]
+fn slow_endpoints_lose_places_and_get_them_back() {
+    let mut table = table(9, 8);
+    drive(&mut table, Duration::ZERO, 5, |_, _| 50 * MILLISECOND);
+    assert_eq!(table.places(), 72);
+    let slow = |id: u32| {
+        if id < 4 {
+            900 * MILLISECOND
+        } else {
+            50 * MILLISECOND
+        }
+    };
+    drive(&mut table, 5 * SECOND, 5, |id, _| slow(id));
+    let places = table.places();
+    assert!((40..=50).contains(&places), "{places}");
+    assert!(table.ejected() <= 3);
+    drive(&mut table, 10 * SECOND, 30, |_, _| 50 * MILLISECOND);
+    assert_eq!(table.places(), 72);
+    assert_eq!(table.ejected(), 0);
+}
+
+/// Guards against a dead endpoint that attracts requests, and against a
+/// recovered one that gets its full load at once or never.
+#[test]
+fn an_unreachable_endpoint_is_probed() {
+    let mut table = table(2, 8);
+    let mut sent = 0;
+    for step in 0..1_000 {
+        let now = step * 10 * MILLISECOND;
+        table.tick(now);
+        let runs: Vec<_> = (0..16).map_while(|_| table.grant(now, work())).collect();
+        for run in runs {
+            if table.endpoint(run) == Some(0) {
+                sent += 1;
+                table.finish(now + MILLISECOND, run, End::Unreachable, 0);
+            } else {
+                table.finish(now + MILLISECOND, run, End::Complete, 1);
+            }
+        }
+    }
+    assert!((8..=20).contains(&sent), "{sent} attempts in 10 s");
+    let now = 20 * SECOND;
+    table.tick(now);
+    assert_eq!(table.places(), 9, "one place for a probe");
+    let runs: Vec<_> = (0..9).filter_map(|_| table.grant(now, work())).collect();
+    for run in runs {
+        if table.endpoint(run) == Some(0) {
+            table.first(now, run);
+        } else {
+            table.finish(now, run, End::Complete, 1);
+        }
+    }
+    assert_eq!(table.places(), 10, "a quarter of its places");
+    for step in 1..=20 {
+        table.tick(now + step * 100 * MILLISECOND);
+    }
+    assert_eq!(table.places(), 16);
+}
+
+/// Guards against new work on an endpoint that leaves, drains or is not listed.
+#[test]
+fn a_leaving_endpoint_gets_nothing_new() {
+    let mut table = table(2, 1);
+    let run = table.grant(SECOND, work()).unwrap();
+    let busy = table.endpoint(run).unwrap();
+    let mut set = list(2, 1);
+    set.remove(1 - busy as usize);
+    set[0].up = false;
+    table.replace(SECOND, &set);
+    assert!(table.grant(SECOND, work()).is_none());
+    assert!(!table.any_open());
+    table.replace(SECOND, &[]);
+    table.finish(2 * SECOND, run, End::Complete, 1);
+    assert_eq!(table.in_flight().count(), 0);
+    table.replace(SECOND, &list(1, 1));
+    let drain = Report {
+        draining: true,
+        ..report(0, 0, SECOND)
+    };
+    table.report(SECOND, 0, drain);
+    assert!(table.grant(SECOND, work()).is_none());
+}
+
+/// Guards against affinity that overrides load, and against a retry on the
+/// endpoint that failed while another one has room.
+#[test]
+fn affinity_and_avoidance_are_preferences() {
+    let mut table = table(4, 8);
+    let near = Work {
+        prefix: 9,
+        ..work()
+    };
+    let run = table.grant(SECOND, near).unwrap();
+    let home = table.endpoint(run);
+    let second = table.grant(SECOND, near).unwrap();
+    assert_eq!(table.endpoint(second), home);
+    let runs: Vec<_> = (0..4).filter_map(|_| table.grant(SECOND, near)).collect();
+    assert!(runs.iter().any(|&run| table.endpoint(run) != home));
+    let avoid = Work {
+        avoid: home,
+        ..near
+    };
+    let elsewhere = table.grant(SECOND, avoid).unwrap();
+    assert_ne!(table.endpoint(elsewhere), home);
+}
