feat(testkit): add the stand-ins for a plain service and the platform

Tests of at-most-once execution need a service that records every effect and fails after it; tests of the configuration path need a platform that is down, stale or late for one reader and counts reads against its budget.

The engine's counters become one plain value behind a lock.

--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -19,7 +19,8 @@
 mod state;
 mod ticket;
 
-pub use counters::{Counters, Figures};
+pub(crate) use batch::unix_ms;
+pub use counters::Counters;
 pub use handle::Handle;
 pub use length::Length;
 pub use options::{Crash, Options};
--- a/crates/testkit/src/engine/batch.rs
+++ b/crates/testkit/src/engine/batch.rs
@@ -18,7 +18,7 @@
 /// The continuous batch of an engine.
 pub(crate) struct Batch {
     pub(crate) options: options::Options,
-    pub(crate) counters: sync::Arc<counters::Counters>,
+    pub(crate) counters: counters::Shared,
     pub(crate) crashed: tokio::sync::Notify,
     state: state::Shared,
     work: tokio::sync::Notify,
@@ -31,7 +31,7 @@
 impl Batch {
     pub(crate) fn new(options: options::Options) -> Self {
         let batch = Self {
-            counters: sync::Arc::default(),
+            counters: counters::Shared::default(),
             crashed: tokio::sync::Notify::new(),
             state: sync::Mutex::new(state::State::new(options.cache_blocks)),
             work: tokio::sync::Notify::new(),
@@ -48,9 +48,9 @@
         self.factor.store(factor.to_bits(), Relaxed);
     }
 
-    pub(crate) fn set_draining(&self, draining: bool) {
+    pub(crate) fn drain(&self) {
         let mut state = lock(&self.state);
-        state.draining = draining;
+        state.draining = true;
         self.note(&mut state);
     }
 
@@ -79,7 +79,7 @@
         let full = state.running.len() >= self.options.slots
             && state.waiting.len() >= self.options.waiting_max;
         if state.draining || full {
-            self.counters.refused.fetch_add(1, Relaxed);
+            lock(&self.counters).refused += 1;
             return None;
         }
         state.serial += 1;
@@ -103,7 +103,7 @@
 
     /// Drops every request; their connections are cut by the caller.
     pub(crate) fn crash(&self) {
-        self.counters.crashes.fetch_add(1, Relaxed);
+        lock(&self.counters).crashes += 1;
         let mut state = lock(&self.state);
         state.crash(&self.counters);
         state.cache = crate::engine::cache::Cache::new(self.options.cache_blocks);
--- a/crates/testkit/src/engine/counters.rs
+++ b/crates/testkit/src/engine/counters.rs
@@ -1,24 +1,8 @@
-use std::sync::atomic;
-use std::sync::atomic::Ordering::Relaxed;
+use std::sync;
 
 /// Counts of an engine since its start.
-#[derive(Debug, Default)]
-pub struct Counters {
-    pub(crate) tokens: atomic::AtomicU64,
-    pub(crate) wasted: atomic::AtomicU64,
-    pub(crate) lost: atomic::AtomicU64,
-    pub(crate) executions: atomic::AtomicU64,
-    pub(crate) completed: atomic::AtomicU64,
-    pub(crate) cancelled: atomic::AtomicU64,
-    pub(crate) refused: atomic::AtomicU64,
-    pub(crate) fenced: atomic::AtomicU64,
-    pub(crate) crashes: atomic::AtomicU64,
-    pub(crate) cached: atomic::AtomicU64,
-}
-
-/// Values of [`Counters`] at one moment.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Figures {
+pub struct Counters {
     /// Output tokens generated.
     pub tokens: u64,
     /// Output tokens generated for requests that were cancelled or whose caller had left.
@@ -41,20 +25,5 @@
     pub cached: u64,
 }
 
-impl Counters {
-    /// Returns the current values.
-    pub fn figures(&self) -> Figures {
-        Figures {
-            tokens: self.tokens.load(Relaxed),
-            wasted: self.wasted.load(Relaxed),
-            lost: self.lost.load(Relaxed),
-            executions: self.executions.load(Relaxed),
-            completed: self.completed.load(Relaxed),
-            cancelled: self.cancelled.load(Relaxed),
-            refused: self.refused.load(Relaxed),
-            fenced: self.fenced.load(Relaxed),
-            crashes: self.crashes.load(Relaxed),
-            cached: self.cached.load(Relaxed),
-        }
-    }
-}
+/// Counts that are shared. Locked after the state, never before it.
+pub(crate) type Shared = sync::Mutex<Counters>;
--- a/crates/testkit/src/engine/handle.rs
+++ b/crates/testkit/src/engine/handle.rs
@@ -7,6 +7,7 @@
 use crate::engine::options;
 use crate::engine::routes;
 use crate::server;
+use crate::sync::lock;
 
 /// A running engine. Dropping it stops the engine.
 pub struct Handle {
@@ -36,8 +37,8 @@
     }
 
     /// Returns the counts since the start.
-    pub fn counters(&self) -> &counters::Counters {
-        &self.batch.counters
+    pub fn counters(&self) -> counters::Counters {
+        *lock(&self.batch.counters)
     }
 
     /// Returns the tag of each execution in the order in which they entered the batch.
@@ -50,14 +51,9 @@
         self.batch.set_slow(factor);
     }
 
-    /// Sets whether the engine refuses new requests and reports that it drains.
-    pub fn set_draining(&self, draining: bool) {
-        self.batch.set_draining(draining);
-    }
-
     /// Refuses new requests from now on and finishes those that are there.
     pub fn drain(&self) {
-        self.set_draining(true);
+        self.batch.drain();
     }
 
     /// Cuts all connections and closes the listener until [`Handle::restart`].
--- a/crates/testkit/src/engine/routes.rs
+++ b/crates/testkit/src/engine/routes.rs
@@ -1,5 +1,4 @@
 use std::sync;
-use std::sync::atomic::Ordering::Relaxed;
 
 use axum::extract;
 use axum::response;
@@ -17,17 +16,21 @@
 use crate::engine::sequence;
 use crate::engine::ticket;
 use crate::server;
+use crate::sync::lock;
 use crate::text;
 
 /// Header with the fencing number of the host that gives the order.
 const FENCE_HEADER: &str = "x-fencing-number";
 
+/// Path of the chat interface.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
 type Shared = sync::Arc<batch::Batch>;
 
 pub(crate) fn router(batch: Shared) -> axum::Router {
     axum::Router::new()
-        .route("/v1/chat/completions", routing::post(chat))
-        .route("/v1/completions", routing::post(plain))
+        .route(CHAT_PATH, routing::post(serve))
+        .route("/v1/completions", routing::post(serve))
         .route("/load", routing::get(load))
         .with_state(batch)
 }
@@ -36,36 +39,23 @@
     axum::Json(batch.load()).into_response()
 }
 
-async fn chat(
-    extract::State(batch): extract::State<Shared>,
-    extract::Extension(cut): extract::Extension<server::Cut>,
-    headers: http::HeaderMap,
-    axum::Json(body): axum::Json<body::Body>,
-) -> response::Response {
-    serve(batch, &cut, &headers, Style::Chat, &body).await
-}
-
-async fn plain(
+async fn serve(
     extract::State(batch): extract::State<Shared>,
     extract::Extension(cut): extract::Extension<server::Cut>,
+    uri: http::Uri,
     headers: http::HeaderMap,
     axum::Json(body): axum::Json<body::Body>,
 ) -> response::Response {
-    serve(batch, &cut, &headers, Style::Plain, &body).await
-}
-
-async fn serve(
-    batch: Shared,
-    cut: &server::Cut,
-    headers: &http::HeaderMap,
-    style: Style,
-    body: &body::Body,
-) -> response::Response {
-    if batch.options.fencing && !fresh(&batch, headers) {
-        batch.counters.fenced.fetch_add(1, Relaxed);
+    if batch.options.fencing && !fresh(&batch, &headers) {
+        lock(&batch.counters).fenced += 1;
         return refuse(http::StatusCode::CONFLICT, "the fencing number is old");
     }
-    let Some(mut answer) = queue(batch, style, body) else {
+    let style = if uri.path() == CHAT_PATH {
+        Style::Chat
+    } else {
+        Style::Plain
+    };
+    let Some(mut answer) = queue(batch, style, &body) else {
         let status = http::StatusCode::SERVICE_UNAVAILABLE;
         return refuse(status, "the engine takes no new requests");
     };
--- a/crates/testkit/src/engine/state.rs
+++ b/crates/testkit/src/engine/state.rs
@@ -6,6 +6,7 @@
 use crate::engine::counters;
 use crate::engine::load;
 use crate::engine::sequence::{Event, Sequence};
+use crate::sync::lock;
 
 /// Waiting and running requests of an engine.
 pub(crate) struct State {
@@ -44,7 +45,7 @@
     }
 
     /// Moves waiting requests into free slots, in order of priority.
-    pub(crate) fn admit(&mut self, slots: usize, counters: &counters::Counters) {
+    pub(crate) fn admit(&mut self, slots: usize, counters: &counters::Shared) {
         while self.running.len() < slots {
             let Some((_, mut sequence)) = self.waiting.pop_first() else {
                 return;
@@ -53,8 +54,8 @@
             // The last prompt token is always computed, because it gives the first output.
             let cached = cached.min(sequence.prompt_left.saturating_sub(1));
             sequence.prompt_left -= cached;
-            counters.cached.fetch_add(u64::from(cached), Relaxed);
-            counters.executions.fetch_add(1, Relaxed);
+            lock(counters).cached += u64::from(cached);
+            lock(counters).executions += 1;
             self.runs.push(sequence.tag.clone());
             self.running.push(sequence);
         }
@@ -74,7 +75,7 @@
     }
 
     /// Ends the step: every sequence whose prompt is done gets a token.
-    pub(crate) fn finish(&mut self, counters: &counters::Counters) -> Step {
+    pub(crate) fn finish(&mut self, counters: &counters::Shared) -> Step {
         let mut crash = false;
         self.running.retain_mut(|sequence| {
             sequence.prompt_left -= sequence.chunk;
@@ -99,22 +100,22 @@
     }
 
     /// Drops everything, as a crash does.
-    pub(crate) fn crash(&mut self, counters: &counters::Counters) {
+    pub(crate) fn crash(&mut self, counters: &counters::Shared) {
         let waiting = core::mem::take(&mut self.waiting);
         let running = core::mem::take(&mut self.running);
         for sequence in waiting.into_values().chain(running) {
             if !sequence.progress.settled.swap(true, Relaxed) {
                 let tokens = sequence.progress.tokens.load(Relaxed);
-                counters.lost.fetch_add(u64::from(tokens), Relaxed);
+                lock(counters).lost += u64::from(tokens);
             }
         }
     }
 }
 
 /// Gives a sequence one token and returns how many it has.
-fn generate(sequence: &Sequence, counters: &counters::Counters) -> u32 {
+fn generate(sequence: &Sequence, counters: &counters::Shared) -> u32 {
     let tokens = sequence.progress.tokens.fetch_add(1, Relaxed) + 1;
-    counters.tokens.fetch_add(1, Relaxed);
+    lock(counters).tokens += 1;
     let event = if tokens < sequence.length {
         Event::Token
     } else {
--- a/crates/testkit/src/engine/ticket.rs
+++ b/crates/testkit/src/engine/ticket.rs
@@ -5,6 +5,7 @@
 
 use crate::engine::batch;
 use crate::engine::sequence::{Event, Progress};
+use crate::sync::lock;
 
 /// The answer's side of a request. Dropping it before the end cancels the request.
 pub(crate) struct Ticket {
@@ -24,7 +25,7 @@
     /// Notes that the caller took the whole answer.
     pub(crate) fn complete(&self) {
         if !self.progress.settled.swap(true, Relaxed) {
-            self.batch.counters.completed.fetch_add(1, Relaxed);
+            lock(&self.batch.counters).completed += 1;
         }
     }
 }
@@ -37,7 +38,7 @@
         self.batch.leave(self.priority, self.serial);
         let tokens = self.progress.tokens.load(Relaxed);
         let counters = &self.batch.counters;
-        counters.wasted.fetch_add(u64::from(tokens), Relaxed);
-        counters.cancelled.fetch_add(1, Relaxed);
+        lock(counters).wasted += u64::from(tokens);
+        lock(counters).cancelled += 1;
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod client;
 pub mod engine;
 pub mod load;
+pub mod platform;
 pub mod server;
+pub mod service;
 mod sync;
 pub mod text;
--- a/crates/testkit/tests/engine.rs
+++ b/crates/testkit/tests/engine.rs
@@ -71,7 +71,7 @@
         assert!(record.outcome.is_whole(), "{:?}", record.outcome);
     }
     let expected: u32 = calls.iter().map(|call| call.expected).sum();
-    let figures = engine.counters().figures();
+    let figures = engine.counters();
     assert_eq!(figures.tokens, u64::from(expected));
     assert_eq!((figures.completed, figures.executions), (24, 24));
     assert_eq!((figures.wasted, figures.cancelled), (0, 0));
@@ -116,10 +116,10 @@
         let client = client::Client::new(version, None);
         endless.send(&client, address).await
     });
-    until(|| engine.counters().figures().tokens > 3).await;
+    until(|| engine.counters().tokens > 3).await;
     task.abort();
-    until(|| engine.counters().figures().cancelled == 1).await;
-    let wasted = engine.counters().figures().wasted;
+    until(|| engine.counters().cancelled == 1).await;
+    let wasted = engine.counters().wasted;
     assert!(wasted > 3);
     let next = load::Call {
         max_tokens: Some(3),
@@ -128,7 +128,7 @@
     };
     let record = next.send(&client(), address).await;
     assert!(record.outcome.is_whole(), "{:?}", record.outcome);
-    let figures = engine.counters().figures();
+    let figures = engine.counters();
     assert_eq!(figures.wasted, wasted);
     assert_eq!(figures.tokens, wasted + 3);
 }
@@ -162,7 +162,7 @@
         assert!(attempt + 1 < TRIES);
         tokio::time::sleep(core::time::Duration::from_millis(5)).await;
     }
-    let figures = engine.counters().figures();
+    let figures = engine.counters();
     assert_eq!((figures.crashes, figures.lost), (1, 2));
     let runs = engine.runs();
     assert_eq!(runs.iter().filter(|tag| *tag == "r0").count(), 1);
@@ -185,7 +185,7 @@
         let record = fenced(number).send(&client, engine.address()).await;
         assert_eq!(record.outcome.is_whole(), whole, "{:?}", record.outcome);
     }
-    assert_eq!(engine.counters().figures().fenced, 1);
+    assert_eq!(engine.counters().fenced, 1);
 }
 
 /// Guards against an internal queue that ignores `priority`.
@@ -236,7 +236,7 @@
     let address = engine.address();
     let running = call(0);
     let drained = async {
-        until(|| engine.counters().figures().executions == 1).await;
+        until(|| engine.counters().executions == 1).await;
         engine.drain();
         call(1).send(&client, address).await
     };
@@ -266,7 +266,7 @@
     };
     let url = format!("http://{address}/load");
     let report = async {
-        until(|| engine.counters().figures().executions == 1).await;
+        until(|| engine.counters().executions == 1).await;
         get(&url).await
     };
     let client = client();
@@ -286,7 +286,7 @@
         };
         call.send(&client, engine.address()).await;
     }
-    assert!(engine.counters().figures().cached >= 128);
+    assert!(engine.counters().cached >= 128);
 }
 
 /// Guards against a check that accepts a damaged answer.
