--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -19,7 +19,7 @@
 mod state;
 mod ticket;
 
-pub(crate) use batch::unix_ms;
+pub use batch::unix_ms;
 pub use counters::Counters;
 pub use handle::Handle;
 pub use length::Length;
--- a/crates/testkit/src/engine/batch.rs
+++ b/crates/testkit/src/engine/batch.rs
@@ -187,7 +187,7 @@
 }
 
 /// Returns the time since the Unix epoch in ms.
-pub(crate) fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64)
--- a/crates/testkit/src/load/call.rs
+++ b/crates/testkit/src/load/call.rs
@@ -41,23 +41,27 @@
 impl Call {
     /// Sends the request and takes the answer.
     pub async fn send(&self, client: &client::Client, address: net::SocketAddr) -> Record {
+        let mut record = Record::default();
+        self.send_into(client, address, &mut record).await;
+        record
+    }
+
+    /// Sends the request and notes what happens as it happens.
+    ///
+    /// If the future is dropped, the record keeps what was seen until then.
+    pub async fn send_into(
+        &self,
+        client: &client::Client,
+        address: net::SocketAddr,
+        record: &mut Record,
+    ) {
         let start = Instant::now();
-        let mut record = Record {
-            outcome: Outcome::Broken(String::new()),
-            first: None,
-            gaps: Vec::new(),
-            total: time::Duration::ZERO,
-            tokens: 0,
-            queued: None,
-            class: None,
-        };
         let request = self.request(address);
         record.outcome = match client.send(request).await {
             Err(error) => Outcome::Broken(format!("no answer: {error}")),
-            Ok(response) => self.take(response, start, &mut record).await,
+            Ok(response) => self.take(response, start, record).await,
         };
         record.total = start.elapsed();
-        record
     }
 
     fn request(&self, address: net::SocketAddr) -> http::Request<Full<bytes::Bytes>> {
@@ -146,6 +150,7 @@
                     continue;
                 }
                 check.push(&content);
+                record.tokens = check.tokens();
                 let now = Instant::now();
                 match record.first {
                     None => record.first = Some(now - start),
@@ -154,7 +159,6 @@
                 last = now;
             }
         }
-        record.tokens = check.tokens();
         Ok(Outcome::Answered(match check.finish(self.expected) {
             text::Verdict::Whole if excess => text::Verdict::Excess,
             text::Verdict::Whole if !done => text::Verdict::Short,
--- a/crates/testkit/src/load/outcome.rs
+++ b/crates/testkit/src/load/outcome.rs
@@ -3,7 +3,7 @@
 use crate::text;
 
 /// How a request ended for its caller.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub enum Outcome {
     /// An answer came; the verdict says whether it is whole.
     Answered(text::Verdict),
@@ -18,6 +18,9 @@
         /// Value of `Retry-After`.
         retry_after: Option<time::Duration>,
     },
+    /// The caller hung up.
+    #[default]
+    Left,
     /// The connection failed before or during the answer.
     Broken(String),
 }
--- a/crates/testkit/src/load/record.rs
+++ b/crates/testkit/src/load/record.rs
@@ -3,7 +3,7 @@
 use crate::load::outcome::Outcome;
 
 /// What one request experienced.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Record {
     /// How it ended.
     pub outcome: Outcome,
