--- a/crates/class/src/lib.rs
+++ b/crates/class/src/lib.rs
@@ -18,4 +18,5 @@
 pub use reason::Reason;
 pub use source::Source;
 pub use table::Table;
+pub use team::ANONYMOUS_KEY;
 pub use team::key as team_key;
--- a/crates/class/src/team.rs
+++ b/crates/class/src/team.rs
@@ -7,7 +7,7 @@
 pub(crate) const ANONYMOUS: &str = "anonymous";
 
 /// Key of all anonymous callers.
-pub(crate) const ANONYMOUS_KEY: u32 = 0;
+pub const ANONYMOUS_KEY: u32 = 0;
 
 /// Returns the key of a team: a stable hash of its name that is never 0.
 ///
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -198,7 +198,7 @@
             status: head.status,
             headers: passed(&head.headers),
             body: front::Body::empty(),
-            class: resolved.class.clone(),
+            class: resolved.class.to_string(),
             queued,
         };
         answer.body = if request.stream && head.status.is_success() {
