--- a/crates/host/tests/whole_path.rs
+++ b/crates/host/tests/whole_path.rs
@@ -87,7 +87,7 @@
         () = started => {}
     }
     drop(client);
-    while engine.counters().figures().cancelled == 0 {
+    while engine.counters().cancelled == 0 {
         tokio::time::sleep(time::Duration::from_millis(5)).await;
     }
     host.shutdown().await;
