feat(peer): add links between hosts and signed datagram sockets

Cause: hosts must queue asks at home hosts, forward runs and spread digests, and must know whether a failed call may have been processed. Change: a server and a client that keep capnp-rpc objects on threads of their own; a handshake of bounded frames before any RPC byte, in which the accepting side proves the key first; a ping before the first call, so that a refused link fails with NotSent; reports (cancel, first, done, blame) that are kept until they are acknowledged and sent again on the next link, since a lost report would hold a slot at the home host for ever; pings that give up a silent host after 1 s; bounds on handshakes, links, asks, runs, queues and kept reports. Conclusion: calls end with a truthful error on broken, silent and refused links.

--- /dev/null
+++ b/crates/peer/src/socket.rs
@@ -0,0 +1,101 @@
+use std::io;
+use std::net;
+use std::sync;
+
+use crate::counters;
+use crate::keys;
+use crate::limiter;
+
+struct Inner {
+    socket: tokio::net::UdpSocket,
+    keys: keys::Keys,
+    counters: counters::Counters,
+    limiter: limiter::Limiter,
+}
+
+/// Sends and receives signed datagrams. Clones share the socket.
+#[derive(Clone)]
+pub struct Socket(sync::Arc<Inner>);
+
+impl Socket {
+    /// Binds a socket.
+    ///
+    /// # Errors
+    ///
+    /// Reports that the address cannot be bound.
+    pub async fn bind(address: net::SocketAddr, keys: keys::Keys) -> io::Result<Self> {
+        Ok(Self(sync::Arc::new(Inner {
+            socket: tokio::net::UdpSocket::bind(address).await?,
+            keys,
+            counters: counters::Counters::default(),
+            limiter: limiter::Limiter::default(),
+        })))
+    }
+
+    /// Returns the address of the socket.
+    ///
+    /// # Errors
+    ///
+    /// Reports a socket without an address.
+    pub fn address(&self) -> io::Result<net::SocketAddr> {
+        self.0.socket.local_addr()
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &counters::Counters {
+        &self.0.counters
+    }
+
+    /// Signs and sends a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Reports a message above its bounds and a failure of the socket.
+    pub async fn send(&self, to: net::SocketAddr, packet: &wire::Packet) -> io::Result<()> {
+        let sealed = packet
+            .seal(&self.0.keys.current())
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+        self.0.socket.send_to(&sealed, to).await?;
+        self.0.counters.add(counters::Count::DatagramSent);
+        Ok(())
+    }
+
+    /// Waits for the next authentic datagram. Others are counted and dropped.
+    ///
+    /// Dropping the future loses no datagram.
+    ///
+    /// # Errors
+    ///
+    /// Reports a failure of the socket.
+    pub async fn receive(&self) -> io::Result<(net::SocketAddr, wire::Packet)> {
+        let mut buffer = [0; wire::limit::DATAGRAM + 1];
+        loop {
+            let (length, from) = match self.0.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                // Linux reports an ICMP answer to an earlier datagram this way.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(error) => return Err(error),
+            };
+            match wire::Packet::open(&buffer[..length], &self.0.keys.current()) {
+                Ok(packet) => {
+                    self.0.counters.add(counters::Count::DatagramReceived);
+                    return Ok((from, packet));
+                }
+                Err(error) => self.drop_datagram(from, error),
+            }
+        }
+    }
+
+    fn drop_datagram(&self, from: net::SocketAddr, error: wire::Error) {
+        let count = match error {
+            wire::Error::Unauthentic | wire::Error::UnknownKey(_) => {
+                counters::Count::DatagramUnauthentic
+            }
+            _ => counters::Count::DatagramMalformed,
+        };
+        self.0.counters.add(count);
+        self.0
+            .limiter
+            .warn(format_args!("dropped a datagram from {from}: {error}"));
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/handshake.rs
@@ -0,0 +1,126 @@
+//! Guards against hosts without a shared key, against foreign bytes that stop
+//! or crash the server and against links that keys cannot be rotated under.
+
+mod support;
+
+use core::time;
+use rand::{RngExt, SeedableRng};
+use support::{Home, ask, client, keys, soon};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+#[tokio::test]
+async fn a_wrong_key_is_refused() {
+    let home = Home::start(keys(&["one"]));
+    let client = client(keys(&["two"]));
+    let refused = soon(client.ask(home.server.address(), ask(1, "now"))).await;
+    assert_eq!(refused, Err(peer::Error::NotSent(peer::Cause::Handshake)));
+    let counters = home.server.counters();
+    assert_eq!(counters.get(peer::Count::HandshakeUnauthentic), 1);
+    assert_eq!(counters.get(peer::Count::LinkOpened), 0);
+}
+
+#[tokio::test]
+async fn keys_rotate() {
+    let (ours, theirs) = (keys(&["old"]), keys(&["old"]));
+    let home = Home::start(theirs.clone());
+    let address = home.server.address();
+    let keyring = |secrets: &[&str]| wire::Keyring::new(secrets).expect("keyring");
+    let granted = |id| {
+        let client = client(ours.clone());
+        async move { soon(client.ask(address, ask(id, "now"))).await.is_ok() }
+    };
+    assert!(granted(1).await);
+    theirs.replace(keyring(&["new", "old"]));
+    assert!(granted(2).await);
+    ours.replace(keyring(&["new", "old"]));
+    assert!(granted(3).await);
+    theirs.replace(keyring(&["new"]));
+    assert!(granted(4).await);
+    ours.replace(keyring(&["old"]));
+    assert!(!granted(5).await);
+}
+
+#[tokio::test]
+async fn foreign_bytes_are_dropped() {
+    let home = Home::start(keys(&["one"]));
+    let address = home.server.address();
+    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(11);
+    for round in 0..40_usize {
+        let mut bytes = vec![0; round * 97];
+        random.fill(&mut bytes[..]);
+        if round % 2 == 0 && bytes.len() > 2 {
+            // A plausible length, so that the frame itself is read.
+            bytes[..2].copy_from_slice(&64_u16.to_le_bytes());
+        }
+        let mut stream = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("connect");
+        let _ = stream.write_all(&bytes).await;
+        let _ = stream.shutdown().await;
+        let mut rest = Vec::new();
+        let _ = soon(stream.read_to_end(&mut rest)).await;
+        assert!(rest.is_empty());
+    }
+    let client = client(keys(&["one"]));
+    assert!(soon(client.ask(address, ask(1, "now"))).await.is_ok());
+    assert_eq!(home.server.counters().get(peer::Count::LinkOpened), 1);
+}
+
+#[tokio::test]
+async fn a_handshake_that_never_ends_is_dropped() {
+    let home = Home::with(keys(&["one"]), |options| {
+        options.handshake_timeout = time::Duration::from_millis(50);
+        options.handshakes_max = 2;
+    });
+    let address = home.server.address();
+    let mut slow = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connect");
+    slow.write_all(&[200]).await.expect("one byte");
+    let mut rest = Vec::new();
+    let _ = soon(slow.read_to_end(&mut rest)).await;
+    assert_eq!(home.server.counters().get(peer::Count::HandshakeTimeout), 1);
+    let client = client(keys(&["one"]));
+    assert!(soon(client.ask(address, ask(1, "now"))).await.is_ok());
+}
+
+#[tokio::test]
+async fn garbage_after_the_handshake_ends_only_its_link() {
+    // A server that proves the key and then sends what is no RPC message.
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bind");
+    let address = listener.local_addr().expect("address");
+    let keyring = wire::Keyring::new(&["one"]).expect("keyring");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let length = stream.read_u16_le().await.expect("length");
+        let mut hello = vec![0; length.into()];
+        stream.read_exact(&mut hello).await.expect("hello");
+        let mut welcome = wire::Welcome {
+            version: wire::limit::VERSION,
+            name: "x".into(),
+            incarnation: 1,
+            nonce: [1; wire::limit::NONCE],
+            key: keyring.signer(),
+            proof: [0; 32],
+        };
+        welcome.sign(&keyring, &hello).expect("sign");
+        let frame = wire::encode(&welcome).expect("encode");
+        let length = u16::try_from(frame.len()).expect("short");
+        stream.write_u16_le(length).await.expect("write");
+        stream.write_all(&frame).await.expect("write");
+        stream.write_all(&[0xff; 4_096]).await.expect("write");
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+    });
+    let home = Home::start(keys(&["one"]));
+    let client = client(keys(&["one"]));
+    let refused = soon(client.ask(address, ask(1, "now"))).await;
+    assert!(
+        matches!(refused, Err(peer::Error::NotSent(_))),
+        "{refused:?}"
+    );
+    let other = soon(client.ask(home.server.address(), ask(1, "now"))).await;
+    assert!(other.is_ok());
+}
--- /dev/null
+++ b/crates/peer/tests/links.rs
@@ -0,0 +1,249 @@
+//! Guards against calls that are lost, reordered or reported with the wrong
+//! certainty when links work, break, stall or are refused.
+
+mod support;
+
+use support::{Flow, Home, Proxy, Seen, ask, client, keys, run, soon};
+
+fn done(id: u64) -> wire::Done {
+    wire::Done {
+        id,
+        result: wire::Finish::Complete,
+        tokens: 12,
+    }
+}
+
+#[tokio::test]
+async fn ask_grant_first_done() {
+    let mut home = Home::start(keys(&["one"]));
+    let client = client(keys(&["one"]));
+    let address = home.server.address();
+    let reply = soon(client.ask(address, ask(1, "now"))).await;
+    assert_eq!(reply, Ok(support::grant(1)));
+    client.first(address, 1);
+    client.done(address, done(1));
+    assert_eq!(home.next().await, Seen::Ask(1));
+    assert_eq!(home.next().await, Seen::First(1));
+    assert_eq!(home.next().await, Seen::Done(done(1)));
+}
+
+#[tokio::test]
+async fn calls_keep_their_order() {
+    let mut home = Home::start(keys(&["one"]));
+    let client = client(keys(&["one"]));
+    let address = home.server.address();
+    let mut asks = Vec::new();
+    for id in 0..200 {
+        let mut asked = Box::pin(client.ask(address, ask(id, "held")));
+        assert!(futures_util::poll!(&mut asked).is_pending());
+        asks.push(asked);
+        client.cancel(address, id);
+        client.first(address, id);
+        client.done(address, done(id));
+    }
+    let mut seen = Vec::new();
+    while seen.last() != Some(&Seen::Done(done(199))) {
+        match home.next().await {
+            Seen::AskDropped(_) => {}
+            other => seen.push(other),
+        }
+    }
+    let expected = |id| {
+        [
+            Seen::Ask(id),
+            Seen::Cancel(id),
+            Seen::First(id),
+            Seen::Done(done(id)),
+        ]
+    };
+    let expected: Vec<Seen> = (0..200).flat_map(expected).collect();
+    assert_eq!(seen, expected);
+    for asked in asks {
+        assert_eq!(
+            soon(asked).await,
+            Err(peer::Error::Lost(peer::Cause::Cancelled))
+        );
+    }
+}
+
+#[tokio::test]
+async fn dropping_an_ask_cancels_it() {
+    let mut home = Home::start(keys(&["one"]));
+    let client = client(keys(&["one"]));
+    let address = home.server.address();
+    {
+        let held = client.ask(address, ask(1, "held"));
+        tokio::pin!(held);
+        tokio::select! {
+            reply = &mut held => panic!("{reply:?}"),
+            seen = home.next() => assert_eq!(seen, Seen::Ask(1)),
+        }
+    }
+    let seen = [home.next().await, home.next().await];
+    assert!(seen.contains(&Seen::Cancel(1)), "{seen:?}");
+    assert!(seen.contains(&Seen::AskDropped(1)), "{seen:?}");
+}
+
+#[tokio::test]
+async fn a_broken_link_loses_calls_and_is_reported() {
+    let mut home = Home::start(keys(&["one"]));
+    let proxy = Proxy::start(home.server.address()).await;
+    let client = client(keys(&["one"]));
+    let held = client.ask(proxy.address, ask(1, "held"));
+    let cut = async {
+        assert_eq!(home.next().await, Seen::Ask(1));
+        proxy.flow.send_replace(Flow::Cut);
+    };
+    let (reply, ()) = soon(async { tokio::join!(held, cut) }).await;
+    assert_eq!(reply, Err(peer::Error::Lost(peer::Cause::Closed)));
+    assert_eq!(home.next().await, Seen::AskDropped(1));
+    assert_eq!(home.next().await, Seen::Lost("entry".into(), 7));
+    // The reply that is missing may have been a grant, so the ask is given back.
+    proxy.flow.send_replace(Flow::Pass);
+    assert_eq!(home.next().await, Seen::Cancel(1));
+}
+
+#[tokio::test]
+async fn the_end_of_a_grant_is_reported_by_a_later_link() {
+    let mut home = Home::start(keys(&["one"]));
+    let proxy = Proxy::start(home.server.address()).await;
+    let client = client(keys(&["one"]));
+    for id in [1, 2] {
+        let reply = soon(client.ask(proxy.address, ask(id, "now"))).await;
+        assert_eq!(reply, Ok(support::grant(id)));
+        assert_eq!(home.next().await, Seen::Ask(id));
+    }
+    proxy.flow.send_replace(Flow::Cut);
+    assert_eq!(home.next().await, Seen::Lost("entry".into(), 7));
+    client.done(proxy.address, done(1));
+    client.cancel(proxy.address, 2);
+    proxy.flow.send_replace(Flow::Pass);
+    assert_eq!(home.next().await, Seen::Done(done(1)));
+    assert_eq!(home.next().await, Seen::Cancel(2));
+}
+
+#[tokio::test]
+async fn a_silent_host_loses_its_calls_and_blocks_no_other() {
+    let stalled = Home::start(keys(&["one"]));
+    let home = Home::start(keys(&["one"]));
+    let proxy = Proxy::start(stalled.server.address()).await;
+    let client = client(keys(&["one"]));
+    soon(client.ask(proxy.address, ask(1, "now")))
+        .await
+        .expect("granted");
+    proxy.flow.send_replace(Flow::Stall);
+    let silent = client.ask(proxy.address, ask(2, "now"));
+    let other = client.ask(home.server.address(), ask(3, "now"));
+    let (silent, other) = soon(async { tokio::join!(silent, other) }).await;
+    assert_eq!(silent, Err(peer::Error::Lost(peer::Cause::Silent)));
+    assert_eq!(other, Ok(support::grant(3)));
+}
+
+#[tokio::test]
+async fn asks_above_the_bound_are_not_sent() {
+    let mut home = Home::start(keys(&["one"]));
+    let mut options = peer::client::Options::new(support::identity("entry"), keys(&["one"]));
+    options.asks_max = 2;
+    let client = peer::Client::start(options).expect("client");
+    let address = home.server.address();
+    let mut held = Vec::new();
+    for id in 0..2 {
+        let client = client.clone();
+        held.push(tokio::spawn(async move {
+            client.ask(address, ask(id, "held")).await
+        }));
+        assert_eq!(home.next().await, Seen::Ask(id));
+    }
+    let refused = soon(client.ask(address, ask(2, "held"))).await;
+    assert_eq!(refused, Err(peer::Error::NotSent(peer::Cause::Full)));
+    let twice = soon(client.ask(address, ask(1, "held"))).await;
+    assert!(matches!(twice, Err(peer::Error::NotSent(_))));
+}
+
+#[tokio::test]
+async fn the_server_refuses_asks_above_its_bound() {
+    let mut home = Home::with(keys(&["one"]), |options| options.asks_max = 1);
+    let client = client(keys(&["one"]));
+    let address = home.server.address();
+    let other = client.clone();
+    tokio::spawn(async move { other.ask(address, ask(1, "held")).await });
+    assert_eq!(home.next().await, Seen::Ask(1));
+    let refused = soon(client.ask(address, ask(2, "held"))).await;
+    let Ok(wire::Reply::Refusal(refusal)) = refused else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(refusal.kind, "overload");
+}
+
+#[tokio::test]
+async fn a_host_that_is_away_gets_nothing() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    drop(listener);
+    let client = client(keys(&["one"]));
+    let refused = soon(client.run(address, run("orders", 10))).await;
+    assert_eq!(refused, Err(peer::Error::NotSent(peer::Cause::Connect)));
+    let refused = soon(client.ask(address, ask(1, "now"))).await;
+    assert!(matches!(refused, Err(peer::Error::NotSent(_))));
+}
+
+#[tokio::test]
+async fn large_runs_and_files_pass() {
+    let mut home = Home::start(keys(&["one"]));
+    let client = client(keys(&["one"]));
+    let address = home.server.address();
+    let sent = run("orders", 1024 * 1024);
+    let outcome = soon(client.run(address, sent.clone()))
+        .await
+        .expect("outcome");
+    assert_eq!(home.next().await, Seen::Run(1024 * 1024));
+    let wire::Outcome::Answer(answer) = outcome else {
+        panic!("no answer");
+    };
+    assert_eq!(answer.body, sent.request.body);
+    assert_eq!(answer.headers, sent.request.headers);
+    let known = vec![("old.ini".to_owned(), [1; 32])];
+    let files = soon(client.fetch(address, wire::Fetch { known }))
+        .await
+        .expect("files");
+    assert_eq!(files.changed[0].1.len(), 900_000);
+    assert_eq!(files.removed, ["old.ini"]);
+    let oversized = soon(client.run(address, run("orders", wire::limit::BODY + 1))).await;
+    assert!(matches!(
+        oversized,
+        Err(peer::Error::NotSent(peer::Cause::Encode(_)))
+    ));
+}
+
+#[tokio::test]
+async fn a_run_goes_on_without_its_link() {
+    let mut home = Home::start(keys(&["one"]));
+    let proxy = Proxy::start(home.server.address()).await;
+    let client = client(keys(&["one"]));
+    let held = client.run(proxy.address, run("held", 3));
+    let cut = async {
+        assert_eq!(home.next().await, Seen::Run(3));
+        proxy.flow.send_replace(Flow::Cut);
+        assert_eq!(home.next().await, Seen::Lost("entry".into(), 7));
+        home.release.send_replace(true);
+        assert_eq!(home.next().await, Seen::RunEnded);
+    };
+    let (outcome, ()) = soon(async { tokio::join!(held, cut) }).await;
+    assert_eq!(outcome, Err(peer::Error::Lost(peer::Cause::Closed)));
+}
+
+#[tokio::test]
+async fn blame_and_leave_arrive() {
+    let mut home = Home::start(keys(&["one"]));
+    let client = client(keys(&["one"]));
+    let blame = wire::Blame {
+        pool: "p".into(),
+        fingerprint: 1,
+        endpoint: "e".into(),
+        count: 1,
+    };
+    client.blame(home.server.address(), blame.clone());
+    assert_eq!(home.next().await, Seen::Blame(blame));
+    client.leave();
+    assert_eq!(home.next().await, Seen::Leave);
+}
