--- /dev/null
+++ b/crates/peer/src/platform.rs
@@ -0,0 +1,13 @@
+//! Reads the platform over HTTP.
+
+mod client;
+mod config;
+mod error;
+mod host;
+mod options;
+
+pub use client::Client;
+pub use config::Config;
+pub use error::Error;
+pub use host::{Host, State};
+pub use options::Options;
--- /dev/null
+++ b/crates/peer/tests/platform.rs
@@ -0,0 +1,96 @@
+//! Guards against platform answers that hang, flood or mislead a host, and
+//! against a dead address that hides a live one.
+
+mod support;
+
+use core::time;
+use std::net;
+use support::soon;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
+
+/// Serves one fixed answer and returns its address; `None` never answers.
+async fn serve(answer: Option<(u16, String)>) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(respond(stream, answer.clone()));
+        }
+    });
+    address
+}
+
+async fn respond(stream: tokio::net::TcpStream, answer: Option<(u16, String)>) {
+    let mut stream = tokio::io::BufReader::new(stream);
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        if stream.read_line(&mut line).await.unwrap_or(0) == 0 {
+            return;
+        }
+    }
+    let Some((status, body)) = answer else {
+        return std::future::pending().await;
+    };
+    let length = body.len();
+    let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n");
+    let _ = stream.write_all(head.as_bytes()).await;
+    let _ = stream.write_all(body.as_bytes()).await;
+    let _ = stream.shutdown().await;
+}
+
+fn client(addresses: Vec<net::SocketAddr>) -> peer::platform::Client {
+    let mut options = peer::platform::Options::new(addresses);
+    options.timeout = time::Duration::from_millis(300);
+    options.pause_max = time::Duration::from_millis(5);
+    peer::platform::Client::new(options)
+}
+
+async fn config(answer: Option<(u16, String)>) -> Result<Option<u64>, peer::platform::Error> {
+    let client = client(vec![serve(answer).await]);
+    let read = soon(client.config(3, time::Duration::ZERO)).await;
+    read.map(|config| config.map(|config| config.revision))
+}
+
+#[tokio::test]
+async fn answers_have_kinds() {
+    use peer::platform::Error;
+
+    let good = r#"{"revision":4,"files":{"a.ini":"[host]\n"}}"#.to_owned();
+    assert_eq!(config(Some((200, good.clone()))).await, Ok(Some(4)));
+    assert_eq!(config(Some((204, String::new()))).await, Ok(None));
+    assert_eq!(config(Some((500, good))).await, Err(Error::Status(500)));
+    assert_eq!(config(Some((200, "{".into()))).await, Err(Error::Malformed));
+    assert_eq!(config(None).await, Err(Error::Timeout));
+    let text = "x".repeat(wire::limit::CONFIGURATION);
+    let large = format!(r#"{{"revision":4,"files":{{"a":"{text}"}}}}"#);
+    assert_eq!(config(Some((200, large))).await, Err(Error::TooLarge));
+    let flood = "x".repeat(5 * wire::limit::CONFIGURATION);
+    assert_eq!(config(Some((200, flood))).await, Err(Error::TooLarge));
+    let none = client(Vec::new());
+    assert_eq!(none.hosts().await, Err(Error::NoAddress));
+}
+
+#[tokio::test]
+async fn a_dead_address_is_passed_over() {
+    let dead = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bind");
+    let closed = dead.local_addr().expect("address");
+    drop(dead);
+    let hosts = r#"{"hosts":[
+        {"name":"h1","caller":"10.0.0.1:80","peer":"10.0.0.1:7401","data_centre":"d","region":"r","state":"live"},
+        {"name":"h2","caller":"10.0.0.2:80","peer":"10.0.0.2:7401","data_centre":"d","region":"r","state":"leaving","more":1}
+    ]}"#;
+    let live = serve(Some((200, hosts.into()))).await;
+    let silent = serve(None).await;
+    let client = client(vec![closed, silent, live]);
+    for _ in 0..3 {
+        let hosts = soon(client.hosts()).await.expect("hosts");
+        assert_eq!(hosts.len(), 2);
+        assert_eq!(hosts[0].state, peer::platform::State::Live);
+        assert_eq!(hosts[1].state, peer::platform::State::Leaving);
+    }
+}
