feat(pool): add the policy Current with admission and late binding

Cause: the shard needs one policy that combines order of service and endpoint choice.

Change: Current refuses an ask at once when its estimated wait passes its latest useful start, holds the others, and grants in turn while an endpoint has room. Retries need a budget and wait for a backoff inside the queue. Suspects of a crash run alone, poison is refused. When every endpoint is down, asks are held for as long as the outage has lasted.

Conclusion: Current can replace Baseline behind pool::Policy.

--- /dev/null
+++ b/crates/pool/src/admit.rs
@@ -0,0 +1,190 @@
+use core::time;
+
+use rand::RngExt;
+
+use crate::action;
+use crate::ask;
+use crate::current;
+
+impl current::Current {
+    /// Queues an ask or refuses it at once.
+    pub(crate) fn admit(
+        &mut self,
+        now: time::Duration,
+        ask: ask::Ask,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.queue.demand(now, ask.class);
+        let verdict = self.blame.verdict(now, ask.fingerprint);
+        if verdict == route::Verdict::Poison {
+            return self.refuse(&ask, answer::Kind::Poison, None, out);
+        }
+        let class = self.class(&ask);
+        if ask.attempt > 0 && !self.budgets[class].spend() {
+            let after = Some(BUDGET_RETRY);
+            return self.refuse(&ask, answer::Kind::RetryBudget, after, out);
+        }
+        if !self.table.any_open() {
+            let after = Some(OUTAGE_MIN);
+            return self.refuse(&ask, answer::Kind::NoEndpoint, after, out);
+        }
+        if ask.deadline <= now {
+            let after = Some(self.advice(time::Duration::ZERO));
+            return self.refuse(&ask, answer::Kind::Expired, after, out);
+        }
+        let ready = now + self.backoff(ask.attempt);
+        let latest = self.latest(now, &ask);
+        if let Some(wait) = self.outage_wait(now)
+            && now + wait >= latest
+        {
+            let after = Some(self.advice(wait));
+            return self.refuse(&ask, answer::Kind::NoEndpoint, after, out);
+        }
+        let capacity = self.capacity();
+        let caller = (ask.team, ask.caller);
+        let wait = self
+            .queue
+            .wait(now, ask.class, caller.0, caller.1, capacity);
+        if ready.max(now + wait) >= latest {
+            self.queue.refuse(now, ask.class, latest);
+            let after = Some(self.advice(wait));
+            return self.refuse(&ask, answer::Kind::Overload, after, out);
+        }
+        let suspect = verdict == route::Verdict::Suspect;
+        let job = self.job(&ask, suspect, ready, latest);
+        self.push(now, job, wait, out);
+    }
+
+    fn push(
+        &mut self,
+        now: time::Duration,
+        job: sched::Job<ask::Ask>,
+        wait: time::Duration,
+        out: &mut Vec<action::Action>,
+    ) {
+        let id = job.data.id;
+        let suspect = need(job.lane).suspect;
+        let after = Some(self.advice(wait.max(FULL_RETRY)));
+        let key = match self.queue.push(now, job) {
+            sched::Push::Queued(key) => key,
+            sched::Push::Displaced { key, shed } => {
+                self.refuse(&shed, answer::Kind::Shed, after, out);
+                key
+            }
+            sched::Push::Full(ask) | sched::Push::Share(ask) => {
+                return self.refuse(&ask, answer::Kind::Overload, after, out);
+            }
+        };
+        self.queued.insert(id, key);
+        if suspect {
+            self.suspects.push(id);
+        }
+    }
+
+    fn job(
+        &self,
+        ask: &ask::Ask,
+        suspect: bool,
+        ready: time::Duration,
+        latest: time::Duration,
+    ) -> sched::Job<ask::Ask> {
+        let length = &self.lengths[self.class(ask)];
+        let need = route::Need {
+            long: length.long(ask.max_tokens, self.options.long_tokens),
+            suspect,
+        };
+        sched::Job {
+            class: ask.class,
+            team: ask.team,
+            caller: ask.caller,
+            cost: cost(ask, length.mean(ask.max_tokens)),
+            deadline: latest,
+            lane: lane(need),
+            ready,
+            data: *ask,
+        }
+    }
+
+    /// Returns the latest time at which starting the ask is of use.
+    ///
+    /// The expected service time is kept free, but never more than half of the
+    /// time that the caller gives, so that no class is refused for good.
+    fn latest(&self, now: time::Duration, ask: &ask::Ask) -> time::Duration {
+        let service = self.services[self.class(ask)].upper();
+        let half = ask.deadline.saturating_sub(now) / 2;
+        let service =
+            time::Duration::try_from_secs_f64(service).map_or(half, |time| time.min(half));
+        ask.deadline - service
+    }
+
+    /// Returns the delay before a retry: exponential, with jitter.
+    fn backoff(&mut self, attempt: u16) -> time::Duration {
+        if attempt == 0 {
+            return time::Duration::ZERO;
+        }
+        let doublings = u32::from(attempt - 1).min(BACKOFF_DOUBLINGS);
+        let full = BACKOFF * (1 << doublings);
+        full.mul_f64(self.rng.random_range(0.5..1.0))
+    }
+
+    /// Returns the service rate in tokens per second; infinite if unknown.
+    fn capacity(&self) -> f64 {
+        let rate = self.pace.rate();
+        rate.map_or(f64::INFINITY, |rate| rate * self.table.nominal())
+    }
+
+    pub(crate) fn wait_lowest(&self, now: time::Duration) -> time::Duration {
+        self.queue.wait_lowest(now, self.capacity())
+    }
+
+    /// Returns how long an outage of all endpoints is expected to last on.
+    fn outage_wait(&self, now: time::Duration) -> Option<time::Duration> {
+        if self.table.any_alive() {
+            return None;
+        }
+        let since = self.outage.unwrap_or(now);
+        Some(now.saturating_sub(since).max(OUTAGE_MIN))
+    }
+
+    /// Returns the advised delay for an estimated wait.
+    pub(crate) fn advice(&self, wait: time::Duration) -> time::Duration {
+        wait.clamp(ADVICE_MIN, ADVICE_MAX)
+    }
+}
+
+/// Returns the cost of an ask with this output length, in output tokens.
+pub(crate) fn cost(ask: &ask::Ask, output: f64) -> f64 {
+    (f64::from(ask.prompt_tokens) * PROMPT_PART + output).max(1.0)
+}
+
+pub(crate) const fn lane(need: route::Need) -> sched::Lane {
+    sched::Lane::new(need.index() as u8)
+}
+
+pub(crate) fn need(lane: sched::Lane) -> route::Need {
+    route::Need::from_index(usize::from(lane.index()))
+}
+
+/// Cost of a prompt token in output tokens; prompts are processed in parallel.
+const PROMPT_PART: f64 = 0.125;
+
+/// First delay of a retry.
+const BACKOFF: time::Duration = time::Duration::from_millis(50);
+
+/// Doublings of the delay at most, which gives 1.6 s.
+const BACKOFF_DOUBLINGS: u32 = 5;
+
+/// Advised delay when the retry budget is used up.
+const BUDGET_RETRY: time::Duration = time::Duration::from_secs(1);
+
+/// Shortest advised delay when the queue is full.
+const FULL_RETRY: time::Duration = time::Duration::from_secs(1);
+
+/// Expected length of an outage that has just begun.
+const OUTAGE_MIN: time::Duration = time::Duration::from_secs(1);
+
+/// Shortest advised delay.
+const ADVICE_MIN: time::Duration = time::Duration::from_millis(100);
+
+/// Longest advised delay.
+const ADVICE_MAX: time::Duration = time::Duration::from_secs(60);
--- /dev/null
+++ b/crates/pool/src/dispatch.rs
@@ -0,0 +1,199 @@
+use core::time;
+
+use crate::action;
+use crate::admit;
+use crate::ask;
+use crate::current;
+use crate::finish;
+use crate::running;
+
+impl current::Current {
+    /// Grants asks in turn while an endpoint has room.
+    pub(crate) fn dispatch(&mut self, now: time::Duration, out: &mut Vec<action::Action>) {
+        while let Some(pick) = self.queue.next(now, self.lanes()) {
+            let Some(job) = self.queue.get(pick.key) else {
+                return;
+            };
+            let (ask, need) = (job.data, admit::need(job.lane));
+            if !self.cleared(now, pick.key, &ask, need, out) {
+                continue;
+            }
+            self.grant(now, pick, need, out);
+        }
+    }
+
+    /// Returns the lanes for which some endpoint has room.
+    fn lanes(&self) -> sched::Lanes {
+        let needs = (0..route::Need::COUNT).map(route::Need::from_index);
+        needs.fold(sched::Lanes::NONE, |lanes, need| {
+            lanes.with(admit::lane(need), self.table.has_room(need))
+        })
+    }
+
+    /// Returns whether crash blame lets the ask run now; otherwise it is moved,
+    /// held or refused.
+    fn cleared(
+        &mut self,
+        now: time::Duration,
+        key: sched::Key,
+        ask: &ask::Ask,
+        need: route::Need,
+        out: &mut Vec<action::Action>,
+    ) -> bool {
+        let verdict = self.blame.verdict(now, ask.fingerprint);
+        let suspect = verdict == route::Verdict::Suspect;
+        if verdict == route::Verdict::Poison {
+            self.queue.cancel(key);
+            self.refuse(ask, answer::Kind::Poison, None, out);
+            return false;
+        }
+        if suspect != need.suspect {
+            let need = route::Need { suspect, ..need };
+            self.queue.move_to(key, admit::lane(need));
+            if suspect {
+                self.suspects.push(ask.id);
+            }
+            return false;
+        }
+        // Two copies of a suspect at once could crash two more endpoints.
+        if suspect && self.blame.runs(ask.fingerprint) {
+            self.queue.hold(key, now + SUSPECT_HOLD);
+            return false;
+        }
+        true
+    }
+
+    fn grant(
+        &mut self,
+        now: time::Duration,
+        pick: sched::Pick,
+        need: route::Need,
+        out: &mut Vec<action::Action>,
+    ) {
+        let Some(job) = self.queue.get(pick.key) else {
+            return;
+        };
+        let work = self.work(&job.data, need);
+        let Some(run) = self.table.grant(now, work) else {
+            self.queue.hold(pick.key, now + ROOM_HOLD);
+            return;
+        };
+        let (Some(endpoint), Some((job, ticket))) =
+            (self.table.endpoint(run), self.queue.take(now, pick))
+        else {
+            self.table.finish(now, run, route::End::Unused, 0);
+            return;
+        };
+        let ask = job.data;
+        self.queued.remove(&ask.id);
+        if need.suspect {
+            self.blame.start(ask.fingerprint);
+        }
+        if ask.attempt == 0 {
+            let class = self.class(&ask);
+            self.budgets[class].earn();
+        }
+        let running = running::Running {
+            ask,
+            ticket,
+            run,
+            granted: now,
+            suspect: need.suspect,
+        };
+        self.running.insert(ask.id, running);
+        out.push(action::Action::Grant {
+            ask: ask.id,
+            endpoint: crate::EndpointId(endpoint),
+        });
+    }
+
+    fn work(&self, ask: &ask::Ask, need: route::Need) -> route::Work {
+        let class = self.options.classes.get(self.class(ask));
+        route::Work {
+            need,
+            class: self.class(ask) as u16,
+            target_first: class.map_or(TARGET_DEFAULT, |class| class.target_first),
+            target_gap: class.and_then(|class| class.target_gap),
+            prefix: ask.prefix,
+            avoid: ask.avoid.map(|endpoint| endpoint.0),
+        }
+    }
+
+    /// Learns from the end of a granted ask and corrects its charge.
+    pub(crate) fn settle(
+        &mut self,
+        now: time::Duration,
+        running: running::Running,
+        finish: finish::Finish,
+    ) {
+        let ask = running.ask;
+        let class = self.class(&ask);
+        let spent = admit::cost(&ask, f64::from(finish.tokens));
+        let held = now.saturating_sub(running.granted);
+        let (end, cost) = match finish.result {
+            finish::Result::Complete => {
+                self.lengths[class].observe(finish.tokens);
+                self.services[class].observe(held.as_secs_f64());
+                self.pace.observe(now, spent, held);
+                self.blame.clear(ask.fingerprint);
+                (route::End::Complete, spent)
+            }
+            finish::Result::Cancelled => (route::End::Cancelled, spent),
+            finish::Result::Failed => {
+                let endpoint = self.table.endpoint(running.run).unwrap_or(u32::MAX);
+                self.blame.accuse(now, ask.fingerprint, endpoint);
+                (route::End::Failed, spent)
+            }
+            finish::Result::Refused => (route::End::Refused, 0.0),
+            finish::Result::Unreachable => (route::End::Unreachable, 0.0),
+            finish::Result::Unused => {
+                let budget = &mut self.budgets[class];
+                if ask.attempt > 0 {
+                    budget.refund();
+                } else {
+                    budget.forfeit();
+                }
+                (route::End::Unused, 0.0)
+            }
+        };
+        // After the blame, which tells suspects that run from ordinary asks.
+        if running.suspect {
+            self.blame.stop(ask.fingerprint);
+        }
+        self.queue.settle(running.ticket, cost);
+        self.table.finish(now, running.run, end, finish.tokens);
+    }
+
+    /// Moves queued asks that are no longer suspects to their own lane.
+    pub(crate) fn review(&mut self, now: time::Duration) {
+        let suspects = core::mem::take(&mut self.suspects);
+        for id in suspects {
+            let Some(&key) = self.queued.get(&id) else {
+                continue;
+            };
+            let Some(job) = self.queue.get(key) else {
+                continue;
+            };
+            let need = admit::need(job.lane);
+            let verdict = self.blame.verdict(now, job.data.fingerprint);
+            if verdict == route::Verdict::Clear {
+                let lane = admit::lane(route::Need {
+                    suspect: false,
+                    ..need
+                });
+                self.queue.move_to(key, lane);
+            } else {
+                self.suspects.push(id);
+            }
+        }
+    }
+}
+
+/// Time after which a suspect is tried again whose copy runs.
+const SUSPECT_HOLD: time::Duration = time::Duration::from_millis(50);
+
+/// Time after which an ask is tried again that found no room.
+const ROOM_HOLD: time::Duration = time::Duration::from_millis(20);
+
+/// Target for the time to the first token of a class without settings.
+const TARGET_DEFAULT: time::Duration = time::Duration::from_secs(1);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -5,20 +5,25 @@
 //! [`Action`]s.
 
 mod action;
+mod admit;
 mod ask;
 pub mod baseline;
 mod class;
+pub mod current;
+mod dispatch;
 mod endpoint;
 mod finish;
 mod load;
 mod options;
 mod policy;
+mod running;
 mod stats;
 
 pub use action::Action;
 pub use ask::{Ask, AskId};
 pub use baseline::Baseline;
 pub use class::Class;
+pub use current::Current;
 pub use endpoint::{Endpoint, EndpointId, Phase};
 pub use finish::{Finish, Result};
 pub use load::Load;
--- /dev/null
+++ b/crates/pool/tests/contract.rs
@@ -0,0 +1,197 @@
+//! Tests of single events of the policy.
+
+use core::time::Duration;
+
+use pool::{
+    Action, Ask, AskId, Class, Current, Endpoint, EndpointId, Finish, Load, Options, Phase, Policy,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn options() -> Options {
+    Options {
+        classes: vec![Class {
+            tier: 0,
+            target_first: SECOND,
+            target_gap: None,
+            floor: 0.1,
+            starvation_window: 5 * SECOND,
+        }],
+        weights: std::collections::HashMap::new(),
+        queue_max: 10,
+        long_tokens: 1_000,
+        long_share: 0.5,
+        seed: 1,
+    }
+}
+
+fn ask(id: u64) -> Ask {
+    Ask {
+        id: AskId(id),
+        class: 0,
+        team: 0,
+        caller: 0,
+        prompt_tokens: 1,
+        max_tokens: None,
+        prefix: 0,
+        fingerprint: id,
+        deadline: 60 * SECOND,
+        attempt: 0,
+        avoid: None,
+    }
+}
+
+fn endpoint(id: u32, phase: Phase) -> Endpoint {
+    Endpoint {
+        id: EndpointId(id),
+        phase,
+        slots: 1,
+    }
+}
+
+fn end(result: pool::Result) -> Finish {
+    Finish { result, tokens: 0 }
+}
+
+/// Returns a shard of one endpoint with one place.
+fn shard() -> Current {
+    let mut shard = Current::new(&options());
+    let mut out = Vec::new();
+    shard.endpoints(Duration::ZERO, &[endpoint(0, Phase::Up)], &mut out);
+    shard
+}
+
+fn granted(out: &mut Vec<Action>) -> Vec<u64> {
+    let actions = core::mem::take(out).into_iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Grant { ask, .. } => Some(ask.0),
+            Action::Refuse { .. } => None,
+        })
+        .collect()
+}
+
+fn refused(out: &mut Vec<Action>) -> Vec<(u64, answer::Kind)> {
+    let actions = core::mem::take(out).into_iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Grant { .. } => None,
+            Action::Refuse { ask, kind, .. } => Some((ask.0, kind)),
+        })
+        .collect()
+}
+
+/// Guards against a place that is lost or freed twice, and against a second
+/// outcome for a message that is delivered twice.
+#[test]
+fn places_return_at_once_and_duplicates_are_ignored() {
+    for result in [pool::Result::Unused, pool::Result::Unreachable] {
+        let mut shard = shard();
+        let mut out = Vec::new();
+        for id in [1, 1, 2, 2, 3] {
+            shard.ask(SECOND, ask(id), &mut out);
+        }
+        assert_eq!(granted(&mut out), [1]);
+        shard.cancel(SECOND, AskId(1), &mut out);
+        shard.cancel(SECOND, AskId(2), &mut out);
+        assert!(out.is_empty(), "a cancelled ask has no action");
+        shard.done(SECOND, AskId(1), end(result), &mut out);
+        shard.done(SECOND, AskId(1), end(result), &mut out);
+        assert_eq!(granted(&mut out), [3]);
+        assert_eq!(shard.stats(SECOND).in_flight, [(0, 1)]);
+        assert_eq!(shard.stats(SECOND).queued, [0]);
+    }
+}
+
+/// Guards against new work on a leaving or removed endpoint, and against asks
+/// that are held although no endpoint is left.
+#[test]
+fn a_leaving_endpoint_gets_nothing_and_no_endpoint_is_answered() {
+    let mut shard = shard();
+    let mut out = Vec::new();
+    shard.ask(SECOND, ask(1), &mut out);
+    shard.ask(SECOND, ask(2), &mut out);
+    assert_eq!(granted(&mut out), [1]);
+    let set = [endpoint(0, Phase::Leaving), endpoint(1, Phase::Up)];
+    shard.endpoints(SECOND, &set, &mut out);
+    let action = Action::Grant {
+        ask: AskId(2),
+        endpoint: EndpointId(1),
+    };
+    assert_eq!(core::mem::take(&mut out), [action]);
+    shard.ask(SECOND, ask(3), &mut out);
+    shard.done(2 * SECOND, AskId(1), end(pool::Result::Complete), &mut out);
+    assert!(out.is_empty(), "the freed place is on a leaving endpoint");
+    shard.endpoints(2 * SECOND, &[], &mut out);
+    assert_eq!(refused(&mut out), [(3, answer::Kind::NoEndpoint)]);
+    shard.ask(2 * SECOND, ask(4), &mut out);
+    assert_eq!(refused(&mut out), [(4, answer::Kind::NoEndpoint)]);
+    shard.done(3 * SECOND, AskId(2), end(pool::Result::Complete), &mut out);
+}
+
+/// Guards against over-commit by a new home host, and against asks that it
+/// refuses although the foreign load will end.
+#[test]
+fn a_new_home_host_waits_for_foreign_load() {
+    let mut shard = shard();
+    let mut out = Vec::new();
+    let mut load = Load {
+        running: 1,
+        waiting: 0,
+        slots: 0,
+        draining: false,
+        at: SECOND,
+    };
+    shard.report(SECOND, EndpointId(0), load, &mut out);
+    shard.ask(SECOND, ask(1), &mut out);
+    assert!(out.is_empty());
+    load.running = 0;
+    load.at = 2 * SECOND;
+    shard.report(2 * SECOND, EndpointId(0), load, &mut out);
+    assert_eq!(granted(&mut out), [1]);
+}
+
+/// Guards against a retry without budget, before its backoff, or past its
+/// deadline.
+#[test]
+fn retries_need_budget_backoff_and_time() {
+    let mut shard = shard();
+    let mut out = Vec::new();
+    let retry = |id, deadline| Ask {
+        attempt: 1,
+        deadline,
+        ..ask(id)
+    };
+    shard.ask(SECOND, retry(1, 60 * SECOND), &mut out);
+    assert_eq!(refused(&mut out), [(1, answer::Kind::RetryBudget)]);
+    for id in 10..30 {
+        shard.ask(SECOND, ask(id), &mut out);
+        shard.done(SECOND, AskId(id), end(pool::Result::Complete), &mut out);
+    }
+    assert_eq!(granted(&mut out).len(), 20);
+    let soon = SECOND + Duration::from_millis(10);
+    shard.ask(SECOND, retry(2, soon), &mut out);
+    assert_eq!(refused(&mut out), [(2, answer::Kind::Overload)]);
+    shard.ask(SECOND, retry(3, 60 * SECOND), &mut out);
+    shard.ask(SECOND, retry(4, 60 * SECOND), &mut out);
+    shard.ask(SECOND, retry(5, 60 * SECOND), &mut out);
+    assert_eq!(refused(&mut out), [(5, answer::Kind::RetryBudget)]);
+    shard.tick(SECOND + Duration::from_millis(24), &mut out);
+    assert!(out.is_empty(), "the backoff is at least 25 ms");
+    shard.tick(SECOND + Duration::from_millis(50), &mut out);
+    assert_eq!(granted(&mut out), [3]);
+}
+
+/// Guards against an ask whose deadline passes in the queue without an answer.
+#[test]
+fn a_queued_ask_is_answered_by_its_deadline() {
+    let mut shard = shard();
+    let mut out = Vec::new();
+    shard.ask(SECOND, ask(1), &mut out);
+    shard.ask(SECOND, ask(2), &mut out);
+    assert_eq!(granted(&mut out), [1]);
+    shard.tick(59 * SECOND, &mut out);
+    assert!(out.is_empty());
+    shard.tick(60 * SECOND, &mut out);
+    assert_eq!(refused(&mut out), [(2, answer::Kind::Expired)]);
+}
--- /dev/null
+++ b/crates/pool/tests/load.rs
@@ -0,0 +1,199 @@
+//! Whole seeded runs of the policy in a discrete-event loop.
+
+use core::time::Duration;
+
+use pool::Current;
+use rand::{RngExt, SeedableRng};
+use sched::Event;
+
+mod sim;
+
+use sim::{Engine, Fate, MILLISECOND, Request, SECOND, Sim};
+
+/// Returns a trace of classes 0 to 3 at `rate` requests per second each.
+fn mixed(seed: u64, rates: [f64; 4], end: Duration) -> Vec<Request> {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let mut trace = Vec::new();
+    for (class, rate) in rates.into_iter().enumerate() {
+        for at in sim::arrivals(&mut rng, rate, end) {
+            let mut request = Request::new(at, class as u16, rng.random_range(10..90));
+            request.team = rng.random_range(0..40);
+            request.caller = rng.random_range(0..4);
+            request.within = rng.random_range(2..20) * SECOND;
+            trace.push(request);
+        }
+    }
+    trace
+}
+
+/// Guards against a shed in favour of a lower tier, a class that starves, an ask
+/// with no outcome or two, and more in flight than slots (the loop checks both).
+#[test]
+fn overload_keeps_tiers_floors_and_outcomes() {
+    for seed in 0..3 {
+        // Eight engines of eight places end about 55 requests per second. Tier 0
+        // alone is above that.
+        let trace = mixed(seed, [90.0, 60.0, 60.0, 60.0], 80 * SECOND);
+        let mut options = sim::options(4);
+        options.queue_max = 400;
+        let asks = trace.len();
+        let engines = vec![Engine::new(8, 8); 8];
+        let run = Sim::new(Current::new(&options), engines, trace, seed).run();
+        assert!(asks > 20_000);
+        assert_eq!(run.lines.len(), asks);
+        assert!(run.policy.recorded() > 1_000);
+        for record in run.policy.records() {
+            let lost = (record.lost.tier, record.lost.deadline);
+            match (record.event, record.kept) {
+                (Event::Shed | Event::Full, Some(kept)) => {
+                    assert!(lost >= (kept.tier, kept.deadline), "{record:?}");
+                }
+                (_, kept) => assert!(kept.is_none()),
+            }
+        }
+        // One service time of the longest request: 90 tokens at 22 ms.
+        let bound = 2 * SECOND + 2_200 * MILLISECOND;
+        for class in 0..4 {
+            assert!(run.gaps[class] <= bound, "seed {seed}: {:?}", run.gaps);
+        }
+    }
+}
+
+/// Guards against retries that multiply the load of a full outage.
+#[test]
+fn an_outage_is_not_amplified() {
+    let mut trace = mixed(5, [100.0, 100.0, 50.0, 50.0], 80 * SECOND);
+    trace.iter_mut().for_each(|request| request.retries = 5);
+    let mut engines = vec![Engine::new(8, 8); 8];
+    engines.iter_mut().for_each(|engine| engine.dead = true);
+    let run = Sim::new(Current::new(&sim::options(4)), engines, trace, 5).run();
+    let amplification = run.grants as f64 / run.fresh as f64;
+    assert!(amplification <= 1.1, "{amplification}");
+    assert!(run.lines.iter().all(|line| line.fate != Fate::Complete));
+    let waited = run.lines.iter().map(|line| line.end).max().unwrap();
+    assert!(waited < 20 * SECOND, "{waited:?}: held until the deadline");
+}
+
+/// Guards against a request that crashes more than two endpoints, and against
+/// co-runners that are refused with it.
+#[test]
+fn a_poisonous_request_loses_two_endpoints_in_twenty_sends() {
+    let mut trace = mixed(6, [30.0, 0.1, 0.1, 0.1], 60 * SECOND);
+    for (index, request) in trace.iter_mut().enumerate() {
+        request.fingerprint = 1_000 + index as u64;
+        request.retries = 3;
+    }
+    for send in 0..20 {
+        let mut request = Request::new((10 + 2 * send) * SECOND, 0, 50);
+        request.fingerprint = 1;
+        request.poison = true;
+        request.retries = 3;
+        trace.push(request);
+    }
+    let engines = vec![Engine::new(8, 8); 8];
+    let run = Sim::new(Current::new(&sim::options(4)), engines, trace, 6).run();
+    assert_eq!(run.crashes, 2);
+    let poison = Fate::Refused(answer::Kind::Poison);
+    let refused = run.lines.iter().filter(|line| line.fate == poison);
+    assert_eq!(refused.count(), 20);
+    let lost = run.lines.iter().filter(|line| line.fate != Fate::Complete);
+    assert!(lost.count() - 20 <= 16, "two batches of eight at most");
+}
+
+fn plates(stragglers: bool) -> Sim<Current> {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(8);
+    let mut trace = Vec::new();
+    // The short requests need about 12 of the 48 places, so they fit into the
+    // half that long ones leave.
+    for at in sim::arrivals(&mut rng, 20.0, 120 * SECOND) {
+        trace.push(Request::new(at, 0, rng.random_range(10..30)));
+    }
+    for at in sim::arrivals(&mut rng, 2.0, 120 * SECOND) {
+        let mut output = rng.random_range(200..400);
+        if rng.random_bool(0.1) && stragglers {
+            output *= 20;
+        }
+        let mut request = Request::new(at, 1, output);
+        request.team = 2;
+        request.within = 300 * SECOND;
+        trace.push(request);
+    }
+    let mut options = sim::options(2);
+    // One tier: the long share alone protects the short class.
+    options.classes[1].tier = 0;
+    options.long_tokens = 100;
+    let engines = vec![Engine::new(8, 8); 6];
+    Sim::new(Current::new(&options), engines, trace, 8).run()
+}
+
+/// Guards against short requests that wait behind stragglers.
+#[test]
+fn stragglers_do_not_delay_short_requests() {
+    let without = plates(false).first(0, 0.99);
+    let with = plates(true).first(0, 0.99);
+    assert!(
+        with.as_secs_f64() <= 1.5 * without.as_secs_f64(),
+        "{with:?} against {without:?}"
+    );
+}
+
+/// Guards against a team that crowds out others of its tier.
+#[test]
+fn a_team_that_sends_ten_times_its_share_does_not_crowd_out_others() {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(9);
+    let mut trace = Vec::new();
+    for team in 0..10 {
+        // Each team's fair share of 64 places is about 5 requests per second.
+        let rate = if team == 0 { 50.0 } else { 4.0 };
+        for at in sim::arrivals(&mut rng, rate, 60 * SECOND) {
+            let mut request = Request::new(at, 0, rng.random_range(30..70));
+            request.team = team;
+            request.within = 10 * SECOND;
+            trace.push(request);
+        }
+    }
+    let engines = vec![Engine::new(8, 8); 8];
+    let run = Sim::new(Current::new(&sim::options(1)), engines, trace, 9).run();
+    let others = run.lines.iter().filter(|line| line.team > 0);
+    let served = others.clone().filter(|line| line.timely).count();
+    let share = served as f64 / others.count() as f64;
+    assert!(share >= 0.95, "{share}");
+    assert!(run.share(0, |line| line.fate == Fate::Complete) > 0.5);
+}
+
+/// Guards against asks that are held until their deadline when demand swings,
+/// and against refusals while there is capacity.
+#[test]
+fn admission_follows_a_swing_within_seconds() {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(10);
+    let mut trace = Vec::new();
+    for at in sim::arrivals(&mut rng, 200.0, 90 * SECOND) {
+        // Demand is four times the capacity from 30 s to 60 s, otherwise half.
+        let peak = (30..60).contains(&at.as_secs());
+        if peak || rng.random_bool(0.125) {
+            let mut request = Request::new(at, 0, rng.random_range(30..70));
+            request.team = rng.random_range(0..40);
+            request.within = 8 * SECOND;
+            trace.push(request);
+        }
+    }
+    let engines = vec![Engine::new(8, 8); 8];
+    let run = Sim::new(Current::new(&sim::options(1)), engines, trace.clone(), 10).run();
+    let late = run.share(0, |line| line.fate == Fate::Complete && !line.timely);
+    assert!(late <= 0.02, "{late} completed after their deadline");
+    let refused = run
+        .lines
+        .iter()
+        .filter(|line| matches!(line.fate, Fate::Refused(_)));
+    let quick = refused
+        .clone()
+        .filter(|line| line.end <= 100 * MILLISECOND)
+        .count();
+    let share = quick as f64 / refused.count() as f64;
+    assert!(share >= 0.9, "{share} of the refusals were at once");
+    let calm = trace.len() as f64 * run.share(0, |line| line.timely);
+    assert!(
+        calm >= 30.0 * 40.0 + 60.0 * 20.0,
+        "{calm} were served in time"
+    );
+}
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -14,6 +14,11 @@
         self.parts = (self.parts + 1).min(PARTS_MAX);
     }
 
+    /// Takes back what a fresh request earned that was not sent after all.
+    pub const fn forfeit(&mut self) {
+        self.parts = self.parts.saturating_sub(1);
+    }
+
     /// Takes one retry; returns whether there was one.
     pub const fn spend(&mut self) -> bool {
         match self.parts.checked_sub(PART) {
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -39,6 +39,8 @@
     pub(crate) position: usize,
     /// Places for own requests, as last computed.
     pub(crate) places: u32,
+    /// Places for a forecast, as last computed.
+    pub(crate) nominal: f64,
 }
 
 impl Endpoint {
@@ -60,6 +62,7 @@
             gap: mean::Mean::new(GAP_WEIGHT),
             position: 0,
             places: 0,
+            nominal: 0.0,
         };
         endpoint.limit = limit::Limit::new(now, endpoint.slots());
         endpoint
@@ -109,6 +112,14 @@
         capacity.saturating_sub(self.foreign)
     }
 
+    /// Returns the places on which a forecast can count.
+    pub(crate) fn nominal(&self) -> f64 {
+        if !self.alive() || self.speed.ejected() {
+            return 0.0;
+        }
+        (f64::from(self.capacity()) - f64::from(self.foreign) / 2.0).max(1.0)
+    }
+
     /// Returns one bit for each kind of request for which there is room.
     pub(crate) fn bits(&self, long_share: f64) -> u8 {
         if self.own >= self.places {
--- /dev/null
+++ b/crates/route/src/spell.rs
@@ -0,0 +1,27 @@
+/// Mean and mean deviation of the time that requests of one class are in service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spell {
+    mean: Option<f64>,
+    deviation: f64,
+}
+
+impl Spell {
+    /// Notes the time of a completed request in seconds.
+    pub fn observe(&mut self, seconds: f64) {
+        let mean = self.mean.unwrap_or(seconds);
+        let error = seconds - mean;
+        self.mean = Some(mean + WEIGHT * error);
+        self.deviation += WEIGHT * (error.abs() - self.deviation);
+    }
+
+    /// Returns the time within which nearly all requests end, in seconds.
+    pub fn upper(&self) -> f64 {
+        self.mean.unwrap_or(0.0) + DEVIATIONS * self.deviation
+    }
+}
+
+/// Weight of the latest observation.
+const WEIGHT: f64 = 0.05;
+
+/// Mean deviations above the mean; for evenly spread times this is the maximum.
+const DEVIATIONS: f64 = 2.0;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -26,6 +26,8 @@
     pub(crate) open: [usize; work::Need::COUNT],
     /// Places of all endpoints for own requests.
     pub(crate) places: u32,
+    /// Places that the open endpoints have once pauses and probes are over.
+    pub(crate) nominal: f64,
     /// Long requests that run.
     pub(crate) long: u32,
     /// Where each prefix ran last.
@@ -50,6 +52,7 @@
             hot: Vec::new(),
             open: [0; work::Need::COUNT],
             places: 0,
+            nominal: 0.0,
             long: 0,
             prefixes: collections::HashMap::new(),
             prefix_order: collections::VecDeque::new(),
@@ -114,6 +117,7 @@
             return;
         };
         self.places -= endpoint.places;
+        self.nominal -= endpoint.nominal;
         self.index.remove(&endpoint.setting.id);
         self.hot.swap_remove(endpoint.position);
         if let Some(moved) = self.hot.get(endpoint.position) {
@@ -274,6 +278,9 @@
         let old = endpoint.places;
         endpoint.places = endpoint.room();
         self.places = self.places - old + endpoint.places;
+        self.nominal -= endpoint.nominal;
+        endpoint.nominal = endpoint.nominal();
+        self.nominal += endpoint.nominal;
         let hot = &mut self.hot[endpoint.position];
         let bits = endpoint.bits(self.options.long_share);
         for (index, count) in self.open.iter_mut().enumerate() {
@@ -302,6 +309,14 @@
         self.places
     }
 
+    /// Returns the places on which a forecast of the service rate can count.
+    ///
+    /// Short pauses do not lower it. Foreign load counts half, because it ends
+    /// after a change of the home host and stays during a partition.
+    pub const fn nominal(&self) -> f64 {
+        self.nominal
+    }
+
     /// Returns whether any endpoint is listed as up and does not drain.
     pub fn any_open(&self) -> bool {
         self.endpoints.values().any(endpoint::Endpoint::open)
--- a/crates/sched/src/flows.rs
+++ b/crates/sched/src/flows.rs
@@ -206,7 +206,10 @@
                 continue;
             };
             tier.index.remove(&gone.id);
-            for caller in gone.callers.into_values() {
+            // In key order: reused keys break ties, and runs must be repeatable.
+            let mut callers: Vec<_> = gone.callers.into_values().collect();
+            callers.sort_unstable();
+            for caller in callers {
                 self.callers.remove(caller);
             }
         }
