feat(burn): count requests in sliding windows and report burn rates

Cause: nothing measured how fast a class or a team uses up its allowed misses. Change: burn::Book counts good and bad requests (by queue, endpoint, retry or refusal) per class and team over 5 min, 1 h, 6 h and 3 d in rings of twelve buckets, and times to the first token per class over 1 h. Teams beyond a bound share one series per class named other; idle series make room.

--- /dev/null
+++ b/crates/burn/src/report.rs
@@ -0,0 +1,73 @@
+//! Reports of burn rates.
+
+mod level;
+mod row;
+mod svg;
+mod text;
+
+use crate::snapshot;
+use crate::totals;
+
+pub use level::Level;
+pub use row::{Cell, Row};
+
+/// Teams that a report lists per class, those with the highest burn rate first.
+const TEAMS_SHOWN: usize = 10;
+
+/// Burn rates of every class and of the teams that burn most.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct Report {
+    /// Number of hosts that the report covers.
+    pub hosts: u64,
+    /// Classes in the order of their names, each followed by its teams.
+    pub rows: Vec<Row>,
+}
+
+impl Report {
+    /// Returns the report of a snapshot.
+    pub fn new(snapshot: &snapshot::Snapshot) -> Self {
+        let mut rows = Vec::new();
+        for (name, objective) in &snapshot.classes {
+            rows.push(Row::new(name, None, objective, &snapshot.class(name)));
+            rows.extend(teams(snapshot, name, objective));
+        }
+        Self {
+            hosts: snapshot.hosts,
+            rows,
+        }
+    }
+
+    /// Renders a table for terminals.
+    pub fn text(&self) -> String {
+        text::render(self)
+    }
+
+    /// Renders JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the serializer fails, which it does for no report
+    /// that [`Report::new`] returns.
+    pub fn json(&self) -> Result<String, serde_json::Error> {
+        serde_json::to_string_pretty(self)
+    }
+
+    /// Renders a self-contained SVG picture of the classes.
+    pub fn svg(&self) -> String {
+        svg::render(self)
+    }
+}
+
+fn teams(snapshot: &snapshot::Snapshot, class: &str, objective: &snapshot::Objective) -> Vec<Row> {
+    let teams = snapshot.series.get(class);
+    let row = |(team, windows): (&String, &[totals::Totals; 4])| {
+        Row::new(class, Some(team), objective, windows)
+    };
+    let mut rows: Vec<_> = teams.into_iter().flatten().map(row).collect();
+    rows.sort_by(|a, b| {
+        let order = b.peak().total_cmp(&a.peak());
+        order.then_with(|| a.team.cmp(&b.team))
+    });
+    rows.truncate(TEAMS_SHOWN);
+    rows
+}
--- /dev/null
+++ b/crates/burn/src/report/text.rs
@@ -0,0 +1,64 @@
+use core::fmt;
+
+use crate::cause;
+use crate::report;
+
+/// Width of the column with classes and teams, in characters.
+const NAME: usize = 28;
+
+/// Window that the causes are shown for: position in [`crate::Window::ALL`].
+pub(super) const CAUSES: usize = 1;
+
+pub(super) fn render(report: &report::Report) -> String {
+    let mut out = String::new();
+    // Writing to a string does not fail.
+    let _ = write(&mut out, report);
+    out
+}
+
+fn write(out: &mut impl fmt::Write, report: &report::Report) -> fmt::Result {
+    writeln!(
+        out,
+        "Burn rates (hosts: {}); 1.0 uses up the allowed misses.",
+        report.hosts
+    )?;
+    write!(out, "{:<NAME$} {:>7}", "class / team", "target")?;
+    for window in crate::Window::ALL {
+        write!(out, " {:>7}", window.name())?;
+    }
+    writeln!(
+        out,
+        " {:>9} {:>8} {:>6} misses in 1h",
+        "requests", "p95", "level"
+    )?;
+    report.rows.iter().try_for_each(|row| line(out, row))
+}
+
+fn line(out: &mut impl fmt::Write, row: &report::Row) -> fmt::Result {
+    let name = match &row.team {
+        Some(team) => format!("  {team}"),
+        None => row.class.clone(),
+    };
+    write!(out, "{name:<NAME$} {:>6.2}%", row.attainment * 100.0)?;
+    for cell in &row.windows {
+        match cell.burn {
+            Some(burn) => write!(out, " {burn:>7.2}")?,
+            None => write!(out, " {:>7}", "-")?,
+        }
+    }
+    let totals = &row.windows[CAUSES].totals;
+    let p95 = row.first_p95_ms.map(|ms| format!("{ms}ms"));
+    let p95 = p95.unwrap_or_else(|| "-".to_owned());
+    write!(
+        out,
+        " {:>9} {p95:>8} {:>6}",
+        totals.requests(),
+        row.level.name()
+    )?;
+    for cause in cause::Cause::ALL {
+        if totals.cause(cause) > 0 {
+            write!(out, " {} {}", cause.name(), totals.cause(cause))?;
+        }
+    }
+    writeln!(out)
+}
--- /dev/null
+++ b/crates/burn/src/series.rs
@@ -0,0 +1,47 @@
+use core::time;
+
+use crate::counts;
+use crate::ring;
+use crate::totals;
+use crate::verdict;
+use crate::window;
+
+/// Windows of one class and team.
+#[derive(Clone, Debug)]
+pub(crate) struct Series {
+    /// Name of the team.
+    pub team: Box<str>,
+    /// Time of the last request.
+    pub last: time::Duration,
+    rings: [ring::Ring<counts::Counts>; window::Window::ALL.len()],
+}
+
+impl Series {
+    /// Returns a series without requests.
+    pub(crate) fn new(team: &str, now: time::Duration) -> Self {
+        Self {
+            team: team.into(),
+            last: now,
+            rings: window::Window::ALL.map(|window| ring::Ring::new(window, now)),
+        }
+    }
+
+    /// Counts one request.
+    pub(crate) fn add(&mut self, now: time::Duration, verdict: verdict::Verdict) {
+        self.last = self.last.max(now);
+        for (ring, window) in self.rings.iter_mut().zip(window::Window::ALL) {
+            ring.current(window, now).add(verdict);
+        }
+    }
+
+    /// Returns the requests within each window.
+    pub(crate) fn totals(&self, now: time::Duration) -> [totals::Totals; 4] {
+        core::array::from_fn(|index| {
+            let mut totals = totals::Totals::default();
+            for counts in self.rings[index].live(window::Window::ALL[index], now) {
+                totals.count(counts);
+            }
+            totals
+        })
+    }
+}
--- /dev/null
+++ b/crates/burn/src/totals.rs
@@ -0,0 +1,82 @@
+use crate::cause;
+use crate::counts;
+
+/// Requests within one window.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Totals {
+    /// Requests that met their targets.
+    pub good: u64,
+    /// Requests that missed them because of the queue.
+    pub queue: u64,
+    /// Requests that missed them because of the endpoint.
+    pub endpoint: u64,
+    /// Requests that missed them because of a retry.
+    pub retry: u64,
+    /// Requests that were refused.
+    pub refusal: u64,
+}
+
+impl Totals {
+    /// Adds the requests of another window. The sums stop at 2^64 - 1, so that
+    /// the order of additions does not matter.
+    pub const fn add(&mut self, other: &Self) {
+        self.good = self.good.saturating_add(other.good);
+        self.queue = self.queue.saturating_add(other.queue);
+        self.endpoint = self.endpoint.saturating_add(other.endpoint);
+        self.retry = self.retry.saturating_add(other.retry);
+        self.refusal = self.refusal.saturating_add(other.refusal);
+    }
+
+    /// Returns the requests that missed their targets because of a cause.
+    pub const fn cause(&self, cause: cause::Cause) -> u64 {
+        match cause {
+            cause::Cause::Queue => self.queue,
+            cause::Cause::Endpoint => self.endpoint,
+            cause::Cause::Retry => self.retry,
+            cause::Cause::Refusal => self.refusal,
+        }
+    }
+
+    /// Returns the requests that missed their targets.
+    pub fn bad(&self) -> u64 {
+        let causes = cause::Cause::ALL.into_iter();
+        causes.fold(0, |sum, cause| sum.saturating_add(self.cause(cause)))
+    }
+
+    /// Returns all requests.
+    pub fn requests(&self) -> u64 {
+        self.good.saturating_add(self.bad())
+    }
+
+    /// Returns the share of requests that missed their targets, 0 to 1; `None`
+    /// without requests.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a share needs no more than 52 bits"
+    )]
+    pub fn bad_share(&self) -> Option<f64> {
+        let requests = self.requests();
+        (requests > 0).then(|| self.bad() as f64 / requests as f64)
+    }
+
+    /// Returns the burn rate: the bad share over the share that `attainment`
+    /// allows. At 1 the allowed share is used up exactly.
+    pub fn burn(&self, attainment: f64) -> Option<f64> {
+        let allowed = (1.0 - attainment).max(ALLOWED_MIN);
+        self.bad_share().map(|share| share / allowed)
+    }
+
+    pub(crate) fn count(&mut self, counts: &counts::Counts) {
+        let [queue, endpoint, retry, refusal] = counts.bad.map(u64::from);
+        self.add(&Self {
+            good: u64::from(counts.good),
+            queue,
+            endpoint,
+            retry,
+            refusal,
+        });
+    }
+}
+
+/// Least allowed share of misses; keeps the burn rate finite.
+const ALLOWED_MIN: f64 = 1e-6;
--- /dev/null
+++ b/crates/burn/src/window.rs
@@ -0,0 +1,51 @@
+use core::time;
+
+/// Buckets per window.
+pub(crate) const BUCKETS: usize = 12;
+
+/// Sliding window over which requests are counted.
+///
+/// A window consists of twelve buckets of which the last one is filling, so it
+/// covers between eleven twelfths and the whole of its length.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Window {
+    /// Five minutes.
+    Minutes5,
+    /// One hour.
+    Hour,
+    /// Six hours.
+    Hours6,
+    /// Three days.
+    Days3,
+}
+
+impl Window {
+    /// Lists every window, the shortest first.
+    pub const ALL: [Self; 4] = [Self::Minutes5, Self::Hour, Self::Hours6, Self::Days3];
+
+    /// Returns the length.
+    pub const fn length(self) -> time::Duration {
+        time::Duration::from_secs(match self {
+            Self::Minutes5 => 300,
+            Self::Hour => 3_600,
+            Self::Hours6 => 6 * 3_600,
+            Self::Days3 => 3 * 86_400,
+        })
+    }
+
+    /// Returns the name in reports.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Minutes5 => "5m",
+            Self::Hour => "1h",
+            Self::Hours6 => "6h",
+            Self::Days3 => "3d",
+        }
+    }
+
+    /// Returns the number of the bucket that a time falls into.
+    pub(crate) fn bucket(self, now: time::Duration) -> u32 {
+        let length = self.length().as_secs() / BUCKETS as u64;
+        u32::try_from(now.as_secs() / length).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/burn/tests/book.rs
@@ -0,0 +1,165 @@
+//! Windows of one host.
+
+use core::time;
+
+use burn::Cause;
+use burn::Verdict;
+use proptest::prelude::*;
+
+const START: time::Duration = time::Duration::from_secs(1_000);
+
+fn classes(names: &[&str]) -> Vec<burn::Class> {
+    let class = |name: &&str| burn::Class {
+        name: (*name).to_owned(),
+        attainment: 0.9,
+    };
+    names.iter().map(class).collect()
+}
+
+fn book(names: &[&str], series_max: usize) -> burn::Book {
+    let mut options = burn::Options::new(classes(names));
+    options.series_max = series_max;
+    burn::Book::new(options, START)
+}
+
+fn event(class: u16, team_key: u32, team: &str, verdict: Verdict) -> burn::Event<'_> {
+    burn::Event {
+        class,
+        team_key,
+        team,
+        verdict,
+        first: Some(time::Duration::from_millis(100)),
+    }
+}
+
+fn requests(book: &burn::Book, class: &str, now: time::Duration) -> [u64; 4] {
+    book.snapshot(now)
+        .class(class)
+        .map(|totals| totals.requests())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against buckets that survive their window or vanish early, also
+    /// after long pauses, by comparing with a list of all requests.
+    #[test]
+    fn windows_agree_with_list_of_requests(
+        steps in proptest::collection::vec((0_u64..4, 0_u64..100_000, 0_usize..5), 1..80),
+    ) {
+        let mut book = book(&["a"], 8);
+        let mut now = START;
+        let mut all = Vec::new();
+        for (scale, step, kind) in steps {
+            now += time::Duration::from_secs(step / [10_000, 100, 10, 1][scale as usize]);
+            let verdict = [Cause::Queue, Cause::Endpoint, Cause::Retry, Cause::Refusal]
+                .get(kind)
+                .map_or(Verdict::Good, |cause| Verdict::Bad(*cause));
+            book.add(now, &event(0, 1, "t", verdict));
+            all.push((now, verdict));
+            let totals = book.snapshot(now).class("a");
+            for (window, totals) in burn::Window::ALL.into_iter().zip(totals) {
+                let bucket = |time: time::Duration| time.as_secs() / (window.length().as_secs() / 12);
+                let inside = all.iter().filter(|(time, _)| bucket(*time) + 12 > bucket(now));
+                let inside: Vec<_> = inside.map(|(_, verdict)| *verdict).collect();
+                let count = |wanted| inside.iter().filter(|verdict| **verdict == wanted).count();
+                prop_assert_eq!(totals.good, count(Verdict::Good) as u64);
+                for cause in Cause::ALL {
+                    prop_assert_eq!(totals.cause(cause), count(Verdict::Bad(cause)) as u64);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against windows that only expire when a request arrives, and against
+/// a panic or a loss when time goes backwards.
+#[test]
+fn windows_expire_without_requests() {
+    let mut book = book(&["a"], 8);
+    book.add(START, &event(0, 1, "t", Verdict::Good));
+    let after = |seconds| requests(&book, "a", START + time::Duration::from_secs(seconds));
+    assert_eq!(after(0), [1, 1, 1, 1]);
+    assert_eq!(after(300), [0, 1, 1, 1]);
+    assert_eq!(after(3_600), [0, 0, 1, 1]);
+    assert_eq!(after(6 * 3_600), [0, 0, 0, 1]);
+    assert_eq!(after(3 * 86_400), [0, 0, 0, 0]);
+    let late = START + time::Duration::from_secs(400);
+    book.add(late, &event(0, 1, "t", Verdict::Good));
+    book.add(START, &event(0, 1, "t", Verdict::Good));
+    assert_eq!(requests(&book, "a", late), [2, 3, 3, 3]);
+}
+
+/// Guards against memory that grows with the number of teams, and against
+/// requests that vanish beyond the bound.
+#[test]
+fn series_are_bounded() {
+    let mut book = book(&["a", "b"], 100);
+    for team in 0..2_500_u32 {
+        for class in 0..2 {
+            let name = format!("t{team}");
+            book.add(START, &event(class, team, &name, Verdict::Good));
+        }
+    }
+    assert_eq!(book.len(), 102);
+    assert_eq!(requests(&book, "a", START), [2_500; 4]);
+    let snapshot = book.snapshot(START);
+    assert_eq!(snapshot.series["a"]["other"][0].good, 2_450);
+    let later = START + burn::Window::Days3.length();
+    book.add(later, &event(0, 9_999, "new", Verdict::Good));
+    assert_eq!(book.len(), 1, "idle series make room");
+    assert!(book.snapshot(later).series["a"].contains_key("new"));
+    // 2,500 teams in two classes each stay within a quarter of 32 MB.
+    let bytes = burn::Book::series_bytes();
+    assert!(bytes * 5_000 <= 8 << 20, "{bytes} bytes per series");
+}
+
+/// Guards against requests that change their class when the settings change.
+#[test]
+fn series_follow_their_class() {
+    let mut book = book(&["b", "c"], 8);
+    book.add(START, &event(0, 1, "t", Verdict::Good));
+    book.add(START, &event(1, 1, "t", Verdict::Bad(Cause::Queue)));
+    book.set_classes(classes(&["a", "b"]), START);
+    book.add(START, &event(1, 1, "t", Verdict::Good));
+    book.add(START, &event(7, 1, "t", Verdict::Good));
+    let snapshot = book.snapshot(START);
+    assert_eq!(snapshot.class("a")[0].requests(), 0);
+    assert_eq!(snapshot.class("b")[0].good, 2);
+    assert_eq!(snapshot.class("c")[0].requests(), 0);
+    assert_eq!(snapshot.classes["b"].latency.count(), 2);
+}
+
+/// Guards against misses that count for the wrong cause.
+#[rstest::rstest]
+#[case(100, 90, None, false, true, Verdict::Good)]
+#[case(101, 90, None, false, true, Verdict::Bad(Cause::Queue))]
+#[case(101, 10, None, false, true, Verdict::Bad(Cause::Endpoint))]
+#[case(101, 90, None, true, true, Verdict::Bad(Cause::Retry))]
+#[case(100, 90, None, true, true, Verdict::Good)]
+#[case(100, 90, Some(20), false, true, Verdict::Good)]
+#[case(100, 90, Some(21), false, true, Verdict::Bad(Cause::Endpoint))]
+#[case(100, 90, None, false, false, Verdict::Bad(Cause::Endpoint))]
+fn sample_names_cause(
+    #[case] first: u64,
+    #[case] queue: u64,
+    #[case] gap: Option<u64>,
+    #[case] retried: bool,
+    #[case] complete: bool,
+    #[case] expected: Verdict,
+) {
+    let sample = burn::Sample {
+        first: time::Duration::from_millis(first),
+        queue: time::Duration::from_millis(queue),
+        gap: gap.map(time::Duration::from_millis),
+        retried,
+        complete,
+        target_first: time::Duration::from_millis(100),
+        target_gap: Some(time::Duration::from_millis(20)),
+    };
+    assert_eq!(sample.verdict(), expected);
+}
