feat(testkit): add the measure program for direct calls

Figures about a policy need the same seeded load against the same stand-in endpoints. The program starts a deployment in small, drives the load and prints attainment, goodput, waste, refusals and tail latency. Only direct calls without a router are measured so far.

No measurable effect on the router.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod engine;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/crates/testkit/src/measure.rs
@@ -0,0 +1,35 @@
+//! Measurement of a policy under a seeded load.
+//!
+//! Times are scaled by [`SCALE`], so that a run of 20 s covers what takes over a
+//! minute with real engines.
+
+mod class;
+mod cluster;
+mod figures;
+mod overhead;
+mod percentile;
+mod policy;
+mod scenario;
+mod settings;
+mod shape;
+mod shapes;
+mod slowdown;
+mod summary;
+mod table;
+mod team;
+mod trial;
+
+pub use class::{Class, Work};
+pub use cluster::Cluster;
+pub use policy::Policy;
+pub use scenario::Scenario;
+pub use settings::settings;
+pub use shape::Shape;
+pub use slowdown::Slowdown;
+pub use summary::{Row, Summary};
+pub use table::Table;
+pub use team::Team;
+pub use trial::{Options, trial};
+
+/// Factor by which times are shorter than in a deployment.
+pub const SCALE: u32 = 4;
--- /dev/null
+++ b/crates/testkit/src/measure/policy.rs
@@ -0,0 +1,21 @@
+/// What stands between callers and endpoints in a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Policy {
+    /// Router hosts with the current policy.
+    Current,
+    /// Router hosts with first come first served and round robin.
+    Baseline,
+    /// No router: callers take the endpoints in turn.
+    Direct,
+}
+
+impl Policy {
+    /// Returns the name in the output.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Current => "current",
+            Self::Baseline => "baseline",
+            Self::Direct => "direct",
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/measure/scenario.rs
@@ -0,0 +1,55 @@
+use core::time;
+
+use crate::load;
+
+/// Rate of the bursting class during its burst, as a factor.
+const BURST: f64 = 3.0;
+/// Start and end of the burst as shares of the run.
+const BURST_SPAN: (f64, f64) = (0.5, 0.6);
+
+/// What happens during a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, clap::ValueEnum)]
+pub enum Scenario {
+    /// Demand swings above the capacity, and the class with the lowest tier bursts.
+    Crest,
+    /// Demand is steady and below the capacity.
+    Steady,
+    /// As `steady`, without stragglers first and then with them.
+    Stragglers,
+    /// As `steady`, and some endpoints are slow for moments.
+    SlowEndpoint,
+    /// As `steady`, and one team asks for many times its share.
+    GreedyTeam,
+}
+
+impl Scenario {
+    /// Returns the mean demand as a share of the engines' capacity.
+    pub const fn utilisation(self) -> f64 {
+        match self {
+            Self::Crest | Self::Stragglers => 0.8,
+            Self::Steady | Self::SlowEndpoint | Self::GreedyTeam => 0.7,
+        }
+    }
+
+    /// Returns the swing of a class.
+    pub fn swing(
+        self,
+        (amplitude, period): (f64, time::Duration),
+        bursts: bool,
+        span: time::Duration,
+    ) -> load::Swing {
+        if self != Self::Crest {
+            return load::Swing::default();
+        }
+        let burst = load::Burst {
+            from: span.mul_f64(BURST_SPAN.0),
+            until: span.mul_f64(BURST_SPAN.1),
+            factor: BURST,
+        };
+        load::Swing {
+            period,
+            amplitude,
+            burst: bursts.then_some(burst),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/measure/summary.rs
@@ -0,0 +1,47 @@
+use crate::measure::table::Table;
+
+/// One figure over all seeds.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+pub struct Row {
+    /// Median.
+    pub median: f64,
+    /// Smallest value.
+    pub least: f64,
+    /// Largest value.
+    pub most: f64,
+}
+
+/// Figures of one policy over all seeds.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Summary {
+    /// Policy.
+    pub policy: &'static str,
+    /// Figures of each seed.
+    pub seeds: Vec<Table>,
+}
+
+impl Summary {
+    /// Returns the names of all figures in the order of their first mention.
+    pub fn names(&self) -> Vec<&str> {
+        let names = self.seeds.iter().flat_map(Table::names);
+        names
+            .collect::<indexmap::IndexSet<_>>()
+            .into_iter()
+            .collect()
+    }
+
+    /// Returns median and range of a figure; a seed without it does not count.
+    pub fn row(&self, name: &str) -> Option<Row> {
+        let values = self.seeds.iter().filter_map(|table| table.get(name));
+        let mut values: Vec<_> = values.collect();
+        values.sort_by(f64::total_cmp);
+        let middle = values.len() / 2;
+        let upper = *values.get(middle)?;
+        let lower = values[(values.len() - 1) / 2];
+        Some(Row {
+            median: f64::midpoint(lower, upper),
+            least: values[0],
+            most: values[values.len() - 1],
+        })
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/measure/trial.rs
@@ -0,0 +1,106 @@
+use core::time;
+
+use crate::load;
+use crate::measure::cluster::Cluster;
+use crate::measure::figures::Figures;
+use crate::measure::overhead::overhead;
+use crate::measure::policy::Policy;
+use crate::measure::scenario::Scenario;
+use crate::measure::shape::Shape;
+use crate::measure::slowdown::Slowdown;
+use crate::measure::table::Table;
+
+/// Time after its deadline at which a caller gives up.
+const PATIENCE: time::Duration = time::Duration::from_secs(5);
+
+/// What a trial runs.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Deployment.
+    pub shape: Shape,
+    /// What stands between callers and endpoints.
+    pub policy: Policy,
+    /// Number of router hosts.
+    pub hosts: usize,
+    /// What happens.
+    pub scenario: Scenario,
+    /// Time during which requests arrive.
+    pub span: time::Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+/// Runs one seed of a scenario and returns its figures.
+///
+/// The scenario with stragglers runs the same arrivals without them first.
+///
+/// # Errors
+///
+/// Returns an error if an endpoint or a host cannot be started.
+pub async fn trial(options: &Options) -> anyhow::Result<Table> {
+    let mut table = once(options).await?;
+    if options.scenario == Scenario::Stragglers {
+        let mut calm = options.clone();
+        for length in &mut calm.shape.engine.lengths {
+            length.straggler_share = 0.0;
+        }
+        // The rate stays that of the run with stragglers.
+        let flows = options.shape.flows(options.scenario, options.span);
+        let without = run(&calm, &flows).await?;
+        table.extend("without_stragglers.", "short_wait", &without);
+    }
+    Ok(table)
+}
+
+async fn once(options: &Options) -> anyhow::Result<Table> {
+    let flows = options.shape.flows(options.scenario, options.span);
+    run(options, &flows).await
+}
+
+async fn run(options: &Options, flows: &[load::Flow]) -> anyhow::Result<Table> {
+    let shape = &options.shape;
+    let cluster = Cluster::start(shape)?;
+    let mut table = Table::default();
+    let word = format!("{}-{}", options.policy.name(), options.seed);
+    let key = shape.teams[0].key();
+    overhead(&cluster, None, &key, &word, &mut table).await;
+    let arrivals = load::plan(flows, options.span, options.seed);
+    let deadlines = shape.classes.iter().map(|class| class.deadline);
+    let load_options = load::Options {
+        run: word,
+        lengths: shape.engine.lengths.clone(),
+        engine_seed: shape.engine.seed,
+        patience: deadlines.max().unwrap_or_default() + PATIENCE,
+    };
+    let slowdowns = match options.scenario {
+        Scenario::SlowEndpoint => Slowdown::plan(shape.engines, options.span, options.seed),
+        _ => Vec::new(),
+    };
+    let start = tokio::time::Instant::now();
+    let load = load::run(flows, &arrivals, &load_options, |flow, _, number| {
+        cluster.direct(flow, number)
+    });
+    let (samples, ()) = tokio::join!(load, slow(&cluster, &slowdowns));
+    let figures = Figures {
+        shape,
+        flows,
+        samples: &samples,
+        slowdowns: &slowdowns,
+        span: start.elapsed(),
+    };
+    figures.add(&cluster, &mut table);
+    Ok(table)
+}
+
+/// Slows engines down as planned.
+async fn slow(cluster: &Cluster, slowdowns: &[Slowdown]) {
+    let start = tokio::time::Instant::now();
+    for slowdown in slowdowns {
+        for (moment, factor) in [(slowdown.from, slowdown.factor), (slowdown.until, 1.0)] {
+            tokio::time::sleep_until(start + moment).await;
+            for &engine in &slowdown.engines {
+                cluster.engines[engine].set_slow(factor);
+            }
+        }
+    }
+}
