fix(conf): report an indented section header once and print plain problems

Cause: the keys below an indented header were taken for keys of the section before it, and control characters of a file reached the terminal. Change: an indented header is malformed like one without its closing bracket; problems replace control characters; the settings reference lists the checks across values. Conclusion: one mistake gives one problem, on one line.

--- a/crates/conf/src/problem.rs
+++ b/crates/conf/src/problem.rs
@@ -20,6 +20,7 @@
 }
 
 impl fmt::Display for Problem {
+    /// Writes one line; control characters of the files are replaced.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match (self.file.as_str(), self.line) {
             ("", _) => f.write_str("settings: ")?,
@@ -27,9 +28,10 @@
             (file, line) => write!(f, "{file}:{line}: ")?,
         }
         if !self.section.is_empty() {
-            write!(f, "[{}] ", self.section)?;
+            write!(f, "[{}] ", printable(&self.section))?;
         }
-        match (self.key.as_str(), self.value.as_str()) {
+        let (key, value) = (printable(&self.key), printable(&self.value));
+        match (key.as_str(), value.as_str()) {
             ("", "") => {}
             ("", value) => write!(f, "{value}: ")?,
             (key, "") => write!(f, "{key}: ")?,
@@ -42,3 +44,14 @@
         }
     }
 }
+
+fn printable(text: &str) -> String {
+    let plain = |c: char| {
+        if c.is_control() {
+            char::REPLACEMENT_CHARACTER
+        } else {
+            c
+        }
+    };
+    text.chars().map(plain).collect()
+}
--- a/crates/conf/src/reference.rs
+++ b/crates/conf/src/reference.rs
@@ -23,11 +23,30 @@
 - The hash of a bearer key is its SHA-256 in hexadecimal: `printf %s KEY | sha256sum`.
 ";
 
+/// Text after the sections: checks that concern several values.
+const TAIL: &str = "
+## Checks across values
+
+- Every name of a class or pool in a value has its section.
+- There are 1 to 256 classes, and the floors of the classes of one tier sum to less than 1.
+- `target_first` is at most `deadline`.
+- Outside of tier 0, `floor` is above 0 and `starvation_window` is shorter than `deadline`.
+- A bearer key belongs to one team.
+- A pool whose `class` is not idempotent is not `idempotent = true`.
+- The endpoints of one pool have different addresses.
+- `lease` and `clock_skew` are shorter than `resend_max_age`.
+- `owners` and `previous_owners` have at most 15 names each and repeat none; `previous_owners` needs `owners`.
+- `seeds` or several `owners` need `peer_keys`.
+- `certificate` and `key` are given together.
+- The listeners of a host have different addresses.
+";
+
 /// Renders the settings reference in Markdown.
 pub fn reference() -> String {
     let mut out = HEAD.to_owned();
     // Writing to a string does not fail.
     let _ = write(&mut out);
+    out.push_str(TAIL);
     out
 }
 
--- a/crates/conf/src/schema/model.rs
+++ b/crates/conf/src/schema/model.rs
@@ -79,7 +79,7 @@
             "idempotent",
             Kind::Flag,
             "true",
-            "Whether a request may run more than once.",
+            "Whether a request may run more than once, unless the pool says. A request may take this permission back and never gives it.",
         ),
     ],
 };
@@ -164,7 +164,7 @@
         Key::optional(
             "idempotent",
             Kind::Flag,
-            "Whether a request may run more than once; without it the class decides.",
+            "Whether a request may run more than once, whatever its class says; without it the class decides.",
         ),
     ],
 };
--- a/crates/conf/src/statement.rs
+++ b/crates/conf/src/statement.rs
@@ -110,7 +110,8 @@
 
     fn malformed(&mut self, text: &str, line: u32) {
         self.section = Section::Refused;
-        let expected = "a section header that ends with ]".to_owned();
+        let expected =
+            "a section header that starts in the first column and ends its line with ]".to_owned();
         let mut problem = self.problem("", line, expected);
         problem.value = text.to_owned();
         self.problems.push(problem);
@@ -121,6 +122,9 @@
         if name.starts_with(['#', ';']) {
             return;
         }
+        if name.starts_with('[') {
+            return self.malformed(name, line);
+        }
         let Some(text) = value else {
             return self.syntax(line);
         };
@@ -146,7 +150,7 @@
             Section::Known(header) => header.to_string(),
             Section::Missing | Section::Refused => String::new(),
         };
-        let expected = "a comment, `key = value`, or `[section]` in the first column".to_owned();
+        let expected = "a comment, `key = value` or `[section]`".to_owned();
         let problem = self.problem(&section, line, expected);
         self.problems.push(problem);
     }
--- a/crates/conf/tests/check.rs
+++ b/crates/conf/tests/check.rs
@@ -21,7 +21,15 @@
 )]
 #[case(
     "[class a",
-    "20-test.ini:1: [class a: expected a section header that ends with ]"
+    "20-test.ini:1: [class a: expected a section header that starts in the first column and ends its line with ]"
+)]
+#[case(
+    "[host]\n [log]\nlevel = info",
+    "20-test.ini:2: [log]: expected a section header that starts in the first column and ends its line with ]"
+)]
+#[case(
+    "[log]\nlevel = \u{1b}x",
+    "20-test.ini:2: [log] level = \u{fffd}x: expected one of error, warn, info, debug, trace"
 )]
 #[case(
     "x = 1",
@@ -33,7 +41,7 @@
 )]
 #[case(
     "[host]\nfoo",
-    "20-test.ini:2: [host] expected a comment, `key = value`, or `[section]` in the first column"
+    "20-test.ini:2: [host] expected a comment, `key = value` or `[section]`"
 )]
 #[case(
     "[host]\n\nnmae = a",
@@ -265,7 +273,7 @@
         match result {
             Ok(outcome) => prop_assert!(!conf::print(&outcome).is_empty()),
             Err(problems) => for problem in problems {
-                prop_assert!(!problem.to_string().contains('\n'));
+                prop_assert!(!problem.to_string().contains(char::is_control));
             },
         }
     }
