--- /dev/null
+++ b/crates/fleet/src/judge.rs
@@ -0,0 +1,132 @@
+use core::time;
+
+use crate::entry;
+use crate::member;
+use crate::membership;
+use crate::monitor;
+
+/// Age at which a vote no longer counts. It is not above the time after which
+/// a host is suspected, so that a vote that waited in the socket during a pause
+/// of this process has expired before the first suspicion.
+const VOTE_AGE: time::Duration = time::Duration::from_secs(3);
+
+/// Heartbeats in a row after which a host counts as sending them here.
+const STREAK: u32 = 3;
+
+/// Mean intervals between two life signs by gossip after which a host is
+/// suspected without its heartbeats: exp(-16) is about one in ten million.
+const GOSSIP_INTERVALS: u32 = 16;
+
+/// Judgement of one host.
+enum Verdict {
+    Trust,
+    /// Suspect; `true` tells every host.
+    Suspect(bool),
+    Bury,
+}
+
+impl membership::Membership {
+    /// Updates suspicions and deaths.
+    pub(crate) fn judge(&mut self, now: time::Duration) {
+        let fresh = self.fresh(now);
+        let verdicts: Vec<(String, Verdict)> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.dead.is_none())
+            .filter(|(_, member)| member.silence(now) >= self.options.suspect_after)
+            .map(|(name, member)| (name.clone(), self.verdict(now, member, fresh)))
+            .collect();
+        for (name, verdict) in verdicts {
+            let Some(member) = self.members.get_mut(&name) else {
+                continue;
+            };
+            match verdict {
+                Verdict::Trust => {}
+                Verdict::Suspect(is_loud) => member.suspect(now, true, is_loud),
+                Verdict::Bury => member.bury(now),
+            }
+        }
+    }
+
+    /// Returns whether all known hosts fit into a digest.
+    pub(crate) fn is_small(&self) -> bool {
+        self.members.len() < self.options.entries_max
+    }
+
+    /// Lists the monitors of a host in this host's view.
+    pub(crate) fn monitors_of(&self, host: &entry::Entry) -> Vec<&entry::Entry> {
+        let known = self
+            .members
+            .values()
+            .filter(|member| member.dead.is_none())
+            .map(|member| &member.entry);
+        monitor::monitors(host, known.chain([&self.own]))
+    }
+
+    /// Judges a host that is silent here.
+    ///
+    /// Where all hosts fit into a digest, every host hears of every other
+    /// several times per second and silence is enough for a suspicion. In a
+    /// larger fleet gossip brings news of a host only now and then, so the
+    /// monitors of the host judge by its heartbeats; the others follow two
+    /// monitors, or suspect the host after a much longer silence.
+    fn verdict(&self, now: time::Duration, member: &member::Member, fresh: usize) -> Verdict {
+        if fresh == 0 || self.is_confirmed(now, member) {
+            return Verdict::Bury;
+        }
+        if self.is_small() || member.silence(now) >= self.gossip_limit() {
+            return Verdict::Suspect(true);
+        }
+        if self.is_monitor(member) {
+            return Verdict::Suspect(false);
+        }
+        Verdict::Trust
+    }
+
+    /// Counts the other hosts whose counters advance here.
+    fn fresh(&self, now: time::Duration) -> usize {
+        self.members
+            .values()
+            .filter(|member| member.dead.is_none())
+            .filter(|member| member.silence(now) < self.options.suspect_after)
+            .count()
+    }
+
+    /// Returns whether another host that is alive suspects this one, with a
+    /// life sign at least as new as the one known here.
+    fn is_confirmed(&self, now: time::Duration, member: &member::Member) -> bool {
+        member
+            .votes
+            .iter()
+            .filter(|vote| now.saturating_sub(vote.at) <= VOTE_AGE)
+            .filter(|vote| vote.counter >= member.entry.counter)
+            .any(|vote| self.is_trusted(&vote.voter))
+    }
+
+    fn is_trusted(&self, name: &str) -> bool {
+        self.members
+            .get(name)
+            .is_some_and(|member| member.dead.is_none() && !member.entry.suspected)
+    }
+
+    fn is_monitor(&self, member: &member::Member) -> bool {
+        member.streak >= STREAK
+            && self
+                .monitors_of(&member.entry)
+                .iter()
+                .any(|monitor| monitor.name == self.own.name)
+    }
+
+    /// Returns the silence after which gossip alone is enough for a suspicion.
+    fn gossip_limit(&self) -> time::Duration {
+        let targets = self.options.near_targets + self.options.far_targets;
+        let per_period = (self.options.entries_max * targets).max(1);
+        let interval = self
+            .options
+            .period
+            .mul_f64(self.members.len() as f64 / per_period as f64);
+        self.options
+            .suspect_after
+            .saturating_add(interval * GOSSIP_INTERVALS)
+    }
+}
