--- a/crates/testkit/src/bin/measure.rs
+++ b/crates/testkit/src/bin/measure.rs
@@ -13,6 +13,14 @@
     GanciAlpini,
 }
 
+/// Policies that are run.
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+enum Policy {
+    Current,
+    Baseline,
+    Both,
+}
+
 /// Format of the output.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, clap::ValueEnum)]
 enum Format {
@@ -29,8 +37,11 @@
     /// What happens during a run.
     #[arg(long, value_enum, default_value = "crest")]
     scenario: measure::Scenario,
-    /// Calls the endpoints without a router.
-    #[arg(long)]
+    /// Policy of the router hosts.
+    #[arg(long, value_enum, default_value = "current")]
+    policy: Policy,
+    /// Calls the endpoints in turn without a router.
+    #[arg(long, conflicts_with = "policy")]
     direct: bool,
     /// Seed of the arrivals.
     #[arg(long, default_value_t = 1, conflicts_with = "seeds")]
@@ -57,6 +68,20 @@
     parsed.ok_or_else(|| "expected FIRST..LAST, such as 1..5".into())
 }
 
+/// Figures that must be zero in every run.
+const FAULTS: [&str; 3] = ["damaged", "doubled_effects", "refused_but_ran"];
+
+const fn policies(arguments: &Arguments) -> &'static [measure::Policy] {
+    use measure::Policy::{Baseline, Current, Direct};
+
+    match arguments.policy {
+        _ if arguments.direct => &[Direct],
+        Policy::Current => &[Current],
+        Policy::Baseline => &[Baseline],
+        Policy::Both => &[Current, Baseline],
+    }
+}
+
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let arguments = Arguments::parse();
@@ -64,9 +89,10 @@
         Shape::Kalahari => measure::Shape::kalahari(),
         Shape::GanciAlpini => measure::Shape::ganci_alpini(),
     };
-    let seeds = arguments.seeds.unwrap_or(arguments.seed..=arguments.seed);
+    let single = arguments.seed..=arguments.seed;
+    let seeds = arguments.seeds.clone().unwrap_or(single);
     let mut summaries = Vec::new();
-    for policy in [measure::Policy::Direct] {
+    for &policy in policies(&arguments) {
         let mut tables = Vec::new();
         for seed in seeds.clone() {
             let options = measure::Options {
@@ -84,6 +110,84 @@
             seeds: tables,
         });
     }
-    println!("{}", serde_json::to_string_pretty(&summaries)?);
+    print(&arguments, &summaries)?;
+    let faults = summaries
+        .iter()
+        .flat_map(|summary| FAULTS.map(|name| summary.row(name)));
+    anyhow::ensure!(
+        faults.flatten().all(|row| row.most == 0.0),
+        "an answer was damaged or a request ran that must not have run"
+    );
+    Ok(())
+}
+
+fn print(arguments: &Arguments, summaries: &[measure::Summary]) -> anyhow::Result<()> {
+    if arguments.format == Format::Json {
+        println!("{}", serde_json::to_string_pretty(summaries)?);
+        return Ok(());
+    }
+    let Arguments {
+        shape,
+        scenario,
+        seconds,
+        hosts,
+        ..
+    } = arguments;
+    println!("shape {shape:?}, scenario {scenario:?}, {seconds} s of arrivals, {hosts} hosts");
+    println!(
+        "times and targets are 1/{} of a deployment's",
+        measure::SCALE
+    );
+    if let Some(summary) = summaries.first() {
+        let count = summary.seeds.len();
+        println!("{count} seeds: median [least..most]; last column: ratio of the medians");
+    }
+    print!("{:44}", "");
+    summaries
+        .iter()
+        .for_each(|summary| print!("{:>34}", summary.policy));
+    println!();
+    for name in names(summaries) {
+        let rows: Vec<_> = summaries.iter().map(|summary| summary.row(name)).collect();
+        print!("{name:44}");
+        for row in &rows {
+            print!("{:>34}", row.map(cell).unwrap_or_default());
+        }
+        if let [Some(first), Some(second)] = rows[..]
+            && second.median != 0.0
+        {
+            print!("{:>9.3}", first.median / second.median);
+        }
+        println!();
+    }
     Ok(())
 }
+
+/// Returns the names of all figures in the order of their first mention.
+fn names(summaries: &[measure::Summary]) -> Vec<&str> {
+    let mut names = Vec::new();
+    for name in summaries.iter().flat_map(measure::Summary::names) {
+        if !names.contains(&name) {
+            names.push(name);
+        }
+    }
+    names
+}
+
+fn cell(row: measure::Row) -> String {
+    if row.least == row.most {
+        return number(row.median);
+    }
+    let [median, least, most] = [row.median, row.least, row.most].map(number);
+    format!("{median} [{least}..{most}]")
+}
+
+fn number(value: f64) -> String {
+    if value.fract() == 0.0 || value.abs() >= 1000.0 {
+        format!("{value:.0}")
+    } else if value.abs() >= 10.0 {
+        format!("{value:.1}")
+    } else {
+        format!("{value:.3}")
+    }
+}
--- a/crates/testkit/src/engine/batch.rs
+++ b/crates/testkit/src/engine/batch.rs
@@ -124,6 +124,11 @@
             if next + CATCH_UP_MAX < now {
                 next = now;
             }
+            if cost.is_zero() {
+                // A timer would wait for the next ms.
+                self.finish();
+                continue;
+            }
             tokio::select! {
                 () = time::sleep_until(next) => self.finish(),
                 () = self.emptied.notified() => next = time::Instant::now(),
--- a/crates/testkit/src/load/run.rs
+++ b/crates/testkit/src/load/run.rs
@@ -131,14 +131,15 @@
         }
         Work::Service { path, keyed } => Call {
             path: path.clone(),
-            headers: if *keyed { headers(&tag) } else { Vec::new() },
+            headers: if *keyed { keys(&tag) } else { Vec::new() },
             tag,
             ..call
         },
     }
 }
 
-fn headers(tag: &str) -> Vec<(String, String)> {
+/// Returns the headers of a request with an idempotency key of its own.
+pub fn keys(tag: &str) -> Vec<(String, String)> {
     vec![
         ("idempotency-key".into(), format!("key-{tag}")),
         ("request-time".into(), engine::unix_ms().to_string()),
--- a/crates/testkit/src/measure.rs
+++ b/crates/testkit/src/measure.rs
@@ -6,6 +6,7 @@
 mod class;
 mod cluster;
 mod figures;
+mod hosts;
 mod overhead;
 mod percentile;
 mod policy;
--- a/crates/testkit/src/measure/cluster.rs
+++ b/crates/testkit/src/measure/cluster.rs
@@ -59,15 +59,10 @@
 
     /// Returns the sum of the engines' counters.
     pub fn counters(&self) -> engine::Counters {
-        let mut sum = engine::Counters::default();
-        for engine in &self.engines {
-            let counters = engine.counters();
-            sum.tokens += counters.tokens;
-            sum.wasted += counters.wasted;
-            sum.lost += counters.lost;
-            sum.executions += counters.executions;
-        }
-        sum
+        let counters = self.engines.iter().map(engine::Handle::counters);
+        counters.fold(engine::Counters::default(), |sum, next| {
+            sum.each(&next, |a, b| a + b)
+        })
     }
 }
 
--- a/crates/testkit/src/measure/figures.rs
+++ b/crates/testkit/src/measure/figures.rs
@@ -1,6 +1,7 @@
 use core::time;
 use std::collections;
 
+use crate::engine;
 use crate::load;
 use crate::load::Outcome;
 use crate::measure::class::{Class, Work};
@@ -16,8 +17,10 @@
     pub(crate) flows: &'a [load::Flow],
     pub(crate) samples: &'a [load::Sample],
     pub(crate) slowdowns: &'a [Slowdown],
-    /// Time from the start of the load to the end of its last request.
+    /// Time during which requests arrived.
     pub(crate) span: time::Duration,
+    /// Counters of the engines at the end of that time.
+    pub(crate) counters: engine::Counters,
 }
 
 impl Figures<'_> {
@@ -27,7 +30,7 @@
             self.class(class, table);
         }
         self.moments(table);
-        self.tokens(cluster, table);
+        self.tokens(table);
         self.short(table);
         self.teams(table);
         self.refusals(table);
@@ -41,6 +44,14 @@
             .filter(move |sample| flows[sample.arrival.flow].class == class.name)
     }
 
+    /// Returns whether the whole answer came while requests arrived.
+    ///
+    /// Rates leave out what comes later, because the end of a run has less load.
+    fn in_time(&self, sample: &load::Sample) -> bool {
+        let end = sample.arrival.at + sample.record.total;
+        sample.record.outcome.is_whole() && end <= self.span
+    }
+
     fn class(&self, class: &Class, table: &mut Table) {
         let name = class.name;
         let samples = self.of(class);
@@ -52,7 +63,7 @@
         table.set(format!("refused_share.{name}"), refused(samples.clone()));
         latency("", class, samples.clone(), table);
         let tokens = samples
-            .filter(|sample| attains(class, sample))
+            .filter(|sample| self.in_time(sample) && attains(class, sample))
             .map(|sample| f64::from(sample.record.tokens));
         if matches!(class.work, Work::Model { .. }) {
             let rate = tokens.sum::<f64>() / self.span.as_secs_f64();
@@ -84,16 +95,13 @@
         }
     }
 
-    fn tokens(&self, cluster: &Cluster, table: &mut Table) {
-        let counters = cluster.counters();
+    fn tokens(&self, table: &mut Table) {
+        let counters = self.counters;
         let seconds = self.span.as_secs_f64();
         let mut good = 0.0;
         let mut late = 0.0;
         for class in &self.shape.classes {
-            for sample in self
-                .of(class)
-                .filter(|sample| sample.record.outcome.is_whole())
-            {
+            for sample in self.of(class).filter(|sample| self.in_time(sample)) {
                 let model = matches!(class.work, Work::Model { .. });
                 let tokens = f64::from(sample.record.tokens) * f64::from(u8::from(model));
                 *if attains(class, sample) {
--- a/crates/testkit/src/measure/policy.rs
+++ b/crates/testkit/src/measure/policy.rs
@@ -10,6 +10,15 @@
 }
 
 impl Policy {
+    /// Returns the policy of the router hosts, or `None` without a router.
+    pub const fn choice(self) -> Option<host::Choice> {
+        match self {
+            Self::Current => Some(host::Choice::Current),
+            Self::Baseline => Some(host::Choice::Baseline),
+            Self::Direct => None,
+        }
+    }
+
     /// Returns the name in the output.
     pub const fn name(self) -> &'static str {
         match self {
--- a/crates/testkit/src/measure/trial.rs
+++ b/crates/testkit/src/measure/trial.rs
@@ -3,6 +3,7 @@
 use crate::load;
 use crate::measure::cluster::Cluster;
 use crate::measure::figures::Figures;
+use crate::measure::hosts::Hosts;
 use crate::measure::overhead::overhead;
 use crate::measure::policy::Policy;
 use crate::measure::scenario::Scenario;
@@ -60,10 +61,15 @@
 async fn run(options: &Options, flows: &[load::Flow]) -> anyhow::Result<Table> {
     let shape = &options.shape;
     let cluster = Cluster::start(shape)?;
+    let hosts = match options.policy.choice() {
+        Some(choice) => Some(Hosts::start(shape, &cluster, options.hosts, choice).await?),
+        None => None,
+    };
     let mut table = Table::default();
     let word = format!("{}-{}", options.policy.name(), options.seed);
     let key = shape.teams[0].key();
-    overhead(&cluster, None, &key, &word, &mut table).await;
+    let probed = hosts.as_ref().map(|hosts| hosts.address(0));
+    overhead(&cluster, probed, &key, &word, &mut table).await;
     let arrivals = load::plan(flows, options.span, options.seed);
     let deadlines = shape.classes.iter().map(|class| class.deadline);
     let load_options = load::Options {
@@ -76,19 +82,30 @@
         Scenario::SlowEndpoint => Slowdown::plan(shape.engines, options.span, options.seed),
         _ => Vec::new(),
     };
-    let start = tokio::time::Instant::now();
-    let load = load::run(flows, &arrivals, &load_options, |flow, _, number| {
-        cluster.direct(flow, number)
+    let before = cluster.counters();
+    let end = tokio::time::Instant::now() + options.span;
+    let load = load::run(flows, &arrivals, &load_options, |flow, arrival, number| {
+        let caller = arrival.flow + arrival.caller as usize;
+        let host = hosts.as_ref().map(|hosts| hosts.address(caller));
+        host.unwrap_or_else(|| cluster.direct(flow, number))
     });
-    let (samples, ()) = tokio::join!(load, slow(&cluster, &slowdowns));
+    let counters = async {
+        tokio::time::sleep_until(end).await;
+        cluster.counters()
+    };
+    let (samples, (), after) = tokio::join!(load, slow(&cluster, &slowdowns), counters);
     let figures = Figures {
         shape,
         flows,
         samples: &samples,
         slowdowns: &slowdowns,
-        span: start.elapsed(),
+        span: options.span,
+        counters: after.since(&before),
     };
     figures.add(&cluster, &mut table);
+    if let Some(hosts) = hosts {
+        hosts.shutdown().await;
+    }
     Ok(table)
 }
 
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -49,8 +49,7 @@
     ///
     /// Returns the error of the system if no port can be bound.
     pub fn start(router: axum::Router) -> io::Result<Self> {
-        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        let reserved = socket(any)?;
+        let reserved = reserve()?;
         let server = Self {
             address: reserved.local_addr()?,
             router,
@@ -108,6 +107,11 @@
     }
 }
 
+/// Returns a socket that keeps a free port of 127.0.0.1 for a later listener.
+pub(crate) fn reserve() -> io::Result<tokio_net::TcpSocket> {
+    socket((net::Ipv4Addr::LOCALHOST, 0).into())
+}
+
 fn socket(address: net::SocketAddr) -> io::Result<tokio_net::TcpSocket> {
     let socket = tokio_net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
