--- a/crates/pool/src/admit.rs
+++ b/crates/pool/src/admit.rs
@@ -5,6 +5,7 @@
 use crate::action;
 use crate::ask;
 use crate::current;
+use crate::live;
 
 impl current::Current {
     /// Queues an ask or refuses it at once.
@@ -75,7 +76,7 @@
                 return self.refuse(&ask, answer::Kind::Overload, after, out);
             }
         };
-        self.queued.insert(id, key);
+        self.live.insert(id, live::Live::Queued(key));
         if suspect {
             self.suspects.push(id);
         }
--- a/crates/pool/src/current.rs
+++ b/crates/pool/src/current.rs
@@ -1,7 +1,6 @@
 //! The policy in use: tiers, fairness, late binding and adaptive limits.
 
 use core::time;
-use std::collections;
 
 use rand::SeedableRng;
 
@@ -9,6 +8,7 @@
 use crate::ask;
 use crate::endpoint;
 use crate::finish;
+use crate::live;
 use crate::load;
 use crate::options;
 use crate::policy;
@@ -30,8 +30,8 @@
     /// Time in service per class.
     pub(crate) services: Vec<route::Spell>,
     pub(crate) pace: route::Pace,
-    pub(crate) queued: collections::HashMap<ask::AskId, sched::Key>,
-    pub(crate) running: collections::HashMap<ask::AskId, running::Running>,
+    pub(crate) live: rustc_hash::FxHashMap<ask::AskId, live::Live>,
+    pub(crate) running: slotmap::SlotMap<running::Key, running::Running>,
     /// Queued asks that were suspects when they were queued.
     pub(crate) suspects: Vec<ask::AskId>,
     /// Time since which every endpoint is down.
@@ -52,8 +52,8 @@
             lengths: Vec::new(),
             services: Vec::new(),
             pace: route::Pace::default(),
-            queued: collections::HashMap::new(),
-            running: collections::HashMap::new(),
+            live: rustc_hash::FxHashMap::default(),
+            running: slotmap::SlotMap::with_key(),
             suspects: Vec::new(),
             outage: None,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(options.seed),
@@ -92,7 +92,7 @@
         retry_after: Option<time::Duration>,
         out: &mut Vec<action::Action>,
     ) {
-        self.queued.remove(&ask.id);
+        self.live.remove(&ask.id);
         if ask.attempt > 0 && kind != answer::Kind::RetryBudget && kind != answer::Kind::Poison {
             let class = self.class(ask);
             self.budgets[class].refund();
@@ -167,7 +167,7 @@
     }
 
     fn ask(&mut self, now: time::Duration, ask: ask::Ask, out: &mut Vec<action::Action>) {
-        if self.queued.contains_key(&ask.id) || self.running.contains_key(&ask.id) {
+        if self.live.contains_key(&ask.id) {
             return;
         }
         self.admit(now, ask, out);
@@ -175,9 +175,10 @@
     }
 
     fn cancel(&mut self, _now: time::Duration, id: ask::AskId, _out: &mut Vec<action::Action>) {
-        let Some(key) = self.queued.remove(&id) else {
+        let Some(&live::Live::Queued(key)) = self.live.get(&id) else {
             return;
         };
+        self.live.remove(&id);
         let job = self.queue.cancel(key);
         if let Some(job) = job
             && job.data.attempt > 0
@@ -188,8 +189,8 @@
     }
 
     fn first(&mut self, now: time::Duration, id: ask::AskId) {
-        if let Some(running) = self.running.get(&id) {
-            self.table.first(now, running.run);
+        if let Some(&live::Live::Running(key)) = self.live.get(&id) {
+            self.table.first(now, self.running[key].run);
         }
     }
 
@@ -200,7 +201,11 @@
         finish: finish::Finish,
         out: &mut Vec<action::Action>,
     ) {
-        if let Some(running) = self.running.remove(&id) {
+        let Some(&live::Live::Running(key)) = self.live.get(&id) else {
+            return;
+        };
+        self.live.remove(&id);
+        if let Some(running) = self.running.remove(key) {
             self.settle(now, running, finish);
             self.dispatch(now, out);
         }
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::ask;
 use crate::current;
 use crate::finish;
+use crate::live;
 use crate::running;
 
 impl current::Current {
@@ -85,7 +86,6 @@
             return;
         };
         let ask = job.data;
-        self.queued.remove(&ask.id);
         if need.suspect {
             self.blame.start(ask.fingerprint);
         }
@@ -100,7 +100,8 @@
             granted: now,
             suspect: need.suspect,
         };
-        self.running.insert(ask.id, running);
+        let key = self.running.insert(running);
+        self.live.insert(ask.id, live::Live::Running(key));
         out.push(action::Action::Grant {
             ask: ask.id,
             endpoint: crate::EndpointId(endpoint),
@@ -168,7 +169,7 @@
     pub(crate) fn review(&mut self, now: time::Duration) {
         let suspects = core::mem::take(&mut self.suspects);
         for id in suspects {
-            let Some(&key) = self.queued.get(&id) else {
+            let Some(&live::Live::Queued(key)) = self.live.get(&id) else {
                 continue;
             };
             let Some(job) = self.queue.get(key) else {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 mod dispatch;
 mod endpoint;
 mod finish;
+mod live;
 mod load;
 mod options;
 mod policy;
--- a/crates/pool/src/running.rs
+++ b/crates/pool/src/running.rs
@@ -2,6 +2,11 @@
 
 use crate::ask;
 
+slotmap::new_key_type! {
+    /// Key of a granted ask.
+    pub(crate) struct Key;
+}
+
 /// A granted ask that has not ended.
 #[derive(Debug)]
 pub(crate) struct Running {
--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -17,13 +17,13 @@
 /// Counts, per request, the endpoints that crashed while it was in flight.
 #[derive(Debug, Default)]
 pub struct Blame {
-    suspects: collections::HashMap<u64, Suspect>,
+    suspects: rustc_hash::FxHashMap<u64, Suspect>,
     /// Order of eviction; entries of cleared requests are dropped late.
     order: collections::VecDeque<u64>,
     /// Crashes that a poisonous request explains.
     explained: collections::VecDeque<(u32, time::Duration)>,
     /// Suspects that run now.
-    running: collections::HashSet<u64>,
+    running: rustc_hash::FxHashSet<u64>,
 }
 
 impl Blame {
--- a/crates/route/src/length.rs
+++ b/crates/route/src/length.rs
@@ -2,6 +2,8 @@
 #[derive(Clone, Debug)]
 pub struct Length {
     buckets: Vec<f64>,
+    /// Weight of the next observation.
+    gain: f64,
     seen: u32,
     mean: f64,
     upper: f64,
@@ -12,6 +14,7 @@
     pub fn new() -> Self {
         Self {
             buckets: vec![0.0; BUCKETS],
+            gain: 1.0,
             seen: 0,
             mean: 0.0,
             upper: 0.0,
@@ -20,14 +23,21 @@
 
     /// Notes the output length of a completed request in tokens.
     pub fn observe(&mut self, tokens: u32) {
-        for bucket in &mut self.buckets {
-            *bucket *= FADE;
+        // New observations grow instead of old ones fading.
+        self.gain /= FADE;
+        self.buckets[bucket(tokens)] += self.gain;
+        if self.gain > GAIN_MAX {
+            self.buckets
+                .iter_mut()
+                .for_each(|bucket| *bucket /= GAIN_MAX);
+            self.gain /= GAIN_MAX;
         }
-        self.buckets[bucket(tokens)] += 1.0;
         self.seen = self.seen.saturating_add(1);
         let weight = (1.0 / f64::from(self.seen)).max(1.0 - FADE);
         self.mean += weight * (f64::from(tokens) - self.mean);
-        self.upper = self.quantile(UPPER);
+        if self.seen <= SEEN_MIN || self.seen.is_multiple_of(UPPER_EVERY) {
+            self.upper = self.quantile(UPPER);
+        }
     }
 
     /// Returns the expected output length in tokens.
@@ -96,3 +106,9 @@
 
 /// Quantile that decides whether a class is long.
 const UPPER: f64 = 0.75;
+
+/// Completions between two updates of that quantile.
+const UPPER_EVERY: u32 = 8;
+
+/// Weight at which all weights are scaled down.
+const GAIN_MAX: f64 = 1e9;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -20,7 +20,7 @@
     pub(crate) options: options::Options,
     pub(crate) endpoints: slotmap::SlotMap<endpoint::Key, endpoint::Endpoint>,
     pub(crate) runs: slotmap::SlotMap<run::Key, run::Run>,
-    pub(crate) index: collections::HashMap<u32, endpoint::Key>,
+    pub(crate) index: rustc_hash::FxHashMap<u32, endpoint::Key>,
     pub(crate) hot: Vec<hot::Hot>,
     /// Endpoints with room, for each kind of request.
     pub(crate) open: [usize; work::Need::COUNT],
@@ -31,7 +31,7 @@
     /// Long requests that run.
     pub(crate) long: u32,
     /// Where each prefix ran last.
-    pub(crate) prefixes: collections::HashMap<u64, endpoint::Key>,
+    pub(crate) prefixes: rustc_hash::FxHashMap<u64, endpoint::Key>,
     pub(crate) prefix_order: collections::VecDeque<u64>,
     /// Mean time to first token per class, in seconds.
     pub(crate) firsts: Vec<mean::Mean>,
@@ -48,13 +48,13 @@
             options,
             endpoints: slotmap::SlotMap::with_key(),
             runs: slotmap::SlotMap::with_key(),
-            index: collections::HashMap::new(),
+            index: rustc_hash::FxHashMap::default(),
             hot: Vec::new(),
             open: [0; work::Need::COUNT],
             places: 0,
             nominal: 0.0,
             long: 0,
-            prefixes: collections::HashMap::new(),
+            prefixes: rustc_hash::FxHashMap::default(),
             prefix_order: collections::VecDeque::new(),
             firsts: Vec::new(),
             gaps: Vec::new(),
--- a/crates/sched/src/caller.rs
+++ b/crates/sched/src/caller.rs
@@ -19,6 +19,10 @@
     pub(crate) id: u64,
     pub(crate) team: team::Key,
     pub(crate) tag: tag::Tag,
+    /// Correction of the charge that is not part of the tag yet, in tokens.
+    pub(crate) debt: f64,
+    /// Listed among the idle callers of the team.
+    pub(crate) idle: bool,
     /// Jobs that are queued or running.
     pub(crate) refs: usize,
     /// Jobs that could be taken.
--- a/crates/sched/src/choose.rs
+++ b/crates/sched/src/choose.rs
@@ -27,10 +27,22 @@
         if let Some(key) = self.floor(now, lanes) {
             return Some(pick::Pick { key, floor: true });
         }
-        let key = (0..self.flows.tiers.len()).find_map(|tier| self.fair(now, tier, lanes))?;
+        let key = (0..self.flows.tiers.len()).find_map(|tier| {
+            self.freshen(tier, lanes);
+            self.fair(now, tier, lanes)
+        })?;
         Some(pick::Pick { key, floor: false })
     }
 
+    fn freshen(&mut self, tier: usize, lanes: lane::Lanes) {
+        for class in 0..self.groups.len() {
+            if self.groups[class].tier == tier {
+                let lines = lanes.iter().map(|lane| queue::line(class as u16, lane));
+                lines.for_each(|line| self.flows.freshen(line));
+            }
+        }
+    }
+
     /// Returns a job of the class that has starved longest, if one is due.
     fn floor(&self, now: time::Duration, lanes: lane::Lanes) -> Option<queue::Key> {
         let due = (0..self.groups.len()).filter(|&class| self.groups[class].due(now));
--- a/crates/sched/src/expect.rs
+++ b/crates/sched/src/expect.rs
@@ -19,7 +19,7 @@
     ) -> time::Duration {
         let group = &self.groups[usize::from(self.class(class))];
         let tier = group.tier;
-        let weight = self.options.weight(team);
+        let weight = self.weight(team);
         let own = self.flows.ahead(tier, team, weight, caller);
         let higher = &self.flows.tiers[..tier];
         let ahead = own + higher.iter().map(|tier| tier.cost).sum::<f64>();
--- a/crates/sched/src/flows.rs
+++ b/crates/sched/src/flows.rs
@@ -37,17 +37,15 @@
                 id,
                 team,
                 tag: system,
+                debt: 0.0,
+                idle: false,
                 refs: 0,
                 linked: 0,
                 cost: 0.0,
                 lines: lines::Lines::new(),
             })
         });
-        let flow = &mut self.callers[key];
-        if flow.refs == 0 {
-            state.idle.remove(&(flow.tag, key));
-        }
-        flow.refs += 1;
+        self.callers[key].refs += 1;
         key
     }
 
@@ -60,6 +58,7 @@
                 tier,
                 weight,
                 tag: system,
+                debt: 0.0,
                 system: tag::Tag::default(),
                 refs: 0,
                 queued: 0,
@@ -67,8 +66,8 @@
                 active: 0,
                 cost: 0.0,
                 lines: lines::Lines::new(),
-                callers: collections::HashMap::new(),
-                idle: collections::BTreeSet::new(),
+                callers: rustc_hash::FxHashMap::default(),
+                idle: collections::VecDeque::new(),
             })
         });
         let flow = &self.teams[key];
@@ -150,23 +149,70 @@
         tier.system = tier.system.later(team.tag);
     }
 
-    /// Charges a flow; a negative cost is a refund.
+    /// Charges a flow for service, corrections included.
     pub(crate) fn charge(&mut self, key: caller::Key, cost: f64) {
+        let flow = &mut self.callers[key];
+        let team = flow.team;
+        flow.debt += cost;
+        self.teams[team].debt += cost;
+        self.apply_caller(key);
+        self.apply_team(team);
+    }
+
+    /// Corrects the charge of a flow; a negative cost is a refund.
+    ///
+    /// A flow that waits is moved when it is next served or comes to the head
+    /// of its line, which saves most of the moves. A refund therefore counts
+    /// from the next service on.
+    pub(crate) fn correct(&mut self, key: caller::Key, cost: f64) {
         let flow = &mut self.callers[key];
         let team_key = flow.team;
+        flow.debt += cost;
+        if flow.linked == 0 {
+            self.apply_caller(key);
+        }
         let team = &mut self.teams[team_key];
-        let (old, new) = (flow.tag, flow.tag.plus(cost));
+        team.debt += cost;
+        if team.linked == 0 {
+            self.apply_team(team_key);
+        }
+    }
+
+    /// Makes sure that the head of a line has no correction outstanding.
+    pub(crate) fn freshen(&mut self, line: u32) {
+        while let Some((_, team)) = self.head(line) {
+            if self.teams[team].debt > 0.0 {
+                self.apply_team(team);
+                continue;
+            }
+            match self.teams[team].lines.first(line) {
+                Some((_, caller)) if self.callers[caller].debt > 0.0 => self.apply_caller(caller),
+                _ => return,
+            }
+        }
+    }
+
+    fn apply_caller(&mut self, key: caller::Key) {
+        let flow = &mut self.callers[key];
+        let team = &mut self.teams[flow.team];
+        let (old, new) = (flow.tag, flow.tag.plus(flow.debt));
         for line in flow.lines.occupied() {
             team.lines.replace(line, (old, key), (new, key));
         }
         flow.tag = new;
-        let (old, new) = (team.tag, team.tag.plus(cost / team.weight));
+        flow.debt = 0.0;
+    }
+
+    fn apply_team(&mut self, key: team::Key) {
+        let team = &mut self.teams[key];
+        let (old, new) = (team.tag, team.tag.plus(team.debt / team.weight));
         for line in team.lines.occupied() {
             let set = &mut self.lines[line as usize];
-            set.remove(&(old, team_key));
-            set.insert((new, team_key));
+            set.remove(&(old, key));
+            set.insert((new, key));
         }
         team.tag = new;
+        team.debt = 0.0;
     }
 
     /// Releases a flow; it is forgotten once others have caught up with it.
@@ -175,15 +221,22 @@
         let team_key = flow.team;
         let team = &mut self.teams[team_key];
         flow.refs -= 1;
-        if flow.refs == 0 {
-            team.idle.insert((flow.tag, key));
+        if flow.refs == 0 && !flow.idle {
+            flow.idle = true;
+            team.idle.push_back(key);
         }
         team.refs -= 1;
-        while let Some(&(tag, old)) = team.idle.first() {
-            if tag > team.system && team.idle.len() <= CALLERS_IDLE_MAX {
+        while let Some(&old) = team.idle.front() {
+            let flow = &mut self.callers[old];
+            if flow.refs > 0 {
+                flow.idle = false;
+                team.idle.pop_front();
+                continue;
+            }
+            if flow.tag > team.system && team.idle.len() <= CALLERS_IDLE_MAX {
                 break;
             }
-            team.idle.pop_first();
+            team.idle.pop_front();
             if let Some(gone) = self.callers.remove(old) {
                 team.callers.remove(&gone.id);
             }
--- a/crates/sched/src/group.rs
+++ b/crates/sched/src/group.rs
@@ -57,10 +57,15 @@
         self.arrivals.push_back((now, key));
     }
 
-    /// Drops entries of jobs that left the queue.
-    pub(crate) fn prune(&mut self, live: impl Fn(queue::Key) -> bool) {
-        while self.arrivals.front().is_some_and(|&(_, key)| !live(key)) {
+    /// Drops the entry of a job that left the queue, now or later.
+    ///
+    /// The front entry always belongs to a queued job.
+    pub(crate) fn prune(&mut self, gone: queue::Key, live: impl Fn(queue::Key) -> bool) {
+        if self.arrivals.front().is_some_and(|&(_, key)| key == gone) {
             self.arrivals.pop_front();
+            while self.arrivals.front().is_some_and(|&(_, key)| !live(key)) {
+                self.arrivals.pop_front();
+            }
         }
         if self.arrivals.len() > 2 * self.queued() + PRUNE_SLACK {
             self.arrivals.retain(|&(_, key)| live(key));
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -27,6 +27,8 @@
     pub(crate) jobs: slotmap::SlotMap<Key, entry::Entry<T>>,
     pub(crate) flows: flows::Flows,
     pub(crate) groups: Vec<group::Group>,
+    /// Weights of the teams that are not 1.
+    weights: rustc_hash::FxHashMap<u32, f64>,
     held: std::collections::BTreeSet<(time::Duration, Key)>,
     log: log::Log,
 }
@@ -39,6 +41,7 @@
             jobs: slotmap::SlotMap::with_key(),
             flows: flows::Flows::default(),
             groups: Vec::new(),
+            weights: rustc_hash::FxHashMap::default(),
             held: std::collections::BTreeSet::new(),
             log: log::Log::default(),
         };
@@ -56,13 +59,19 @@
         let same = options.classes.len() == self.groups.len()
             && (options.classes.iter().zip(&self.groups))
                 .all(|(new, old)| new.tier == old.class.tier);
+        let weights = options
+            .weights
+            .keys()
+            .map(|&team| (team, options.weight(team)));
+        self.weights = weights.collect();
         self.options = options;
         if same {
             for (group, &class) in self.groups.iter_mut().zip(&self.options.classes) {
                 group.class = class;
             }
-            let options = &self.options;
-            self.flows.reweigh(|team| options.weight(team));
+            let weights = &self.weights;
+            let weight = |team| weights.get(&team).copied().unwrap_or(1.0);
+            self.flows.reweigh(weight);
         } else {
             self.rebuild(now);
         }
@@ -151,10 +160,11 @@
     }
 
     fn attach(&mut self, now: time::Duration, at: time::Duration, key: Key) {
+        let team = self.jobs[key].job.team;
+        let team = (team, self.weight(team));
         let entry = &mut self.jobs[key];
         let job = &entry.job;
         let group = &mut self.groups[usize::from(job.class)];
-        let team = (job.team, self.options.weight(job.team));
         entry.caller = self.flows.enter(group.tier, team, job.caller);
         entry.linked = false;
         group.deadlines.insert((job.deadline, key));
@@ -204,7 +214,7 @@
         tier.cost = (tier.cost - job.cost).max(0.0);
         group.cost = (group.cost - job.cost).max(0.0);
         let jobs = &self.jobs;
-        group.prune(|key| jobs.contains_key(key));
+        group.prune(key, |key| jobs.contains_key(key));
         let team = self.flows.callers[entry.caller].team;
         self.flows.teams[team].queued -= 1;
         Some(entry)
@@ -283,7 +293,7 @@
     /// Corrects the charge of a taken job to its true cost in tokens.
     pub fn settle(&mut self, ticket: ticket::Ticket, cost: f64) {
         if self.flows.callers.contains_key(ticket.caller) {
-            self.flows.charge(ticket.caller, cost - ticket.cost);
+            self.flows.correct(ticket.caller, cost - ticket.cost);
             self.flows.leave(ticket.caller);
         }
     }
@@ -338,6 +348,10 @@
         });
     }
 
+    pub(crate) fn weight(&self, team: u32) -> f64 {
+        self.weights.get(&team).copied().unwrap_or(1.0)
+    }
+
     pub(crate) fn class(&self, class: u16) -> u16 {
         class.min((self.groups.len() - 1) as u16)
     }
--- a/crates/sched/src/team.rs
+++ b/crates/sched/src/team.rs
@@ -16,6 +16,8 @@
     pub(crate) tier: usize,
     pub(crate) weight: f64,
     pub(crate) tag: tag::Tag,
+    /// Correction of the charge that is not part of the tag yet, in tokens.
+    pub(crate) debt: f64,
     /// Virtual time among the callers of the team.
     pub(crate) system: tag::Tag,
     /// Jobs that are queued or running.
@@ -29,6 +31,8 @@
     /// Cost of the jobs that could be taken, in tokens.
     pub(crate) cost: f64,
     pub(crate) lines: lines::Lines<(tag::Tag, caller::Key)>,
-    pub(crate) callers: collections::HashMap<u64, caller::Key>,
-    pub(crate) idle: collections::BTreeSet<(tag::Tag, caller::Key)>,
+    pub(crate) callers: rustc_hash::FxHashMap<u64, caller::Key>,
+    /// Callers without jobs, in the order in which they became idle; some have
+    /// come back since.
+    pub(crate) idle: collections::VecDeque<caller::Key>,
 }
--- a/crates/sched/src/tier.rs
+++ b/crates/sched/src/tier.rs
@@ -16,7 +16,7 @@
     pub(crate) cost: f64,
     /// Cost of the jobs that arrive, in tokens per second.
     pub(crate) arrivals: meter::Meter,
-    pub(crate) index: collections::HashMap<u32, team::Key>,
+    pub(crate) index: rustc_hash::FxHashMap<u32, team::Key>,
     pub(crate) idle: collections::BTreeSet<(tag::Tag, team::Key)>,
 }
 
@@ -27,7 +27,7 @@
             weight: 0.0,
             cost: 0.0,
             arrivals: meter::Meter::new(ARRIVALS_MEMORY),
-            index: collections::HashMap::new(),
+            index: rustc_hash::FxHashMap::default(),
             idle: collections::BTreeSet::new(),
         }
     }
