--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod ask;
 pub mod baseline;
+mod boxed;
 mod class;
 pub mod current;
 mod dispatch;
