perf(route): keep the limit below the target and follow engine queues

Misses of a tight class were diluted by others.

Change: misses are counted per class, half of the target counts as a miss, and a report with requests waiting in the engine lowers the limit towards its batch.

Conclusion: configured slots need not be true any more.

--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -6,8 +6,8 @@
     value: f64,
     /// Grows by a factor until the first decrease.
     starting: bool,
-    seen: u32,
-    missed: u32,
+    /// Requests seen and missed in this window, per class.
+    counts: Vec<(u32, u32)>,
     /// The bound was reached in this window.
     binding: bool,
     window: time::Duration,
@@ -19,8 +19,7 @@
         Self {
             value: f64::from(slots),
             starting: true,
-            seen: 0,
-            missed: 0,
+            counts: Vec::new(),
             binding: false,
             window: now,
             decreased: time::Duration::ZERO,
@@ -39,12 +38,25 @@
     /// Notes whether a request that was granted at `granted` missed its target.
     ///
     /// Requests from before the last decrease say nothing about the new bound.
-    pub(crate) fn observe(&mut self, granted: time::Duration, miss: bool) {
+    pub(crate) fn observe(&mut self, granted: time::Duration, class: usize, miss: bool) {
         if granted < self.decreased {
             return;
         }
-        self.seen += 1;
-        self.missed += u32::from(miss);
+        if self.counts.len() <= class {
+            self.counts.resize(class + 1, (0, 0));
+        }
+        let (seen, missed) = &mut self.counts[class];
+        *seen += 1;
+        *missed += u32::from(miss);
+    }
+
+    /// Notes a report in which the endpoint queues what it was given.
+    pub(crate) fn queues(&mut self, at: time::Duration, running: u32) {
+        if at >= self.decreased {
+            let least = f64::from(running.max(1));
+            self.value = self.value.min((self.value * QUEUES).max(least));
+            self.starting = false;
+        }
     }
 
     /// Notes that the endpoint had no room for more than `held` requests.
@@ -65,17 +77,16 @@
         let slots = f64::from(slots);
         self.value = self.value.min(slots);
         let age = now.saturating_sub(self.window);
-        if age < WINDOW || (self.seen < SEEN_MIN && age < WINDOW_MAX) {
+        let seen: u32 = self.counts.iter().map(|&(seen, _)| seen).sum();
+        if age < WINDOW || (seen < SEEN_MIN && age < WINDOW_MAX) {
             return;
         }
-        let few = self.seen <= 2 && self.missed == self.seen;
-        let many = f64::from(self.missed) > MISSES_MAX * f64::from(self.seen);
-        if self.missed > 0 && many && (self.missed > 1 || few) {
+        if self.counts.iter().any(|&count| too_many(count)) {
             let least = (slots * LEAST_PART).max(1.0);
             self.value = (self.value * DECREASE).max(least.min(slots));
             self.starting = false;
             self.decreased = now;
-        } else if self.binding && self.seen > 0 {
+        } else if self.binding && seen > 0 {
             let step = if self.starting {
                 self.value / 2.0
             } else {
@@ -83,13 +94,22 @@
             };
             self.value = (self.value + step).min(slots);
         }
-        self.seen = 0;
-        self.missed = 0;
+        self.counts.fill((0, 0));
         self.binding = false;
         self.window = now;
     }
 }
 
+/// Returns whether a class missed its target too often.
+fn too_many((seen, missed): (u32, u32)) -> bool {
+    let few = seen <= 2 && missed == seen;
+    let many = f64::from(missed) > MISSES_MAX * f64::from(seen);
+    missed > 0 && many && (missed > 1 || few)
+}
+
+/// Factor of a decrease when the endpoint queues.
+const QUEUES: f64 = 0.7;
+
 /// Shortest time between two changes.
 const WINDOW: time::Duration = time::Duration::from_millis(250);
 
--- a/crates/route/src/speed.rs
+++ b/crates/route/src/speed.rs
@@ -113,7 +113,7 @@
 const TOLERANCE: f64 = 1.5;
 
 /// Factor by which the weight falls per step of 100 ms at most.
-const FALL: f64 = 0.7;
+const FALL: f64 = 0.5;
 
 /// Amount by which the weight rises per step of 100 ms at most.
 const RISE: f64 = 0.05;
@@ -128,10 +128,10 @@
 const WEIGHT_RESTART: f64 = 0.25;
 
 /// Length of the first ejection; it doubles while the endpoint stays slow.
-const EJECTION: time::Duration = time::Duration::from_secs(1);
+const EJECTION: time::Duration = time::Duration::from_secs(2);
 
 /// Doublings of an ejection at most.
-const EJECTIONS_MAX: u32 = 3;
+const EJECTIONS_MAX: u32 = 2;
 
 /// Time without observations after which the recent mean returns to normal.
 const QUIET: time::Duration = time::Duration::from_secs(1);
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -171,8 +171,9 @@
         let took = now.saturating_sub(run.granted);
         let endpoint = &mut self.endpoints[run.endpoint];
         if !run.late {
-            let miss = took > run.work.target_first;
-            endpoint.limit.observe(run.granted, miss);
+            let miss = took > run.work.target_first.mul_f64(FIRST_PART);
+            let class = usize::from(run.work.class);
+            endpoint.limit.observe(run.granted, class, miss);
         }
         if endpoint.health.succeed() {
             endpoint.speed.restart();
@@ -239,9 +240,9 @@
         }
         endpoint.gap.observe(gap);
         if let Some(target) = run.work.target_gap {
-            endpoint
-                .limit
-                .observe(run.granted, gap > target.as_secs_f64());
+            let class = usize::from(run.work.class);
+            let miss = gap > target.as_secs_f64();
+            endpoint.limit.observe(run.granted, class, miss);
         }
         let ratio = normalise(&mut self.gaps, usize::from(run.work.class), gap);
         endpoint.speed.observe(now, ratio);
@@ -266,8 +267,7 @@
         let own = endpoint.history.at(report.at.min(now));
         endpoint.foreign = (report.running + report.waiting).saturating_sub(own);
         if report.waiting > 0 && endpoint.foreign == 0 {
-            // The engine queues what it was given: the batch is full.
-            endpoint.limit.observe(report.at, true);
+            endpoint.limit.queues(report.at, report.running);
         }
         self.refresh(key);
     }
@@ -338,6 +338,10 @@
     seconds / mean.get().unwrap_or(seconds).max(SECONDS_MIN)
 }
 
+/// Part of the first-token target that a request may spend at the endpoint; the
+/// rest is for the queue. At 1, the limit settles where every request is late.
+pub(crate) const FIRST_PART: f64 = 0.5;
+
 /// Weight of the latest observation in the mean of a class.
 const CLASS_WEIGHT: f64 = 0.01;
 
--- a/crates/route/src/watch.rs
+++ b/crates/route/src/watch.rs
@@ -46,11 +46,11 @@
                 continue;
             }
             let age = now.saturating_sub(run.granted);
-            if age > run.work.target_first && !run.late {
+            let class = usize::from(run.work.class);
+            if age > run.work.target_first.mul_f64(table::FIRST_PART) && !run.late {
                 run.late = true;
-                endpoint.limit.observe(run.granted, true);
+                endpoint.limit.observe(run.granted, class, true);
             }
-            let class = usize::from(run.work.class);
             let Some(mean) = self.firsts.get(class).and_then(|mean| mean.get()) else {
                 continue;
             };
@@ -107,7 +107,7 @@
 const EJECTED_PART: usize = 3;
 
 /// Multiple of the class's mean at which a pending first token counts as slow.
-const OVERDUE: f64 = 3.0;
+const OVERDUE: f64 = 2.5;
 
 /// Late first tokens that count; a single one may be a large prompt.
 const OVERDUE_MIN: u32 = 2;
