--- a/crates/sched/src/caller.rs
+++ b/crates/sched/src/caller.rs
@@ -1,7 +1,5 @@
-use core::time;
-
 use crate::lines;
-use crate::queue;
+use crate::place;
 use crate::tag;
 use crate::team;
 
@@ -10,20 +8,22 @@
     pub(crate) struct Key;
 }
 
-/// Position of a job among the jobs of its caller: earliest deadline first.
-pub(crate) type Place = (time::Duration, queue::Key);
-
 /// Flow of one caller within a team.
 #[derive(Debug)]
 pub(crate) struct Caller {
     pub(crate) id: u64,
     pub(crate) team: team::Key,
     pub(crate) tag: tag::Tag,
+    /// Correction of the charge that is not part of the tag yet, in tokens.
+    pub(crate) debt: f64,
+    /// Listed among the idle callers of the team.
+    pub(crate) idle: bool,
     /// Jobs that are queued or running.
     pub(crate) refs: usize,
     /// Jobs that could be taken.
     pub(crate) linked: usize,
     /// Cost of the jobs that could be taken, in tokens.
     pub(crate) cost: f64,
-    pub(crate) lines: lines::Lines<Place>,
+    /// Jobs that could be taken, earliest deadline first.
+    pub(crate) lines: lines::Lines<place::Place>,
 }
--- a/crates/sched/src/group.rs
+++ b/crates/sched/src/group.rs
@@ -2,6 +2,7 @@
 use std::collections;
 
 use crate::class;
+use crate::place;
 use crate::queue;
 
 /// State of one class.
@@ -11,7 +12,7 @@
     /// Index of the tier.
     pub(crate) tier: usize,
     /// Queued jobs by deadline.
-    pub(crate) deadlines: collections::BTreeSet<(time::Duration, queue::Key)>,
+    pub(crate) deadlines: collections::BTreeSet<place::Place>,
     /// Cost of the queued jobs, in tokens.
     pub(crate) cost: f64,
     /// Jobs in the order of arrival; entries of jobs that left are dropped late.
@@ -57,10 +58,15 @@
         self.arrivals.push_back((now, key));
     }
 
-    /// Drops entries of jobs that left the queue.
-    pub(crate) fn prune(&mut self, live: impl Fn(queue::Key) -> bool) {
-        while self.arrivals.front().is_some_and(|&(_, key)| !live(key)) {
+    /// Drops the entry of a job that left the queue, now or later.
+    ///
+    /// The front entry always belongs to a queued job.
+    pub(crate) fn prune(&mut self, gone: queue::Key, live: impl Fn(queue::Key) -> bool) {
+        if self.arrivals.front().is_some_and(|&(_, key)| key == gone) {
             self.arrivals.pop_front();
+            while self.arrivals.front().is_some_and(|&(_, key)| !live(key)) {
+                self.arrivals.pop_front();
+            }
         }
         if self.arrivals.len() > 2 * self.queued() + PRUNE_SLACK {
             self.arrivals.retain(|&(_, key)| live(key));
