--- a/crates/testkit/src/measure/figures.rs
+++ b/crates/testkit/src/measure/figures.rs
@@ -146,6 +146,7 @@
     }
 
     fn refusals(&self, table: &mut Table) {
+        let mut waits = Vec::new();
         for sample in self.samples {
             let Outcome::Refused {
                 status,
@@ -156,12 +157,15 @@
             else {
                 continue;
             };
+            waits.push(sample.record.total);
             let kind = if kind.is_empty() { "unnamed" } else { kind };
             table.count(format!("refusals.{kind}"));
             if retry_after.is_none() && matches!(status, 429 | 503) {
                 table.count("refusals_without_retry_after");
             }
         }
+        table.set_some("refusal_wait_p50_ms", percentile(&mut waits, 0.5));
+        table.set_some("refusal_wait_p99_ms", percentile(&mut waits, 0.99));
     }
 
     /// Adds what must be zero: damage, doubled executions, executions of refused requests.
@@ -173,6 +177,10 @@
         let broken = count(&|outcome| matches!(outcome, Outcome::Broken(_)));
         let damaged =
             count(&|outcome| matches!(outcome, Outcome::Answered(_)) && !outcome.is_whole());
+        let overdue = self.samples.iter().filter(|sample| {
+            sample.record.outcome == Outcome::Left && sample.arrival.hangup.is_none()
+        });
+        table.set("unanswered", overdue.count() as f64);
         table.set("broken", broken);
         table.set("damaged", damaged);
         let services = cluster.services.iter().map(|(_, service)| service);
@@ -243,13 +251,17 @@
     let name = class.name;
     let records = samples.map(|sample| &sample.record);
     let mut firsts: Vec<_> = records.clone().filter_map(|record| record.first).collect();
-    let gaps = records.flat_map(|record| record.gaps.iter().copied());
-    let mut gaps: Vec<_> = gaps.collect();
     for (share, rank) in [(0.5, "p50"), (0.95, "p95"), (0.99, "p99")] {
         let first = percentile(&mut firsts, share);
         table.set_some(format!("{prefix}first_{rank}_ms.{name}"), first);
     }
+    let queued = records.clone().filter_map(|record| record.queued);
+    let mut queued: Vec<_> = queued.collect();
+    let gaps = records.flat_map(|record| record.gaps.iter().copied());
+    let mut gaps: Vec<_> = gaps.collect();
     for (share, rank) in [(0.5, "p50"), (0.99, "p99")] {
+        let queue = percentile(&mut queued, share);
+        table.set_some(format!("{prefix}queue_{rank}_ms.{name}"), queue);
         let gap = percentile(&mut gaps, share);
         table.set_some(format!("{prefix}gap_{rank}_ms.{name}"), gap);
     }
--- a/crates/testkit/src/measure/scenario.rs
+++ b/crates/testkit/src/measure/scenario.rs
@@ -14,11 +14,12 @@
     Crest,
     /// Demand is steady and below the capacity.
     Steady,
-    /// As `steady`, without stragglers first and then with them.
+    /// Demand is steady and near the capacity because of stragglers; the same
+    /// arrivals also run without stragglers.
     Stragglers,
     /// As `steady`, and some endpoints are slow for moments.
     SlowEndpoint,
-    /// As `steady`, and one team asks for many times its share.
+    /// One team asks for many times its share, which is above the capacity.
     GreedyTeam,
 }
 
@@ -26,8 +27,9 @@
     /// Returns the mean demand as a share of the engines' capacity.
     pub const fn utilisation(self) -> f64 {
         match self {
-            Self::Crest | Self::Stragglers => 0.8,
-            Self::Steady | Self::SlowEndpoint | Self::GreedyTeam => 0.7,
+            Self::Steady | Self::SlowEndpoint => 0.7,
+            Self::Crest | Self::GreedyTeam => 0.8,
+            Self::Stragglers => 0.95,
         }
     }
 
--- a/crates/testkit/src/measure/shapes.rs
+++ b/crates/testkit/src/measure/shapes.rs
@@ -52,7 +52,7 @@
                 team("tracking", 3, 1.0),
             ],
             anonymous: 1,
-            greedy: 1,
+            greedy: 5,
             data_centres: vec!["k1", "k2", "k3", "k4"],
             swing: (0.5, ms(5_000)),
         }
@@ -91,7 +91,7 @@
                 team("stockroom", 3, 1.0),
             ],
             anonymous: 1,
-            greedy: 1,
+            greedy: 5,
             data_centres: vec!["g1", "g2", "g3"],
             swing: (0.7, ms(4_000)),
         }
