feat(front): serve callers over TLS with certificates that are re-read

The caller interface spoke plain HTTP only, so bearer keys crossed the network in the clear.

front::Options has a field `tls` (certificate, key, check interval, handshake timeout) and a Default with the defaults of the settings. front::tls::Acceptor does the handshake with rustls (ring) and can serve any other listener. It compares the content of both files, at most every 2 s and only when a connection arrives; a change that cannot be used is logged once and leaves the certificate in use. One task now owns each connection through its handshake, its requests and the shutdown.

Callers that build front::Options field by field need `..Default::default()`.

No measurable effect on plain requests was looked for.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,17 +5,21 @@
 
 mod answer_body;
 mod body;
+mod connection;
+mod options;
 mod parse;
 mod reply;
 mod request;
 mod routes;
 mod server;
 mod service;
+pub mod tls;
 
 pub use answer_body::Answer;
+pub use options::Options;
 pub use reply::refusal as refusal_reply;
 pub use request::{Path, Request};
-pub use server::{Options, Server};
+pub use server::Server;
 pub use service::{Service, Serving};
 
 /// Body of an answer.
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -7,10 +7,10 @@
 use axum::routing;
 
 use crate::body;
+use crate::options;
 use crate::parse;
 use crate::reply;
 use crate::request;
-use crate::server;
 use crate::service;
 
 /// Address of the caller of a connection.
@@ -20,7 +20,7 @@
 #[derive(Clone)]
 pub(crate) struct State {
     pub(crate) service: sync::Arc<dyn service::Service>,
-    pub(crate) options: sync::Arc<server::Options>,
+    pub(crate) options: sync::Arc<options::Options>,
 }
 
 /// Returns the routes of the caller interface.
--- /dev/null
+++ b/crates/front/tests/common/mod.rs
@@ -0,0 +1,100 @@
+//! A caller interface in front of a service that tests control.
+
+#![expect(dead_code, reason = "no test file uses every helper")]
+
+use core::net;
+use core::time;
+use std::sync;
+use std::sync::atomic;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Service that answers `ok` once its gate is open, and counts what runs.
+#[derive(Default)]
+pub struct Gate {
+    /// Requests that are being served.
+    pub running: atomic::AtomicUsize,
+    /// Most requests that were served at once.
+    pub peak: atomic::AtomicUsize,
+    closed: tokio::sync::watch::Sender<bool>,
+}
+
+impl Gate {
+    /// Makes requests wait, or lets them go on.
+    pub fn close(&self, closed: bool) {
+        self.closed.send_replace(closed);
+    }
+
+    /// Waits until this many requests are being served.
+    pub async fn wait_for(&self, running: usize) {
+        while self.running.load(atomic::Ordering::SeqCst) != running {
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+    }
+}
+
+impl front::Service for Gate {
+    fn serve(&self, _request: front::Request) -> front::Serving<'_> {
+        Box::pin(async move {
+            let running = self.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+            self.peak.fetch_max(running, atomic::Ordering::SeqCst);
+            let mut closed = self.closed.subscribe();
+            drop(closed.wait_for(|&closed| !closed).await);
+            self.running.fetch_sub(1, atomic::Ordering::SeqCst);
+            Ok(front::Answer {
+                status: http::StatusCode::OK,
+                headers: http::HeaderMap::new(),
+                body: front::Body::from("ok"),
+                class: "open".to_owned(),
+                queued: time::Duration::ZERO,
+            })
+        })
+    }
+
+    fn hosts(&self, _address: net::IpAddr) -> serde_json::Value {
+        serde_json::json!({"hosts": []})
+    }
+
+    fn models(&self) -> serde_json::Value {
+        serde_json::json!({"data": []})
+    }
+}
+
+/// Options with times short enough for tests.
+pub fn options() -> front::Options {
+    front::Options {
+        body_max: 64 * 1024,
+        header_max: 4 * 1024,
+        idle_timeout: time::Duration::from_millis(200),
+        ..front::Options::default()
+    }
+}
+
+/// Starts a caller interface on a free port.
+pub async fn start(options: front::Options, service: sync::Arc<Gate>) -> front::Server {
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    front::Server::start(any, options, service)
+        .await
+        .expect("a port is free")
+}
+
+/// Connects to a caller interface.
+pub async fn connect(server: &front::Server) -> tokio::net::TcpStream {
+    tokio::net::TcpStream::connect(server.address())
+        .await
+        .expect("the listener accepts")
+}
+
+/// Sends bytes and returns all that the other side sends until it closes.
+pub async fn exchange(mut stream: impl AsyncRead + AsyncWrite + Unpin, bytes: &[u8]) -> String {
+    stream.write_all(bytes).await.expect("the listener reads");
+    rest(stream).await
+}
+
+/// Returns all that the other side sends until it closes.
+pub async fn rest(mut stream: impl AsyncRead + Unpin) -> String {
+    let mut answer = Vec::new();
+    // A reset after the answer is as good as a close.
+    drop(stream.read_to_end(&mut answer).await);
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- /dev/null
+++ b/crates/front/tests/tls.rs
@@ -0,0 +1,193 @@
+//! Tests of certificates and handshakes.
+
+mod common;
+
+use core::time;
+use std::fs;
+use std::path;
+use std::sync;
+
+use http_body_util::BodyExt;
+use hyper_util::rt;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio_rustls::rustls;
+use tokio_rustls::rustls::pki_types;
+
+const NAME: &str = "router.test";
+const REQUEST: &[u8] = b"GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+
+/// Certificate files of one test, removed with the value.
+struct Folder(path::PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        let name = format!("front-tls-{:016x}", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir(&path).expect("the folder is new");
+        Self(path)
+    }
+
+    /// Writes a new self-signed certificate and returns it.
+    fn issue(&self) -> pki_types::CertificateDer<'static> {
+        let issued = rcgen::generate_simple_self_signed([NAME.to_owned()]).expect("issues");
+        self.write("cert.pem", &issued.cert.pem());
+        self.write("key.pem", &issued.signing_key.serialize_pem());
+        issued.cert.der().clone()
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        fs::write(self.0.join(name), text).expect("the folder takes files");
+    }
+
+    fn options(&self) -> front::tls::Options {
+        front::tls::Options {
+            check_interval: time::Duration::ZERO,
+            ..front::tls::Options::new(self.0.join("cert.pem"), self.0.join("key.pem"))
+        }
+    }
+
+    async fn start(&self) -> front::Server {
+        let options = front::Options {
+            tls: Some(self.options()),
+            ..common::options()
+        };
+        common::start(options, sync::Arc::default()).await
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        drop(fs::remove_dir_all(&self.0));
+    }
+}
+
+type Stream = tokio_rustls::client::TlsStream<tokio::net::TcpStream>;
+
+async fn connect(
+    server: &front::Server,
+    trusted: &pki_types::CertificateDer<'static>,
+    protocol: &[u8],
+) -> std::io::Result<Stream> {
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(trusted.clone()).expect("a certificate");
+    let provider = sync::Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .expect("versions")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    config.alpn_protocols = vec![protocol.to_vec()];
+    let name = pki_types::ServerName::try_from(NAME).expect("a name");
+    tokio_rustls::TlsConnector::from(sync::Arc::new(config))
+        .connect(name, common::connect(server).await)
+        .await
+}
+
+/// Guards against a listener that does not offer a protocol or that answers in
+/// another protocol than the one agreed on.
+#[rstest]
+#[case::http1(b"http/1.1")]
+#[case::http2(b"h2")]
+#[tokio::test]
+async fn the_agreed_protocol_is_spoken(#[case] protocol: &[u8]) {
+    let folder = Folder::new();
+    let trusted = folder.issue();
+    let server = folder.start().await;
+    let stream = connect(&server, &trusted, protocol).await.expect("trusted");
+    assert_eq!(stream.get_ref().1.alpn_protocol(), Some(protocol));
+    if protocol == b"h2" {
+        assert_eq!(http2(stream).await, r#"{"data":[]}"#);
+    } else {
+        let answer = common::exchange(stream, REQUEST).await;
+        assert!(answer.ends_with(r#"{"data":[]}"#), "{answer}");
+    }
+    server.shutdown().await;
+}
+
+async fn http2(stream: Stream) -> String {
+    let handshake =
+        hyper::client::conn::http2::handshake(rt::TokioExecutor::new(), rt::TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.expect("speaks HTTP/2");
+    let running = tokio::spawn(connection);
+    let request = http::Request::get(format!("https://{NAME}/v1/models"))
+        .body(http_body_util::Empty::<bytes::Bytes>::new())
+        .expect("valid");
+    let response = sender.send_request(request).await.expect("an answer");
+    let body = response.into_body().collect().await.expect("a body");
+    drop(sender);
+    drop(running.await);
+    String::from_utf8_lossy(&body.to_bytes()).into_owned()
+}
+
+/// Guards against an old certificate that stays in use until it expires.
+#[tokio::test]
+async fn a_changed_certificate_is_taken_over() {
+    let folder = Folder::new();
+    let old = folder.issue();
+    let server = folder.start().await;
+    connect(&server, &old, b"http/1.1").await.expect("trusted");
+    let new = folder.issue();
+    connect(&server, &new, b"http/1.1").await.expect("trusted");
+    connect(&server, &old, b"http/1.1")
+        .await
+        .expect_err("the old certificate is gone");
+    server.shutdown().await;
+}
+
+/// Guards against a listener that stops serving because of a half-written,
+/// mismatched or deleted file, and that does not recover from one.
+#[rstest]
+#[case::not_pem("cert.pem", Some("nonsense"))]
+#[case::foreign_key("key.pem", None)]
+#[case::empty("cert.pem", Some(""))]
+#[tokio::test]
+async fn a_bad_change_keeps_the_old_certificate(#[case] file: &str, #[case] text: Option<&str>) {
+    let folder = Folder::new();
+    let old = folder.issue();
+    let server = folder.start().await;
+    let foreign = rcgen::KeyPair::generate().expect("a key").serialize_pem();
+    folder.write(file, text.unwrap_or(&foreign));
+    connect(&server, &old, b"http/1.1").await.expect("trusted");
+    fs::remove_file(folder.0.join(file)).expect("the file exists");
+    connect(&server, &old, b"http/1.1").await.expect("trusted");
+    let new = folder.issue();
+    connect(&server, &new, b"http/1.1").await.expect("trusted");
+    server.shutdown().await;
+}
+
+/// Guards against a listener that starts without the protection asked for.
+#[tokio::test]
+async fn a_missing_certificate_stops_the_start() {
+    let folder = Folder::new();
+    let options = front::Options {
+        tls: Some(folder.options()),
+        ..common::options()
+    };
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let service = sync::Arc::<common::Gate>::default();
+    assert!(front::Server::start(any, options, service).await.is_err());
+}
+
+/// Guards against plain requests that pass a TLS listener, and against callers
+/// that hold a connection without a handshake.
+#[tokio::test]
+async fn a_handshake_is_required_and_bounded() {
+    let folder = Folder::new();
+    folder.issue();
+    let tls = front::tls::Options {
+        handshake_timeout: time::Duration::from_millis(100),
+        ..folder.options()
+    };
+    let options = front::Options {
+        tls: Some(tls),
+        ..common::options()
+    };
+    let server = common::start(options, sync::Arc::default()).await;
+    let answer = common::exchange(common::connect(&server).await, REQUEST).await;
+    assert!(!answer.contains("HTTP"), "{answer}");
+    let mut silent = common::connect(&server).await;
+    let read = silent.read(&mut [0; 16]).await.expect("a close");
+    assert_eq!(read, 0);
+    server.shutdown().await;
+}
