feat(front): bound connections, idle time, streams and request heads

A caller could open any number of connections. One that sent nothing was kept for ever, because the read timeout of the HTTP library starts after the protocol is known, and so was an idle HTTP/2 connection. A head with more than 100 fields was refused by the library without a reason.

front::Options has connections_max (20,000), address_connections_max (512; an IPv6 /64 counts as one address), keep_alive (75 s), streams_max (128), header_count_max (100) and uri_max (8 KiB). A connection above a bound is closed, counted in Server::counters and logged at most once in 10 s. Each connection records the arrival of bytes and its requests in flight: the first head, and over HTTP/1.1 every later head, must arrive within idle_timeout from its first byte; without a request in flight the connection closes after keep_alive, and 30 s later at the latest. The limits of the HTTP library are set above those of the router, so that a refusal carries the kind header_too_large; far above them (64 KiB or 156 fields) the library still answers 431 without a body.

With the stream bound or the field room removed the new tests fail.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -15,6 +15,10 @@
     limit: u64,
     idle: time::Duration,
 ) -> Result<Bytes, Refusal> {
+    let above = || {
+        let text = format!("the body is above the limit of {limit} bytes");
+        Refusal::new(Kind::BodyTooLarge, text)
+    };
     let mut body = body;
     let mut whole = bytes::BytesMut::new();
     loop {
@@ -33,8 +37,7 @@
             continue;
         };
         if (whole.len() + data.len()) as u64 > limit {
-            let text = format!("the body is above the limit of {limit} bytes");
-            return Err(Refusal::new(Kind::BodyTooLarge, text));
+            return Err(above());
         }
         whole.extend_from_slice(&data);
     }
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -1,20 +1,49 @@
+use core::convert;
+use core::time;
 use std::net;
 use std::sync;
 
+use hyper::service::Service as _;
 use hyper_util::rt;
 use hyper_util::server::conn::auto;
+use hyper_util::service;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
+use crate::activity;
+use crate::counters;
 use crate::options;
+use crate::parse;
+use crate::reply;
+use crate::reply_body;
 use crate::routes;
+use crate::stream;
 use crate::tls;
 
+/// Longest time to send the rest of the last answer once a connection closes.
+const CLOSE_GRACE: time::Duration = time::Duration::from_secs(30);
+/// Bytes of a request head that are read above its limits, so that the
+/// refusal is the router's own. The HTTP library refuses without a body.
+const HEAD_ROOM_BYTES: usize = 64 * 1024;
+/// Header fields that are read above their limit, for the same reason.
+const HEAD_ROOM_FIELDS: usize = 156;
+/// Bytes that HTTP/2 counts for each header field besides its text.
+const FIELD_BYTES: usize = 32;
+/// Smallest read buffer that the HTTP library accepts.
+const BUFFER_BYTES_MIN: usize = 8 * 1024;
+
+type Router = service::TowerToHyperService<axum::Router>;
+type Response = http::Response<reply_body::Body>;
+
 /// What all connections of a listener share.
 pub(crate) struct Shared {
     builder: auto::Builder<rt::TokioExecutor>,
-    router: axum::Router,
+    options: sync::Arc<options::Options>,
+    router: Router,
     tls: Option<tls::Acceptor>,
+    /// Counts of the listener.
+    pub(crate) cells: counters::Cells,
 }
 
 impl Shared {
@@ -22,10 +51,32 @@
     pub(crate) fn new(state: routes::State, tls: Option<tls::Acceptor>) -> Self {
         Self {
             builder: builder(&state.options),
-            router: routes::build(state),
+            options: state.options.clone(),
+            router: service::TowerToHyperService::new(routes::build(state)),
             tls,
+            cells: counters::Cells::default(),
         }
     }
+
+    async fn answer(
+        self: sync::Arc<Self>,
+        mut request: http::Request<hyper::body::Incoming>,
+        remote: net::SocketAddr,
+        running: activity::Running,
+    ) -> Result<Response, convert::Infallible> {
+        let bounds = parse::bounds(request.uri(), request.headers(), &self.options);
+        let response = match bounds {
+            Ok(()) => {
+                request.extensions_mut().insert(routes::Remote(remote));
+                self.router.call(request).await?
+            }
+            Err(refusal) => reply::refused(&refusal),
+        };
+        Ok(response.map(|inner| reply_body::Body {
+            inner,
+            _running: running,
+        }))
+    }
 }
 
 /// Serves one connection to its end.
@@ -47,36 +98,97 @@
     };
     match handshake {
         Ok(stream) => exchange(&shared, stream, remote, stopped).await,
-        Err(cause) => log::debug!(target: "front", "TLS handshake of {remote} failed: {cause}"),
+        Err(cause) => {
+            counters::count(&shared.cells.handshakes_failed);
+            log::debug!(target: "front", "TLS handshake of {remote} failed: {cause}");
+        }
     }
 }
 
 async fn exchange<I>(
-    shared: &Shared,
+    shared: &sync::Arc<Shared>,
     stream: I,
     remote: net::SocketAddr,
     mut stopped: watch::Receiver<bool>,
 ) where
     I: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    let router = shared
-        .router
-        .clone()
-        .layer(axum::Extension(routes::Remote(remote)));
-    let service = hyper_util::service::TowerToHyperService::new(router);
+    let activity = watch::Sender::new(activity::Activity::new(Instant::now()));
+    let mut changes = activity.subscribe();
+    let stream = stream::Stream::new(stream, activity.clone());
+    let service = hyper::service::service_fn(|request: http::Request<_>| {
+        let running = activity::Running::start(&activity, request.version());
+        shared.clone().answer(request, remote, running)
+    });
     let connection = shared
         .builder
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = core::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = until(&mut stopped) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut closing = None;
+    loop {
+        let state = *changes.borrow_and_update();
+        let (deadline, reason) = next(&state, closing, &shared.options);
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(cause) = ended {
+                    log::debug!(target: "front", "connection of {remote} ended: {cause}");
+                }
+                return;
+            }
+            () = until(&mut stopped), if closing.is_none() => {
+                closing = Some(Instant::now());
+                connection.as_mut().graceful_shutdown();
+            }
+            _ = changes.changed() => {}
+            () = sleep(deadline) => match reason {
+                activity::Reason::Idle if closing.is_none() => {
+                    counters::count(&shared.cells.idle_closed);
+                    closing = Some(Instant::now());
+                    connection.as_mut().graceful_shutdown();
+                }
+                activity::Reason::Idle => {
+                    log::debug!(target: "front", "connection of {remote} cut: it did not close in time");
+                    return;
+                }
+                activity::Reason::Slow => {
+                    counters::count(&shared.cells.slow_heads);
+                    log::debug!(target: "front", "connection of {remote} closed: no request head in time");
+                    return;
+                }
+            }
         }
+    }
+}
+
+/// Returns when to act on a connection if nothing changes, and why.
+fn next(
+    state: &activity::Activity,
+    closing: Option<Instant>,
+    options: &options::Options,
+) -> (Option<Instant>, activity::Reason) {
+    let deadline = state.deadline(options.idle_timeout, options.keep_alive);
+    let Some(start) = closing else {
+        return match deadline {
+            Some((at, reason)) => (Some(at), reason),
+            None => (None, activity::Reason::Idle),
+        };
     };
-    if let Err(cause) = ended {
-        log::debug!(target: "front", "connection of {remote} ended: {cause}");
+    let cut = state
+        .quiet_since()
+        .map(|quiet| quiet.max(start) + CLOSE_GRACE);
+    match deadline {
+        Some((at, activity::Reason::Slow)) if cut.is_some_and(|cut| at < cut) => {
+            (Some(at), activity::Reason::Slow)
+        }
+        _ => (cut, activity::Reason::Idle),
+    }
+}
+
+/// Waits until the deadline, or for ever without one.
+async fn sleep(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => core::future::pending().await,
     }
 }
 
@@ -87,14 +199,25 @@
 }
 
 fn builder(options: &options::Options) -> auto::Builder<rt::TokioExecutor> {
+    let header_max = usize::try_from(options.header_max).unwrap_or(usize::MAX);
+    let head = header_max
+        .saturating_add(options.uri_max)
+        .saturating_add(HEAD_ROOM_BYTES);
+    let fields = options.header_count_max.saturating_add(HEAD_ROOM_FIELDS);
+    let list = head.saturating_add(fields.saturating_mul(FIELD_BYTES));
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(options.idle_timeout);
+        // The activity of the connection bounds the head: this timeout would
+        // close kept connections too.
+        .header_read_timeout(None)
+        .max_buf_size(head.max(BUFFER_BYTES_MIN))
+        .max_headers(fields);
     builder
         .http2()
         .timer(rt::TokioTimer::new())
-        .max_header_list_size(u32::try_from(options.header_max).unwrap_or(u32::MAX));
+        .max_concurrent_streams(options.streams_max)
+        .max_header_list_size(u32::try_from(list).unwrap_or(u32::MAX));
     builder
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,19 +3,26 @@
 //! It parses and bounds what callers send, hands a [`Request`] to a
 //! [`Service`], and turns each [`Answer`] or refusal into HTTP.
 
+mod activity;
 mod answer_body;
 mod body;
 mod connection;
+mod counters;
 mod options;
 mod parse;
 mod reply;
+mod reply_body;
 mod request;
 mod routes;
 mod server;
 mod service;
+mod slots;
+mod stream;
+mod throttle;
 pub mod tls;
 
 pub use answer_body::Answer;
+pub use counters::Counters;
 pub use options::Options;
 pub use reply::refusal as refusal_reply;
 pub use request::{Path, Request};
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -9,10 +9,24 @@
     pub body_max: u64,
     /// Upper bound of all headers of a request in bytes.
     pub header_max: u64,
-    /// Longest silence of a caller while it sends its request.
+    /// Longest silence of a caller while it sends its request, and longest
+    /// time for the head of the first request of a connection.
     pub idle_timeout: time::Duration,
     /// Certificate and key; without them the listener speaks plain HTTP.
     pub tls: Option<tls::Options>,
+    /// Upper bound of open connections.
+    pub connections_max: usize,
+    /// Upper bound of open connections of one caller address. The addresses of
+    /// an IPv6 /64 network count as one, because a caller usually has them all.
+    pub address_connections_max: usize,
+    /// How long a connection without a request in flight is kept.
+    pub keep_alive: time::Duration,
+    /// Upper bound of requests in flight on one HTTP/2 connection.
+    pub streams_max: u32,
+    /// Upper bound of header fields of a request.
+    pub header_count_max: usize,
+    /// Upper bound of a request's URI in bytes.
+    pub uri_max: usize,
 }
 
 impl Default for Options {
@@ -23,6 +37,12 @@
             header_max: 32 * 1024,
             idle_timeout: time::Duration::from_secs(10),
             tls: None,
+            connections_max: 20_000,
+            address_connections_max: 512,
+            keep_alive: time::Duration::from_secs(75),
+            streams_max: 128,
+            header_count_max: 100,
+            uri_max: 8 * 1024,
         }
     }
 }
--- a/crates/front/src/parse.rs
+++ b/crates/front/src/parse.rs
@@ -5,6 +5,7 @@
 use http::header;
 use xxhash_rust::xxh3;
 
+use crate::options;
 use crate::request;
 
 /// Characters of a prompt per token, for the estimate of its length.
@@ -53,20 +54,44 @@
     pub(crate) passed: http::HeaderMap,
 }
 
-/// Parses the headers of a request.
+/// Checks that the head of a request is within the limits.
 ///
 /// # Errors
 ///
-/// Refuses headers above `limit` bytes and values that cannot be parsed.
-pub(crate) fn head(headers: &http::HeaderMap, limit: u64) -> Result<Head, Refusal> {
+/// Refuses a URI or headers above their limits.
+pub(crate) fn bounds(
+    uri: &http::Uri,
+    headers: &http::HeaderMap,
+    options: &options::Options,
+) -> Result<(), Refusal> {
+    let above = |what: &str, limit: u64, unit: &str| {
+        let text = format!("{what} above the limit of {limit} {unit}");
+        Err(Refusal::new(Kind::HeaderTooLarge, text))
+    };
+    let length = uri.path().len() + uri.query().map_or(0, |query| query.len() + 1);
+    if length > options.uri_max {
+        return above("the URI is", options.uri_max as u64, "bytes");
+    }
+    if headers.len() > options.header_count_max {
+        let limit = options.header_count_max as u64;
+        return above("the headers are", limit, "fields");
+    }
     let size: usize = headers
         .iter()
         .map(|(name, value)| name.as_str().len() + value.len())
         .sum();
-    if size as u64 > limit {
-        let text = format!("the headers are above the limit of {limit} bytes");
-        return Err(Refusal::new(Kind::HeaderTooLarge, text));
+    if size as u64 > options.header_max {
+        return above("the headers are", options.header_max, "bytes");
     }
+    Ok(())
+}
+
+/// Parses the headers of a request.
+///
+/// # Errors
+///
+/// Refuses values that cannot be parsed.
+pub(crate) fn head(headers: &http::HeaderMap) -> Result<Head, Refusal> {
     let bearer = match text(headers, header::AUTHORIZATION.as_str())? {
         None => None,
         Some(value) => Some(parse_bearer(value)?),
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -35,6 +35,16 @@
     response
 }
 
+/// Turns a refusal into an HTTP answer with a new identity.
+pub(crate) fn refused(cause: &Refusal) -> axum::response::Response {
+    refusal(cause, &new_id())
+}
+
+/// Returns a new identity for a request.
+pub(crate) fn new_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
 /// Turns an answer into an HTTP answer.
 pub(crate) fn answer(answer: answer_body::Answer, id: &str) -> axum::response::Response {
     let mut response = axum::response::Response::new(answer.body);
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -48,13 +48,12 @@
 }
 
 async fn not_found() -> axum::response::Response {
-    let refusal = Refusal::new(Kind::NotFound, "no such path");
-    reply::refusal(&refusal, &new_id())
+    reply::refused(&Refusal::new(Kind::NotFound, "no such path"))
 }
 
 async fn bad_method() -> axum::response::Response {
     let refusal = Refusal::new(Kind::BadMethod, "the path does not take this method");
-    reply::refusal(&refusal, &new_id())
+    reply::refused(&refusal)
 }
 
 async fn chat(
@@ -79,7 +78,7 @@
     request: extract::Request,
     path: &'static str,
 ) -> axum::response::Response {
-    let id = new_id();
+    let id = reply::new_id();
     let outcome = match read_model(&state, remote, request, path, &id).await {
         Ok(request) => state.service.serve(request).await,
         Err(refusal) => Err(refusal),
@@ -95,7 +94,7 @@
     id: &str,
 ) -> Result<request::Request, Refusal> {
     let (parts, raw) = request.into_parts();
-    let head = parse::head(&parts.headers, state.options.header_max)?;
+    let head = parse::head(&parts.headers)?;
     let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
     let model = parse::model(&body)?;
     let path = request::Path::Model {
@@ -128,7 +127,7 @@
     extract::Path((name, path)): extract::Path<(String, String)>,
     request: extract::Request,
 ) -> axum::response::Response {
-    let id = new_id();
+    let id = reply::new_id();
     let outcome = match read_service(&state, remote, name, path, request, &id).await {
         Ok(request) => state.service.serve(request).await,
         Err(refusal) => Err(refusal),
@@ -145,7 +144,7 @@
     id: &str,
 ) -> Result<request::Request, Refusal> {
     let (parts, raw) = request.into_parts();
-    let head = parse::head(&parts.headers, state.options.header_max)?;
+    let head = parse::head(&parts.headers)?;
     let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
     let path = match parts.uri.query() {
         Some(query) => format!("/{path}?{query}"),
@@ -189,7 +188,3 @@
         }
     }
 }
-
-fn new_id() -> String {
-    format!("{:016x}", rand::random::<u64>())
-}
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -7,9 +7,12 @@
 use tokio_util::task;
 
 use crate::connection;
+use crate::counters;
 use crate::options;
 use crate::routes;
 use crate::service;
+use crate::slots;
+use crate::throttle;
 use crate::tls;
 
 /// Time to wait after the listener failed to accept, such as when the process
@@ -19,6 +22,8 @@
 /// A listener for callers.
 pub struct Server {
     address: net::SocketAddr,
+    shared: sync::Arc<connection::Shared>,
+    slots: sync::Arc<slots::Slots>,
     stop: watch::Sender<bool>,
     task: tokio::task::JoinHandle<()>,
 }
@@ -41,14 +46,24 @@
         let listener = tokio::net::TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
+        let slots = slots::Slots::new(options.connections_max, options.address_connections_max);
+        let slots = sync::Arc::new(slots);
         let state = routes::State {
             service,
             options: sync::Arc::new(options),
         };
-        let shared = connection::Shared::new(state, tls);
-        let task = tokio::spawn(accept(listener, sync::Arc::new(shared), stopped));
+        let shared = sync::Arc::new(connection::Shared::new(state, tls));
+        let listener = Listener {
+            listener,
+            shared: shared.clone(),
+            slots: slots.clone(),
+            throttle: throttle::Throttle::default(),
+        };
+        let task = tokio::spawn(listener.accept(stopped));
         Ok(Self {
             address,
+            shared,
+            slots,
             stop,
             task,
         })
@@ -59,6 +74,11 @@
         self.address
     }
 
+    /// Returns what happened to connections since the start.
+    pub fn counters(&self) -> counters::Counters {
+        self.shared.cells.read(self.slots.open() as u64)
+    }
+
     /// Stops accepting and waits until every request in flight has its answer.
     pub async fn shutdown(self) {
         self.stop.send_replace(true);
@@ -72,29 +92,58 @@
     io::Error::new(io::ErrorKind::InvalidInput, cause)
 }
 
-async fn accept(
+struct Listener {
     listener: tokio::net::TcpListener,
     shared: sync::Arc<connection::Shared>,
-    mut stopped: watch::Receiver<bool>,
-) {
-    let connections = task::TaskTracker::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|&stop| stop) => break,
-        };
-        match accepted {
-            Ok((stream, remote)) => {
-                let serving = connection::serve(shared.clone(), stream, remote, stopped.clone());
-                connections.spawn(serving);
-            }
-            Err(cause) => {
-                log::warn!(target: "front", "accept failed: {cause}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+    slots: sync::Arc<slots::Slots>,
+    throttle: throttle::Throttle,
+}
+
+impl Listener {
+    async fn accept(mut self, mut stopped: watch::Receiver<bool>) {
+        let connections = task::TaskTracker::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = stopped.wait_for(|&stop| stop) => break,
+            };
+            let (stream, remote) = match accepted {
+                Ok(pair) => pair,
+                Err(cause) => {
+                    log::warn!(target: "front", "accept failed: {cause}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let slot = match self.slots.take(remote.ip()) {
+                Ok(slot) => slot,
+                Err(full) => {
+                    self.refuse(remote, full);
+                    continue;
+                }
+            };
+            let serving = connection::serve(self.shared.clone(), stream, remote, stopped.clone());
+            connections.spawn(async move {
+                serving.await;
+                drop(slot);
+            });
+        }
+        drop(self.listener);
+        connections.close();
+        connections.wait().await;
+    }
+
+    fn refuse(&mut self, remote: net::SocketAddr, full: slots::Full) {
+        let cells = &self.shared.cells;
+        counters::count(match full {
+            slots::Full::All => &cells.refused_all,
+            slots::Full::Address => &cells.refused_address,
+        });
+        if let Some(count) = self.throttle.note(std::time::Instant::now()) {
+            log::warn!(
+                target: "front",
+                "connection of {remote} refused: {full}; {count} refused since the last message"
+            );
         }
     }
-    drop(listener);
-    connections.close();
-    connections.wait().await;
 }
--- /dev/null
+++ b/crates/front/src/stream.rs
@@ -0,0 +1,73 @@
+use core::pin;
+use core::task;
+use std::io;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::watch;
+
+use crate::activity;
+
+/// A byte stream that notes when bytes arrive.
+#[derive(Debug)]
+pub(crate) struct Stream<I> {
+    inner: I,
+    activity: watch::Sender<activity::Activity>,
+}
+
+impl<I> Stream<I> {
+    /// Returns a stream that notes arrivals in `activity`.
+    pub(crate) fn new(inner: I, activity: watch::Sender<activity::Activity>) -> Self {
+        Self { inner, activity }
+    }
+}
+
+impl<I: AsyncRead + Unpin> AsyncRead for Stream<I> {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = pin::Pin::new(&mut self.inner).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            activity::received(&self.activity);
+        }
+        read
+    }
+}
+
+impl<I: AsyncWrite + Unpin> AsyncWrite for Stream<I> {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.inner).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -1,7 +1,5 @@
 //! A caller interface in front of a service that tests control.
 
-#![expect(dead_code, reason = "no test file uses every helper")]
-
 use core::net;
 use core::time;
 use std::sync;
@@ -25,9 +23,9 @@
         self.closed.send_replace(closed);
     }
 
-    /// Waits until this many requests are being served.
+    /// Waits until at least this many requests are being served.
     pub async fn wait_for(&self, running: usize) {
-        while self.running.load(atomic::Ordering::SeqCst) != running {
+        while self.running.load(atomic::Ordering::SeqCst) < running {
             tokio::time::sleep(time::Duration::from_millis(2)).await;
         }
     }
@@ -98,3 +96,42 @@
     drop(stream.read_to_end(&mut answer).await);
     String::from_utf8_lossy(&answer).into_owned()
 }
+
+/// Waits until a counter of the listener has this value.
+pub async fn until(server: &front::Server, wanted: u64, read: fn(&front::Counters) -> u64) {
+    while read(&server.counters()) != wanted {
+        tokio::time::sleep(time::Duration::from_millis(2)).await;
+    }
+}
+
+/// Requests over one HTTP/2 connection.
+pub type Sender = hyper::client::conn::http2::SendRequest<http_body_util::Full<bytes::Bytes>>;
+
+/// Speaks HTTP/2 over a connection.
+pub async fn http2<I>(stream: I) -> Sender
+where
+    I: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let stream = hyper_util::rt::TokioIo::new(stream);
+    let (sender, connection) = hyper::client::conn::http2::handshake(executor, stream)
+        .await
+        .expect("speaks HTTP/2");
+    tokio::spawn(connection);
+    sender
+}
+
+/// Sends a request over HTTP/2 and returns the status and the body.
+pub async fn send(
+    mut sender: Sender,
+    request: http::request::Builder,
+    body: &'static str,
+) -> (u16, String) {
+    let request = request.body(http_body_util::Full::from(body));
+    let response = sender.send_request(request.expect("valid")).await;
+    let response = response.expect("an answer");
+    let status = response.status().as_u16();
+    let body = http_body_util::BodyExt::collect(response.into_body()).await;
+    let body = body.expect("a body").to_bytes();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
--- /dev/null
+++ b/crates/front/tests/limits.rs
@@ -0,0 +1,238 @@
+//! Tests of limits on connections, times and request heads.
+
+mod common;
+
+use core::time;
+use std::sync;
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const KEPT: &[u8] = b"GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n";
+const LAST: &[u8] = b"GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+/// HTTP/2 preface with empty settings.
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00";
+/// Headers of HTTP/2 stream 1 that a continuation must follow.
+const UNFINISHED: &[u8] = b"\x00\x00\x01\x01\x00\x00\x00\x00\x01\x82";
+
+async fn read_answer(stream: &mut tokio::net::TcpStream) {
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"}") {
+        assert_ne!(stream.read_buf(&mut answer).await.expect("an answer"), 0);
+    }
+}
+
+/// Guards against one caller, or all together, who use up the memory and the
+/// file descriptors of a host, and against slots that are never given back.
+#[rstest]
+#[case::of_one_address(front::Options { address_connections_max: 2, ..common::options() })]
+#[case::in_all(front::Options { connections_max: 2, ..common::options() })]
+#[tokio::test]
+async fn connections_are_bounded(#[case] options: front::Options) {
+    let options = front::Options {
+        idle_timeout: time::Duration::from_secs(60),
+        ..options
+    };
+    let server = common::start(options, sync::Arc::default()).await;
+    let first = common::connect(&server).await;
+    let second = common::connect(&server).await;
+    common::until(&server, 2, |counters| counters.open).await;
+    let refused = common::rest(common::connect(&server).await).await;
+    assert_eq!(refused, "");
+    let counters = server.counters();
+    assert_eq!(counters.refused_all + counters.refused_address, 1);
+    drop(first);
+    common::until(&server, 1, |counters| counters.open).await;
+    let answer = common::exchange(common::connect(&server).await, LAST).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    drop(second);
+    server.shutdown().await;
+}
+
+/// Guards against callers that hold a connection without a whole request head.
+#[rstest]
+#[case::silent(b"")]
+#[case::http1(b"GET /v1/models HTTP/1.1\r\nhost: x\r\nx-a")]
+#[case::preface(&PREFACE[..10])]
+#[case::settings(PREFACE)]
+#[case::http2(&[PREFACE, UNFINISHED].concat())]
+#[tokio::test]
+async fn a_head_must_arrive_in_time(#[case] bytes: &[u8]) {
+    let server = common::start(common::options(), sync::Arc::default()).await;
+    common::exchange(common::connect(&server).await, bytes).await;
+    assert_eq!(server.counters().slow_heads, 1);
+    server.shutdown().await;
+}
+
+/// Guards against a caller that sends one byte now and then, and whose
+/// connection is kept because it is never silent.
+#[rstest]
+#[case::first(false)]
+#[case::second(true)]
+#[tokio::test]
+async fn a_trickled_head_is_late_too(#[case] after_another: bool) {
+    let server = common::start(common::options(), sync::Arc::default()).await;
+    let mut stream = common::connect(&server).await;
+    if after_another {
+        stream.write_all(KEPT).await.expect("the listener reads");
+        read_answer(&mut stream).await;
+    }
+    let mut sent = 0;
+    while server.counters().slow_heads == 0 {
+        // The listener may close between the check and the write.
+        drop(stream.write_all(&LAST[sent..=sent]).await);
+        sent = (sent + 1).min(20);
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    drop(stream);
+    server.shutdown().await;
+}
+
+fn keeps_briefly() -> front::Options {
+    front::Options {
+        keep_alive: time::Duration::from_millis(100),
+        ..common::options()
+    }
+}
+
+/// Guards against idle connections that are kept for ever.
+#[rstest]
+#[case::http1(false)]
+#[case::http2(true)]
+#[tokio::test]
+async fn idle_connections_are_closed(#[case] is_http2: bool) {
+    let server = common::start(keeps_briefly(), sync::Arc::default()).await;
+    let mut stream = common::connect(&server).await;
+    if is_http2 {
+        let sender = common::http2(stream).await;
+        let request = http::Request::get("http://x/v1/models");
+        assert_eq!(common::send(sender.clone(), request, "").await.0, 200);
+        while !sender.is_closed() {
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+    } else {
+        stream.write_all(KEPT).await.expect("the listener reads");
+        read_answer(&mut stream).await;
+        assert_eq!(common::rest(stream).await, "");
+    }
+    common::until(&server, 0, |counters| counters.open).await;
+    assert_eq!(server.counters().idle_closed, 1);
+    server.shutdown().await;
+}
+
+/// Guards against a long answer that is cut by the limits for idle callers.
+#[rstest]
+#[case::http1(false)]
+#[case::http2(true)]
+#[tokio::test]
+async fn a_request_in_flight_keeps_its_connection(#[case] is_http2: bool) {
+    let gate = sync::Arc::<common::Gate>::default();
+    gate.close(true);
+    let server = common::start(keeps_briefly(), gate.clone()).await;
+    let stream = common::connect(&server).await;
+    let running = tokio::spawn(async move {
+        if is_http2 {
+            let request = http::Request::get("http://x/services/a/b");
+            let sender = common::http2(stream).await;
+            return common::send(sender, request, "").await.1;
+        }
+        let request = b"GET /services/a/b HTTP/1.1\r\nhost: x\r\n\r\n";
+        common::exchange(stream, request).await
+    });
+    gate.wait_for(1).await;
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    gate.close(false);
+    let answer = running.await.expect("the caller does not panic");
+    assert!(answer.ends_with("ok"), "{answer}");
+    server.shutdown().await;
+}
+
+/// Guards against one HTTP/2 connection that brings more requests at once than
+/// many connections of HTTP/1.1.
+#[tokio::test]
+async fn streams_of_a_connection_are_bounded() {
+    let gate = sync::Arc::<common::Gate>::default();
+    let options = front::Options {
+        streams_max: 2,
+        ..common::options()
+    };
+    let server = common::start(options, gate.clone()).await;
+    let sender = common::http2(common::connect(&server).await).await;
+    // The settings of the listener have arrived once an answer has.
+    let first = http::Request::get("http://x/v1/models");
+    common::send(sender.clone(), first, "").await;
+    gate.close(true);
+    let requests = (0..6).map(|_| {
+        let request = http::Request::get("http://x/services/a/b");
+        tokio::spawn(common::send(sender.clone(), request, ""))
+    });
+    let requests: Vec<_> = requests.collect();
+    gate.wait_for(2).await;
+    gate.close(false);
+    for request in requests {
+        assert_eq!(request.await.expect("no panic").0, 200);
+    }
+    assert_eq!(gate.peak.load(sync::atomic::Ordering::SeqCst), 2);
+    drop(sender);
+    server.shutdown().await;
+}
+
+fn long_head(kind: &str) -> (String, Vec<(String, String)>) {
+    let field = |index: usize, length| (format!("x-{index}"), "y".repeat(length));
+    match kind {
+        "long" => ("/v1/models".to_owned(), vec![field(0, 5_000)]),
+        "many" => (
+            "/v1/models".to_owned(),
+            (0..120).map(|index| field(index, 1)).collect(),
+        ),
+        "uri" => (format!("/v1/models?{}", "y".repeat(9_000)), Vec::new()),
+        _ => (
+            "/v1/models".to_owned(),
+            (0..200).map(|index| field(index, 300)).collect(),
+        ),
+    }
+}
+
+/// Guards against a refusal that does not say what was too large, and against
+/// paths that forget the limits.
+#[rstest]
+#[tokio::test]
+async fn long_heads_get_their_reason(
+    #[values("long", "many", "uri", "both")] kind: &str,
+    #[values(false, true)] is_http2: bool,
+) {
+    let server = common::start(common::options(), sync::Arc::default()).await;
+    let (path, fields) = long_head(kind);
+    let stream = common::connect(&server).await;
+    let answer = if is_http2 {
+        let request = http::Request::get(format!("http://x{path}"));
+        let request = fields.iter().fold(request, |request, (name, value)| {
+            request.header(name, value)
+        });
+        let (status, body) = common::send(common::http2(stream).await, request, "").await;
+        format!("HTTP/2 {status} {body}")
+    } else {
+        let mut request = format!("GET {path} HTTP/1.1\r\nconnection: close\r\n");
+        for (name, value) in fields {
+            request.push_str(&format!("{name}: {value}\r\n"));
+        }
+        request.push_str("\r\n");
+        common::exchange(stream, request.as_bytes()).await
+    };
+    assert!(answer.contains(" 431 "), "{answer}");
+    assert!(answer.contains(r#""kind":"header_too_large""#), "{answer}");
+    assert!(answer.contains(r#""run_state":"not_run""#), "{answer}");
+    server.shutdown().await;
+}
+
+/// Guards against a head far above the limits that is read to its end; the
+/// HTTP library refuses it without a body.
+#[tokio::test]
+async fn huge_heads_are_refused() {
+    let server = common::start(common::options(), sync::Arc::default()).await;
+    let mut request = b"GET /v1/models HTTP/1.1\r\nx-long: ".to_vec();
+    request.resize(90_000, b'y');
+    let answer = common::exchange(common::connect(&server).await, &request).await;
+    assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+    server.shutdown().await;
+}
--- a/crates/front/tests/tls.rs
+++ b/crates/front/tests/tls.rs
@@ -1,5 +1,6 @@
 //! Tests of certificates and handshakes.
 
+#[expect(dead_code, reason = "these tests need no gate")]
 mod common;
 
 use core::time;
@@ -7,8 +8,6 @@
 use std::path;
 use std::sync;
 
-use http_body_util::BodyExt;
-use hyper_util::rt;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio_rustls::rustls;
@@ -97,7 +96,9 @@
     let stream = connect(&server, &trusted, protocol).await.expect("trusted");
     assert_eq!(stream.get_ref().1.alpn_protocol(), Some(protocol));
     if protocol == b"h2" {
-        assert_eq!(http2(stream).await, r#"{"data":[]}"#);
+        let request = http::Request::get(format!("https://{NAME}/v1/models"));
+        let answer = common::send(common::http2(stream).await, request, "").await;
+        assert_eq!(answer, (200, r#"{"data":[]}"#.to_owned()));
     } else {
         let answer = common::exchange(stream, REQUEST).await;
         assert!(answer.ends_with(r#"{"data":[]}"#), "{answer}");
@@ -105,21 +106,6 @@
     server.shutdown().await;
 }
 
-async fn http2(stream: Stream) -> String {
-    let handshake =
-        hyper::client::conn::http2::handshake(rt::TokioExecutor::new(), rt::TokioIo::new(stream));
-    let (mut sender, connection) = handshake.await.expect("speaks HTTP/2");
-    let running = tokio::spawn(connection);
-    let request = http::Request::get(format!("https://{NAME}/v1/models"))
-        .body(http_body_util::Empty::<bytes::Bytes>::new())
-        .expect("valid");
-    let response = sender.send_request(request).await.expect("an answer");
-    let body = response.into_body().collect().await.expect("a body");
-    drop(sender);
-    drop(running.await);
-    String::from_utf8_lossy(&body.to_bytes()).into_owned()
-}
-
 /// Guards against an old certificate that stays in use until it expires.
 #[tokio::test]
 async fn a_changed_certificate_is_taken_over() {
