--- /dev/null
+++ b/crates/front/src/parse/path.rs
@@ -0,0 +1,31 @@
+use answer::{Kind, Refusal};
+
+use crate::request;
+
+/// Prefix of the paths of plain services.
+const SERVICES: &str = "/services/";
+
+/// Parses the URI of a request to a plain service, `/services/{name}/{path}`.
+///
+/// The path and the query are kept as the caller escaped them. An unescaped
+/// path could gain a query or a line break on its way to the endpoint.
+///
+/// # Errors
+///
+/// Refuses a URI without a service name or without a path.
+pub fn path(uri: &http::Uri) -> Result<request::Path, Refusal> {
+    let named = uri
+        .path()
+        .strip_prefix(SERVICES)
+        .and_then(|rest| rest.split_once('/'));
+    match named {
+        Some((name, rest)) if !name.is_empty() && !rest.is_empty() => Ok(request::Path::Service {
+            name: name.to_owned(),
+            path: match uri.query() {
+                Some(query) => format!("/{rest}?{query}"),
+                None => format!("/{rest}"),
+            },
+        }),
+        _ => Err(Refusal::new(Kind::NotFound, "no such path")),
+    }
+}
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -65,6 +65,6 @@
     pub key: Option<String>,
     /// Time of the first attempt in Unix milliseconds.
     pub request_time: Option<u64>,
-    /// Whether the caller says that the work must not repeat.
+    /// Whether the caller says that the work may run more than once.
     pub idempotent: Option<bool>,
 }
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -7,6 +7,7 @@
 use axum::routing;
 
 use crate::body;
+use crate::fingerprint;
 use crate::options;
 use crate::parse;
 use crate::reply;
@@ -96,39 +97,56 @@
     let (parts, raw) = request.into_parts();
     let head = parse::head(&parts.headers)?;
     let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
-    let model = parse::model(&body)?;
+    let completion = parse::completion(&body)?;
     let path = request::Path::Model {
         path,
-        model: model.name,
+        model: completion.model,
     };
     Ok(request::Request {
+        stream: completion.stream,
+        max_tokens: completion.max_tokens,
+        prompt_tokens: completion.prompt_tokens,
+        prefix: completion.prefix,
+        ..plain(id, remote, path, parts.method, head, body)
+    })
+}
+
+/// Returns a request without what only the body of a model request says.
+fn plain(
+    id: &str,
+    remote: Remote,
+    path: request::Path,
+    method: http::Method,
+    head: parse::Head,
+    body: bytes::Bytes,
+) -> request::Request {
+    request::Request {
         id: id.to_owned(),
         address: remote.0.ip(),
-        fingerprint: parse::fingerprint(&path, head.bearer.as_deref(), &body),
+        fingerprint: fingerprint::fingerprint(&path, head.bearer.as_deref(), &body),
         bearer: head.bearer,
         path,
-        method: parts.method,
+        method,
         headers: head.passed,
         body,
-        stream: model.stream,
-        max_tokens: model.max_tokens,
-        prompt_tokens: model.prompt_tokens,
-        prefix: model.prefix,
+        stream: false,
+        max_tokens: None,
+        prompt_tokens: 0,
+        prefix: 0,
         deadline: head.deadline,
         key: head.key,
         request_time: head.request_time,
         idempotent: head.idempotent,
-    })
+    }
 }
 
 async fn service(
     extract::State(state): extract::State<State>,
     extract::Extension(remote): extract::Extension<Remote>,
-    extract::Path((name, path)): extract::Path<(String, String)>,
     request: extract::Request,
 ) -> axum::response::Response {
     let id = reply::new_id();
-    let outcome = match read_service(&state, remote, name, path, request, &id).await {
+    let outcome = match read_service(&state, remote, request, &id).await {
         Ok(request) => state.service.serve(request).await,
         Err(refusal) => Err(refusal),
     };
@@ -138,37 +156,14 @@
 async fn read_service(
     state: &State,
     remote: Remote,
-    name: String,
-    path: String,
     request: extract::Request,
     id: &str,
 ) -> Result<request::Request, Refusal> {
     let (parts, raw) = request.into_parts();
+    let path = parse::path(&parts.uri)?;
     let head = parse::head(&parts.headers)?;
     let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
-    let path = match parts.uri.query() {
-        Some(query) => format!("/{path}?{query}"),
-        None => format!("/{path}"),
-    };
-    let path = request::Path::Service { name, path };
-    Ok(request::Request {
-        id: id.to_owned(),
-        address: remote.0.ip(),
-        fingerprint: parse::fingerprint(&path, head.bearer.as_deref(), &body),
-        bearer: head.bearer,
-        path,
-        method: parts.method,
-        headers: head.passed,
-        body,
-        stream: false,
-        max_tokens: None,
-        prompt_tokens: 0,
-        prefix: 0,
-        deadline: head.deadline,
-        key: head.key,
-        request_time: head.request_time,
-        idempotent: head.idempotent,
-    })
+    Ok(plain(id, remote, path, parts.method, head, body))
 }
 
 fn finish(outcome: Result<crate::Answer, Refusal>, id: &str) -> axum::response::Response {
