--- a/crates/once/src/owner.rs
+++ b/crates/once/src/owner.rs
@@ -171,6 +171,7 @@
         first > begin && first >= oldest && first <= wall.saturating_add(skew)
     }
 
+    /// Stops for good when a newer lifetime of the same name is alive.
     fn meet_namesake(&mut self, incarnation: u64) {
         if incarnation > self.incarnation {
             self.superseded = true;
@@ -203,6 +204,7 @@
     /// Counts the acknowledgement that a claim carries.
     fn count(&mut self, claim: &claim::Claim) {
         let Some(ack) = claim.ack else { return };
+        self.meet_namesake(ack.incarnation);
         if ack.incarnation != self.incarnation || ack.epoch != self.options.epoch {
             return;
         }
