perf(peer): pack RPC messages on links

Cause: an ask with its reports took 928 bytes on the wire, most of them zeros, which at 12 requests/s as entry host and as home host is above the budget of 13 KB/s.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,6 +15,7 @@
 mod keys;
 mod limiter;
 mod origin;
+mod packed;
 pub mod platform;
 mod rpc;
 pub mod server;
--- a/crates/peer/src/server/accept.rs
+++ b/crates/peer/src/server/accept.rs
@@ -124,7 +124,6 @@
         Some(client.client),
     );
     let _closing = Closing(session.clone());
-    let disconnect = system.get_disconnector();
     let mut system = task::spawn_local(system);
     let mut stop = shared.stop.clone();
     tokio::select! {
@@ -134,8 +133,11 @@
         }
         _ = stop.wait_for(|&stopped| stopped) => {}
     }
-    // Closing in order releases the calls; a stuck connection is cut.
-    let _ = tokio::time::timeout(CLOSE, disconnect).await;
+    // The asks end while the system is still polled, which releases them. The
+    // disconnector of capnp-rpc 0.27.3 is not used: it panics when a message
+    // arrives at the same time.
+    session.release();
+    task::yield_now().await;
     system.abort();
     let _ = system.await;
 }
@@ -151,6 +153,3 @@
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-
-/// Longest duration of an orderly close.
-const CLOSE: time::Duration = time::Duration::from_millis(200);
--- a/crates/peer/src/server/session.rs
+++ b/crates/peer/src/server/session.rs
@@ -54,9 +54,14 @@
         }
     }
 
+    /// Ends all asks.
+    pub fn release(&self) {
+        self.asks.borrow_mut().clear();
+    }
+
     /// Ends all asks and reports the end of the link.
     pub fn close(&self) {
-        self.asks.borrow_mut().clear();
+        self.release();
         self.shared.counters.add(counters::Count::LinkEnded);
         self.shared.handler.lost(&self.origin);
     }
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -103,6 +103,19 @@
     assert_eq!(home.next().await, Seen::Cancel(1));
 }
 
+#[tokio::test]
+async fn a_silent_entry_host_is_given_up() {
+    let silence = core::time::Duration::from_millis(600);
+    let mut home = Home::with(keys(&["one"]), |options| options.silence = silence);
+    let proxy = Proxy::start(home.server.address()).await;
+    let client = client(keys(&["one"]));
+    tokio::spawn(async move { client.ask(proxy.address, ask(1, "held")).await });
+    assert_eq!(home.next().await, Seen::Ask(1));
+    proxy.flow.send_replace(Flow::Stall);
+    assert_eq!(home.next().await, Seen::AskDropped(1));
+    assert_eq!(home.next().await, Seen::Lost("entry".into(), 7));
+}
+
 #[tokio::test]
 async fn the_end_of_a_grant_is_reported_by_a_later_link() {
     let mut home = Home::start(keys(&["one"]));
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -5,8 +5,8 @@
 # Datagrams (Digest, Claim) travel as the packed body of a signed packet; see
 # crates/wire/src/packet.rs for the header. A TCP connection starts with the
 # frames Hello, Welcome and Proof, each prefixed with its length as a
-# little-endian UInt16. After Proof the connection carries Cap'n Proto RPC with
-# Session as the bootstrap interface of the accepting side.
+# little-endian UInt16. After Proof the connection carries packed Cap'n Proto RPC
+# messages with Session as the bootstrap interface of the accepting side.
 
 # --- datagrams -------------------------------------------------------------
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod limit;
 mod message;
 mod outcome;
+pub mod pack;
 mod packet;
 mod proof;
 mod refusal;
