--- /dev/null
+++ b/crates/admin/src/failure.rs
@@ -0,0 +1,36 @@
+use axum::http;
+use axum::response;
+
+/// Refusal of an administration request.
+pub struct Failure(pub answer::Refusal);
+
+impl Failure {
+    /// Returns a refusal.
+    pub fn new(kind: answer::Kind, message: &str) -> Self {
+        Self(answer::Refusal::new(kind, message))
+    }
+}
+
+impl response::IntoResponse for Failure {
+    fn into_response(self) -> response::Response {
+        let refusal = self.0;
+        let entry = refusal.kind.entry();
+        let status =
+            http::StatusCode::from_u16(entry.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+        let body = serde_json::json!({
+            "error": {
+                "kind": entry.name,
+                "message": refusal.message,
+                "run_state": refusal.run().name(),
+            }
+        });
+        let mut answer = (status, axum::Json(body)).into_response();
+        if status == http::StatusCode::UNAUTHORIZED {
+            let value = http::HeaderValue::from_static("Bearer");
+            answer
+                .headers_mut()
+                .insert(http::header::WWW_AUTHENTICATE, value);
+        }
+        answer
+    }
+}
