fix(peer): make broken links anew at once and bound open run bodies

Cause: after a link broke, asks failed with a backoff for up to 100 ms, which would send them to the next home host although the home host was alive; 64 open runs of 8 MiB could hold 512 MiB per slow link. Change: a link that lived longer than the smallest backoff is made anew at once; open runs of a link hold at most 16 MiB of bodies; tests for the largest body, another protocol version and a replayed handshake; the server of the tests uses two threads. Conclusion: a short break of a link no longer moves asks to another host.

--- a/crates/peer/src/client/calls.rs
+++ b/crates/peer/src/client/calls.rs
@@ -25,7 +25,8 @@
 pub struct Calls {
     running: stream::FuturesUnordered<future::LocalBoxFuture<'static, Event>>,
     asks: collections::HashMap<u64, command::Answer<wire::Reply>>,
-    runs: collections::HashMap<u64, command::Answer<wire::Outcome>>,
+    /// Open runs with the lengths of their bodies.
+    runs: collections::HashMap<u64, (usize, command::Answer<wire::Outcome>)>,
     fetches: collections::HashMap<u64, command::Answer<wire::Files>>,
     /// Reports that are not acknowledged, in order.
     reports: collections::BTreeMap<u64, report::Report>,
@@ -101,7 +102,8 @@
             }
             Some(Event::Run(serial, outcome)) => {
                 let heard = transfer::answered(&outcome);
-                finish(shared, self.runs.remove(&serial), outcome);
+                let reply = self.runs.remove(&serial).map(|(_, reply)| reply);
+                finish(shared, reply, outcome);
                 heard
             }
             Some(Event::Fetch(serial, files)) => {
@@ -127,7 +129,7 @@
     pub fn lose(&mut self, shared: &Shared, cause: cause::Cause) {
         self.running.clear();
         let error = error::Error::Lost(cause);
-        for (_, reply) in std::mem::take(&mut self.runs) {
+        for (_, (_, reply)) in std::mem::take(&mut self.runs) {
             finish(shared, Some(reply), Err(error));
         }
         for (_, reply) in std::mem::take(&mut self.fetches) {
@@ -187,7 +189,10 @@
         run: &wire::Run,
         reply: command::Answer<wire::Outcome>,
     ) {
-        if self.runs.len() >= shared.options.runs_max {
+        let length = run.request.body.len();
+        let open: usize = self.runs.values().map(|(length, _)| length).sum();
+        let above = open > 0 && open + length > shared.options.run_bytes_max;
+        if above || self.runs.len() >= shared.options.runs_max {
             return refuse(shared, reply, cause::Cause::Full);
         }
         let mut request = session.run_request();
@@ -195,7 +200,7 @@
             return refuse(shared, reply, cause::Cause::Encode(error));
         }
         let serial = self.next_serial();
-        self.runs.insert(serial, reply);
+        self.runs.insert(serial, (length, reply));
         let sent = request.send().promise;
         self.running.push(Box::pin(async move {
             let read = async {
--- a/crates/peer/src/client/link.rs
+++ b/crates/peer/src/client/link.rs
@@ -60,18 +60,23 @@
                 };
             }
             match connection::Connection::open(&self.shared, self.address).await {
-                Ok(connection) => match self.connected(connection, first.take()).await {
-                    End::Stopped => return,
-                    End::Idle if self.forget() => return,
-                    End::Idle => {}
-                    End::Lost => {
-                        // A host that accepts and then breaks links must not be
-                        // called in a tight loop.
-                        if !self.pause(cause::Cause::Backoff).await {
-                            return;
+                Ok(connection) => {
+                    let start = clock::Instant::now();
+                    match self.connected(connection, first.take()).await {
+                        End::Stopped => return,
+                        End::Idle if self.forget() => return,
+                        End::Idle => {}
+                        // A link that breaks now and then is made anew at once, so
+                        // that its host is not passed over. A host that accepts
+                        // and breaks links must not be called in a tight loop.
+                        End::Lost if start.elapsed() > self.shared.options.backoff_min => {}
+                        End::Lost => {
+                            if !self.pause(cause::Cause::Backoff).await {
+                                return;
+                            }
                         }
                     }
-                },
+                }
                 Err(cause) => {
                     if let Some(command) = first.take() {
                         self.turn_down(command, cause);
--- a/crates/peer/src/client/options.rs
+++ b/crates/peer/src/client/options.rs
@@ -34,6 +34,9 @@
     pub asks_max: usize,
     /// Upper bound of open runs and fetches per link; further ones are refused.
     pub runs_max: usize,
+    /// Upper bound of the bodies of open runs per link in bytes; a further run
+    /// is refused unless no other is open.
+    pub run_bytes_max: usize,
     /// Upper bound of reports that are not acknowledged; the oldest are dropped.
     pub reports_max: usize,
 }
@@ -56,6 +59,7 @@
             queue_max: 4_096,
             asks_max: 4_096,
             runs_max: 64,
+            run_bytes_max: 16 * 1024 * 1024,
             reports_max: 16_384,
         }
     }
--- a/crates/peer/tests/handshake.rs
+++ b/crates/peer/tests/handshake.rs
@@ -19,6 +19,80 @@
     assert_eq!(counters.get(peer::Count::LinkOpened), 0);
 }
 
+#[tokio::test]
+async fn another_version_is_refused() {
+    let home = Home::start(keys(&["one"]));
+    let keyring = wire::Keyring::new(&["one"]).expect("keyring");
+    let hello = wire::encode(&wire::Hello {
+        version: wire::limit::VERSION + 1,
+        name: "x".into(),
+        incarnation: 1,
+        nonce: [1; wire::limit::NONCE],
+        keys: keyring.ids(),
+    });
+    let hello = hello.expect("encode");
+    let address = home.server.address();
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connect");
+    let length = u16::try_from(hello.len()).expect("short");
+    stream.write_u16_le(length).await.expect("write");
+    stream.write_all(&hello).await.expect("write");
+    let mut rest = Vec::new();
+    let _ = soon(stream.read_to_end(&mut rest)).await;
+    assert!(rest.is_empty());
+    assert_eq!(home.server.counters().get(peer::Count::HandshakeVersion), 1);
+}
+
+#[tokio::test]
+async fn a_replayed_proof_is_refused() {
+    // Records one handshake and plays the connecting side's bytes again.
+    let home = Home::start(keys(&["one"]));
+    let address = home.server.address();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bind");
+    let tapped = listener.local_addr().expect("address");
+    let tap = tokio::spawn(async move {
+        let (mut near, _) = listener.accept().await.expect("accept");
+        let mut far = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("connect");
+        let mut sent = Vec::new();
+        let mut bytes = [0; 4_096];
+        // Hello and proof; the welcome is passed on between them.
+        for step in 0..3 {
+            if step == 1 {
+                let length = far.read(&mut bytes).await.expect("read");
+                near.write_all(&bytes[..length]).await.expect("write");
+                continue;
+            }
+            let length = near.read(&mut bytes).await.expect("read");
+            sent.extend_from_slice(&bytes[..length]);
+            far.write_all(&bytes[..length]).await.expect("write");
+        }
+        sent
+    });
+    let client = client(keys(&["one"]));
+    let _ = soon(client.ask(tapped, ask(1, "now"))).await;
+    let recorded = soon(tap).await.expect("recorded");
+    let before = home
+        .server
+        .counters()
+        .get(peer::Count::HandshakeUnauthentic);
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connect");
+    stream.write_all(&recorded).await.expect("write");
+    let mut rest = Vec::new();
+    let _ = soon(stream.read_to_end(&mut rest)).await;
+    let after = home
+        .server
+        .counters()
+        .get(peer::Count::HandshakeUnauthentic);
+    assert_eq!(after, before + 1);
+}
+
 #[tokio::test]
 async fn keys_rotate() {
     let (ours, theirs) = (keys(&["old"]), keys(&["old"]));
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -228,6 +228,48 @@
     ));
 }
 
+#[tokio::test]
+async fn the_largest_run_passes_and_waiting_bodies_are_bounded() {
+    let mut home = Home::start(keys(&["one"]));
+    let mut options = peer::client::Options::new(support::identity("entry"), keys(&["one"]));
+    options.run_bytes_max = 10;
+    options.ping_timeout = core::time::Duration::from_secs(20);
+    let client = peer::Client::start(options).expect("client");
+    let address = home.server.address();
+    let other = client.clone();
+    let largest = wire::limit::BODY;
+    let held = tokio::spawn(async move { other.run(address, run("held", largest)).await });
+    assert_eq!(home.next().await, Seen::Run(largest));
+    let refused = soon(client.run(address, run("orders", 1))).await;
+    assert_eq!(refused, Err(peer::Error::NotSent(peer::Cause::Full)));
+    home.release.send_replace(true);
+    let outcome = soon(held).await.expect("task").expect("outcome");
+    let wire::Outcome::Answer(answer) = outcome else {
+        panic!("no answer");
+    };
+    assert!(answer.body == run("held", largest).request.body);
+}
+
+#[tokio::test]
+async fn a_link_that_broke_is_made_anew_for_the_next_call() {
+    let mut home = Home::start(keys(&["one"]));
+    let proxy = Proxy::start(home.server.address()).await;
+    let mut options = peer::client::Options::new(support::identity("entry"), keys(&["one"]));
+    options.backoff_min = core::time::Duration::ZERO;
+    let client = peer::Client::start(options).expect("client");
+    for id in 0..3 {
+        let reply = soon(client.ask(proxy.address, ask(id, "now"))).await;
+        assert_eq!(reply, Ok(support::grant(id)));
+        assert_eq!(home.next().await, Seen::Ask(id));
+        proxy.flow.send_replace(Flow::Cut);
+        assert_eq!(home.next().await, Seen::Lost("entry".into(), 7));
+        proxy.flow.send_replace(Flow::Pass);
+        while client.counters().get(peer::Count::LinkEnded) <= id {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_run_goes_on_without_its_link() {
     let mut home = Home::start(keys(&["one"]));
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -131,7 +131,7 @@
 
 impl Home {
     pub fn start(keys: peer::Keys) -> Self {
-        Self::with(keys, |_| {})
+        Self::with(keys, |options| options.threads = 2)
     }
 
     pub fn with(keys: peer::Keys, change: impl FnOnce(&mut peer::server::Options)) -> Self {
