--- a/crates/peer/examples/measure.rs
+++ b/crates/peer/examples/measure.rs
@@ -54,6 +54,7 @@
         .enable_all()
         .build()?;
     runtime.block_on(async {
+        datagrams()?;
         memory().await?;
         churn().await?;
         bytes().await?;
@@ -248,6 +249,48 @@
     Ok(())
 }
 
+/// Measures the time and the length of signed digests.
+fn datagrams() -> anyhow::Result<()> {
+    let keys = wire::Keyring::new(&[SECRET])?;
+    let entries = (0..ENTRIES).map(entry).collect();
+    let packet = wire::Packet::Digest(fleet::Digest {
+        entries,
+        revision: 1_234_567,
+        content: [0xa5; 32],
+    });
+    let sealed = packet.seal(&keys)?;
+    let start = clock::Instant::now();
+    for _ in 0..CALLS {
+        packet.seal(&keys)?;
+    }
+    let seal = start.elapsed().as_secs_f64() * 1e6 / CALLS as f64;
+    let start = clock::Instant::now();
+    for _ in 0..CALLS {
+        wire::Packet::open(&sealed, &keys)?;
+    }
+    let open = start.elapsed().as_secs_f64() * 1e6 / CALLS as f64;
+    println!(
+        "digest with {ENTRIES} entries: {} bytes, {seal:.1} us to seal, {open:.1} us to open",
+        sealed.len(),
+    );
+    Ok(())
+}
+
+fn entry(index: u8) -> fleet::Entry {
+    let ip = net::Ipv4Addr::new(10, 20 + index % 11, index, 200 - index);
+    fleet::Entry {
+        name: format!("router-{}.dc{:02}", 100 + index, index % 11),
+        incarnation: 1_796_000_000_000 + u64::from(index) * 86_399_991,
+        counter: 1_000_003 + u64::from(index) * 7_919,
+        phase: fleet::Phase::Up,
+        suspected: false,
+        data_centre: format!("dc{:02}", index % 11),
+        region: format!("region-{}", index % 3),
+        peer: net::SocketAddr::from((ip, 7_401)),
+        caller: net::SocketAddr::from((ip, 8_080)),
+    }
+}
+
 /// Measures the memory that closed links leave behind.
 async fn churn() -> anyhow::Result<()> {
     let server = server()?;
@@ -301,6 +344,7 @@
 const CALLS: u64 = 1_000;
 const SERVERS: usize = 16;
 const CLIENTS: usize = 64;
+const ENTRIES: u8 = 24;
 const CHURN: usize = 2_000;
 /// Size of a page in bytes.
 const PAGE: f64 = 4_096.0;
