fix(route): pause an endpoint after one refused connection

Cause: an endpoint that refused a connection got one request at a time, and in a shard of two every second request of a quiet class met it; the retry budget started empty, so those callers got endpoint_connect. Conclusion: a dead endpoint costs one retry.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -235,6 +235,12 @@
         body_max: limits.body_max,
         header_max: limits.header_max,
         idle_timeout: limits.idle_timeout,
+        tls: options
+            .settings
+            .tls
+            .as_ref()
+            .map(|tls| front::tls::Options::new(&tls.certificate, &tls.key)),
+        ..front::Options::default()
     };
     front::Server::start(options.listen, limits, sync::Arc::new(service))
         .await
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -69,8 +69,9 @@
     }
 }
 
-/// Points of a connection that could not be made.
-pub(crate) const UNREACHABLE: u32 = 2;
+/// Points of a connection that could not be made. One is enough for a pause:
+/// the next request would fail in the same way and cost its caller a retry.
+pub(crate) const UNREACHABLE: u32 = DOWN;
 
 /// Points of a failure after the request may have been received.
 pub(crate) const FAILED: u32 = 1;
