feat(host): resume cut streams at another endpoint

Cause: an engine that died in the middle of a stream cost its caller the answer, though the engines can continue a partial answer. Change: with [pool] resume, the host keeps the text that the caller has, passes on whole events only, and asks another endpoint for the rest; the attempt counts against the retry budget. The stand-in engine continues a partial answer. The usage of a resumed answer covers its last part only.

--- a/crates/conf/src/build/model.rs
+++ b/crates/conf/src/build/model.rs
@@ -47,6 +47,7 @@
         long_tokens: build::count(group, "long_tokens"),
         long_share: group.number("long_share").unwrap_or_default(),
         idempotent: group.flag("idempotent"),
+        resume: group.flag("resume").unwrap_or_default(),
     }
 }
 
--- a/crates/conf/src/schema/model.rs
+++ b/crates/conf/src/schema/model.rs
@@ -166,6 +166,12 @@
             Kind::Flag,
             "Whether a request may run more than once, whatever its class says; without it the class decides.",
         ),
+        Key::default(
+            "resume",
+            Kind::Flag,
+            "false",
+            "Whether the engines continue a partial answer (`continue_final_message` for chat, the extended prompt otherwise), so that a stream that an engine cut goes on at another one.",
+        ),
     ],
 };
 
--- a/crates/conf/src/settings/pool.rs
+++ b/crates/conf/src/settings/pool.rs
@@ -15,4 +15,6 @@
     pub long_share: f64,
     /// Whether a request may run more than once; `None` leaves it to the class.
     pub idempotent: Option<bool>,
+    /// Whether the engines continue a partial answer.
+    pub resume: bool,
 }
--- a/crates/conf/tests/load.rs
+++ b/crates/conf/tests/load.rs
@@ -68,6 +68,7 @@
         long_tokens: 2048,
         long_share: 0.25,
         idempotent: Some(false),
+        resume: true,
     };
     let endpoint = settings::Endpoint {
         pool: "orders".into(),
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -68,6 +68,7 @@
     terms: &'a terms::Terms,
     delivery: Delivery,
     queued: time::Duration,
+    number: u16,
 }
 
 impl Flow {
@@ -118,6 +119,7 @@
                 terms,
                 delivery,
                 queued: progress.queued,
+                number: progress.attempt,
             };
             let failure = match self.attempt(attempt, permit, deadline).await {
                 Ok(answer) => return Ok(answer),
@@ -142,6 +144,54 @@
         }
     }
 
+    /// Asks another endpoint for the rest of a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the ask or of the endpoint.
+    pub(crate) async fn resume(
+        &self,
+        resume: &relay::Resume,
+        body: bytes::Bytes,
+        avoid: &str,
+    ) -> Result<relay::Source, Refusal> {
+        let request = front::Request {
+            body,
+            ..resume.request.clone()
+        };
+        let want = broker::Want {
+            request: &request,
+            terms: &resume.terms,
+            deadline: self.clock.now() + resume.terms.deadline,
+            attempt: resume.attempt,
+            avoid: Some(avoid),
+        };
+        let permit = self.broker.ask(&want).await?;
+        let built = outbound::build(&request, permit.grant(), resume.terms.tier)
+            .map_err(|cause| Refusal::new(Kind::Internal, cause.to_string()))?;
+        let (permit, head, body) = self
+            .send(permit, built, back::Reuse::Kept)
+            .await
+            .map_err(|failure| failure.refusal)?;
+        if !head.status.is_success() {
+            permit.finish(pool::Result::Failed);
+            let text = format!("the endpoint did not go on: {}", head.status);
+            return Err(Refusal::new(Kind::EndpointFailed, text));
+        }
+        begin(permit, body).await.map_err(|failure| failure.refusal)
+    }
+
+    fn resumption(&self, attempt: &Attempt<'_>) -> Option<relay::Resume> {
+        let force = self.broker.state.force();
+        let pool = force.settings.pools.get(attempt.request.path.pool())?;
+        (pool.resume && attempt.terms.idempotent).then(|| relay::Resume {
+            flow: self.clone(),
+            request: attempt.request.clone(),
+            terms: attempt.terms.clone(),
+            attempt: attempt.number,
+        })
+    }
+
     async fn attempt(
         &self,
         attempt: Attempt<'_>,
@@ -178,6 +228,34 @@
         } else {
             back::Reuse::Fresh
         };
+        let (permit, head, body) = self.send(permit, built, reuse).await?;
+        let stream = request.stream && head.status.is_success();
+        let body = match attempt.delivery {
+            Delivery::Streamed if stream => {
+                let source = begin(permit, body).await?;
+                relay::events(source, request.id.clone(), self.resumption(&attempt))
+            }
+            _ => whole(permit, body, stream).await?,
+        };
+        Ok(front::Answer {
+            status: head.status,
+            headers: passed(&head.headers),
+            body,
+            class: attempt.terms.class.to_string(),
+            queued: attempt.queued,
+        })
+    }
+}
+
+impl Flow {
+    /// Sends a request and returns the head of an answer that is not a refusal
+    /// or failure of the endpoint.
+    async fn send(
+        &self,
+        permit: permit::Permit,
+        built: http::Request<http_body_util::Full<bytes::Bytes>>,
+        reuse: back::Reuse,
+    ) -> Result<(permit::Permit, http::response::Parts, back::Body), Failure> {
         let response = match self.client.send(built, reuse).await {
             Ok(response) => response,
             Err(back::Error::NotSent(cause)) => {
@@ -192,32 +270,22 @@
         };
         let (head, body) = response.into_parts();
         let permit = check_status(head.status, permit)?;
-        let stream = request.stream && head.status.is_success();
-        let body = match attempt.delivery {
-            Delivery::Streamed if stream => streamed(request, permit, body).await?,
-            _ => whole(permit, body, stream).await?,
-        };
-        Ok(front::Answer {
-            status: head.status,
-            headers: passed(&head.headers),
-            body,
-            class: attempt.terms.class.to_string(),
-            queued: attempt.queued,
-        })
+        Ok((permit, head, body))
     }
 }
 
-async fn streamed(
-    request: &front::Request,
-    permit: permit::Permit,
-    mut body: back::Body,
-) -> Result<front::Body, Failure> {
+/// Reads the first data of a stream.
+async fn begin(permit: permit::Permit, mut body: back::Body) -> Result<relay::Source, Failure> {
     // The first data is read before the caller gets an answer, so that an
     // endpoint that fails before any output costs the caller nothing.
     match relay::next(&mut body).await {
         Ok(Some(first)) => {
             permit.first();
-            Ok(relay::events(permit, body, first, request.id.clone()))
+            Ok(relay::Source {
+                permit,
+                body,
+                first: Some(first),
+            })
         }
         Ok(None) => {
             permit.finish(pool::Result::Failed);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,6 +21,7 @@
 mod spread;
 mod state;
 mod terms;
+mod transcript;
 mod view;
 
 pub use host::Host;
--- a/crates/host/src/permit.rs
+++ b/crates/host/src/permit.rs
@@ -100,7 +100,8 @@
         self.end(result);
     }
 
-    fn end(&mut self, result: pool::Result) {
+    /// Ends the use of the place, once.
+    pub(crate) fn end(&mut self, result: pool::Result) {
         if !core::mem::take(&mut self.open) {
             return;
         }
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 
+use crate::flow;
 use crate::permit;
+use crate::terms;
+use crate::transcript;
 
 /// Longest silence of an endpoint in the middle of an answer.
 const STALL_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -50,29 +53,45 @@
     Ok(all.freeze())
 }
 
+/// The endpoint's side of a stream.
+pub(crate) struct Source {
+    pub(crate) permit: permit::Permit,
+    pub(crate) body: back::Body,
+    /// Data that was read before the answer began.
+    pub(crate) first: Option<Bytes>,
+}
+
+/// What it takes to go on with a stream at another endpoint.
+pub(crate) struct Resume {
+    pub(crate) flow: flow::Flow,
+    pub(crate) request: front::Request,
+    pub(crate) terms: terms::Terms,
+    /// Attempts that were made before the stream began.
+    pub(crate) attempt: u16,
+}
+
 struct Stream {
-    permit: permit::Permit,
-    body: back::Body,
+    source: Source,
     tally: back::Tally,
-    first: Option<Bytes>,
+    transcript: transcript::Transcript,
+    resume: Option<Resume>,
+    /// Tokens of earlier endpoints.
+    earlier: u32,
     request: String,
 }
 
 /// Passes on an event stream whose first data was read, and reports its end.
 ///
-/// A stream that ends without its final event gets an error event and is cut,
-/// so that a caller never takes it for a whole answer.
-pub(crate) fn events(
-    permit: permit::Permit,
-    body: back::Body,
-    first: Bytes,
-    request: String,
-) -> front::Body {
+/// A stream that is cut goes on at another endpoint where `resume` allows it.
+/// Otherwise it gets an error event, so that a caller never takes it for a
+/// whole answer.
+pub(crate) fn events(source: Source, request: String, resume: Option<Resume>) -> front::Body {
     let stream = Stream {
-        permit,
-        body,
+        source,
         tally: back::Tally::default(),
-        first: Some(first),
+        transcript: transcript::Transcript::default(),
+        resume,
+        earlier: 0,
         request,
     };
     front::Body::from_stream(futures_util::stream::unfold(Some(stream), step))
@@ -80,33 +99,106 @@
 
 type Item = Result<Bytes, std::io::Error>;
 
+/// What to do after one read.
+enum Step {
+    Pass(Bytes),
+    ReadOn,
+    End,
+    Fail(String),
+}
+
 async fn step(stream: Option<Stream>) -> Option<(Item, Option<Stream>)> {
     let mut stream = stream?;
-    let read = match stream.first.take() {
-        Some(first) => Ok(Some(first)),
-        None => next(&mut stream.body).await,
-    };
-    match read {
-        Ok(Some(data)) => {
-            stream.tally.push(&data);
-            stream.permit.set_tokens(stream.tally.tokens());
-            Some((Ok(data), Some(stream)))
-        }
-        Ok(None) if stream.tally.is_done() => {
-            stream.permit.finish(pool::Result::Complete);
-            None
+    loop {
+        match stream.read().await {
+            Step::Pass(data) => return Some((Ok(data), Some(stream))),
+            Step::ReadOn => {}
+            Step::End => {
+                stream.source.permit.finish(pool::Result::Complete);
+                return None;
+            }
+            Step::Fail(cause) => {
+                let event = stream.fail(&cause);
+                return Some((Ok(event), None));
+            }
         }
-        Ok(None) => Some(fail(stream, "the endpoint closed the stream early")),
-        Err(Cut(cause)) => Some(fail(stream, &cause)),
     }
 }
 
-fn fail(stream: Stream, cause: &str) -> (Item, Option<Stream>) {
-    log::warn!(target: "host", "request {} cut after {} tokens: {cause}", stream.request, stream.tally.tokens());
-    stream.permit.finish(pool::Result::Failed);
-    let entry = answer::Kind::EndpointFailed.entry();
-    let event = serde_json::json!({
-        "error": { "kind": entry.name, "message": cause, "run_state": entry.run.name() }
-    });
-    (Ok(Bytes::from(format!("data: {event}\n\n"))), None)
+impl Stream {
+    async fn read(&mut self) -> Step {
+        let read = match self.source.first.take() {
+            Some(first) => Ok(Some(first)),
+            None => next(&mut self.source.body).await,
+        };
+        match read {
+            Ok(Some(data)) => self.pass(data),
+            Ok(None) if self.tally.is_done() => Step::End,
+            Ok(None) => self.go_on("the endpoint closed the stream early").await,
+            Err(Cut(cause)) => self.go_on(&cause).await,
+        }
+    }
+
+    fn pass(&mut self, data: Bytes) -> Step {
+        // Without a way to resume there is no reason to look into the events.
+        let data = match &self.resume {
+            Some(_) => self.transcript.push(data),
+            None => data,
+        };
+        if data.is_empty() {
+            return Step::ReadOn;
+        }
+        self.tally.push(&data);
+        let tokens = self.tally.tokens() - self.earlier;
+        self.source.permit.set_tokens(tokens);
+        Step::Pass(data)
+    }
+
+    /// Goes on at another endpoint after `cause`.
+    async fn go_on(&mut self, cause: &str) -> Step {
+        let Some(resume) = &mut self.resume else {
+            return Step::Fail(cause.to_owned());
+        };
+        self.transcript.cut();
+        if self.transcript.is_ended() {
+            // The answer is whole but for the mark of its end.
+            self.tally.push(DONE);
+            return Step::Pass(Bytes::from_static(DONE));
+        }
+        let path = resume.request.path.at_endpoint();
+        let Some(body) = self.transcript.resume(path, &resume.request.body) else {
+            return Step::Fail(cause.to_owned());
+        };
+        log::info!(
+            target: "host",
+            "request {} goes on after {} tokens: {cause}",
+            self.request,
+            self.transcript.tokens()
+        );
+        self.earlier = self.tally.tokens();
+        resume.attempt += 1;
+        let avoid = self.source.permit.grant().name.clone();
+        self.source.permit.end(pool::Result::Failed);
+        match resume.flow.resume(resume, body, &avoid).await {
+            Ok(source) => {
+                self.source = source;
+                Step::ReadOn
+            }
+            Err(refusal) => Step::Fail(format!("{cause}; {}", refusal.message)),
+        }
+    }
+
+    fn fail(mut self, cause: &str) -> Bytes {
+        let tokens = self.tally.tokens();
+        log::warn!(target: "host", "request {} cut after {tokens} tokens: {cause}", self.request);
+        self.source.permit.end(pool::Result::Failed);
+        let entry = answer::Kind::EndpointFailed.entry();
+        let event = serde_json::json!({
+            "error": { "kind": entry.name, "message": cause, "run_state": entry.run.name() }
+        });
+        Bytes::from(format!("data: {event}\n\n"))
+    }
 }
+
+/// Last event of a stream.
+const DONE: &[u8] = b"data: [DONE]\n\n";
--- /dev/null
+++ b/crates/host/src/transcript.rs
@@ -0,0 +1,152 @@
+use bytes::Bytes;
+
+/// Upper bound of the text that is kept to resume a stream, in bytes.
+const TEXT_MAX: usize = 128 * 1024;
+
+/// What a caller has received of a stream, as far as another endpoint needs it
+/// to go on.
+#[derive(Debug, Default)]
+pub(crate) struct Transcript {
+    tail: Vec<u8>,
+    text: String,
+    tokens: u32,
+    ended: bool,
+    unsuited: bool,
+}
+
+#[derive(serde::Deserialize)]
+struct Event<'a> {
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+}
+
+#[derive(serde::Deserialize)]
+struct Choice<'a> {
+    #[serde(default)]
+    index: u32,
+    #[serde(borrow, default)]
+    text: Option<std::borrow::Cow<'a, str>>,
+    #[serde(borrow, default)]
+    delta: Option<Delta<'a>>,
+    #[serde(borrow, default)]
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(serde::Deserialize)]
+struct Delta<'a> {
+    #[serde(borrow, default)]
+    content: Option<std::borrow::Cow<'a, str>>,
+    #[serde(default)]
+    tool_calls: Option<serde::de::IgnoredAny>,
+}
+
+impl Transcript {
+    /// Takes data of the stream and returns the whole events that it completes.
+    ///
+    /// An incomplete event stays behind, so that a stream that is cut within
+    /// one can go on with a whole one.
+    pub(crate) fn push(&mut self, data: Bytes) -> Bytes {
+        let whole = self.split(data);
+        for line in whole.split(|&byte| byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if let Some(event) = line.strip_prefix(b"data:") {
+                self.note(event.trim_ascii());
+            }
+        }
+        whole
+    }
+
+    /// Forgets an incomplete event of an endpoint that failed.
+    pub(crate) fn cut(&mut self) {
+        self.tail.clear();
+    }
+
+    /// Returns whether the answer has its last token.
+    pub(crate) const fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Returns the number of tokens that the caller has.
+    pub(crate) const fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Returns the body of a request for the rest of the answer, or nothing if
+    /// the answer cannot be continued.
+    pub(crate) fn resume(&self, path: &str, body: &[u8]) -> Option<Bytes> {
+        if self.unsuited || self.ended {
+            return None;
+        }
+        let mut request: serde_json::Map<String, serde_json::Value> =
+            serde_json::from_slice(body).ok()?;
+        if request.get("n").is_some_and(|n| n.as_u64() != Some(1)) {
+            return None;
+        }
+        if path.ends_with("/chat/completions") {
+            let messages = request.get_mut("messages")?.as_array_mut()?;
+            messages.push(serde_json::json!({"role": "assistant", "content": self.text}));
+            request.insert("continue_final_message".to_owned(), true.into());
+            request.insert("add_generation_prompt".to_owned(), false.into());
+        } else {
+            let prompt = request.get("prompt")?.as_str()?;
+            let longer = format!("{prompt}{}", self.text);
+            request.insert("prompt".to_owned(), longer.into());
+        }
+        for name in ["max_tokens", "max_completion_tokens"] {
+            if let Some(bound) = request.get(name).and_then(serde_json::Value::as_u64) {
+                let left = bound.saturating_sub(self.tokens.into()).max(1);
+                request.insert(name.to_owned(), left.into());
+            }
+        }
+        serde_json::to_vec(&request).ok().map(Bytes::from)
+    }
+
+    fn split(&mut self, data: Bytes) -> Bytes {
+        if self.tail.is_empty() && data.ends_with(b"\n\n") {
+            return data;
+        }
+        self.tail.extend_from_slice(&data);
+        let end = end_of_events(&self.tail);
+        let rest = self.tail.split_off(end);
+        Bytes::from(core::mem::replace(&mut self.tail, rest))
+    }
+
+    fn note(&mut self, event: &[u8]) {
+        if event == b"[DONE]" {
+            return;
+        }
+        let Ok(event) = serde_json::from_slice::<Event<'_>>(event) else {
+            self.unsuited = true;
+            return;
+        };
+        for choice in event.choices {
+            self.note_choice(choice);
+        }
+    }
+
+    fn note_choice(&mut self, choice: Choice<'_>) {
+        let delta = choice.delta.as_ref();
+        let tools = delta.is_some_and(|delta| delta.tool_calls.is_some());
+        let content = choice.delta.and_then(|delta| delta.content);
+        let text = choice.text.or(content).unwrap_or_default();
+        self.unsuited |= choice.index != 0 || tools || self.text.len() + text.len() > TEXT_MAX;
+        self.ended |= choice.finish_reason.is_some();
+        if !text.is_empty() {
+            self.tokens += 1;
+        }
+        if self.unsuited {
+            self.text = String::new();
+        } else {
+            self.text.push_str(&text);
+        }
+    }
+}
+
+/// Returns the position after the last whole event.
+fn end_of_events(data: &[u8]) -> usize {
+    let plain = data.windows(2).rposition(|pair| pair == b"\n\n");
+    let carriage = data.windows(4).rposition(|four| four == b"\r\n\r\n");
+    let plain = plain.map_or(0, |start| start + 2);
+    let carriage = carriage.map_or(0, |start| start + 4);
+    plain.max(carriage)
+}
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -33,6 +33,7 @@
 class = open
 [pool braille]
 kind = model
+resume = true
 ";
 
 /// Returns the settings for engines at these addresses, with further lines.
--- a/crates/host/tests/whole_path.rs
+++ b/crates/host/tests/whole_path.rs
@@ -181,3 +181,32 @@
     assert!(engine.runs().is_empty());
     host.shutdown().await;
 }
+
+/// Guards against a token that is lost or doubled when a stream goes on at
+/// another endpoint, in each of the two interfaces.
+#[rstest]
+#[case::chat("/v1/chat/completions")]
+#[case::plain("/v1/completions")]
+#[tokio::test]
+async fn a_stream_goes_on_when_its_endpoint_dies(#[case] path: &str) {
+    let engines = [common::engine(120, None), common::engine(120, None)];
+    let host = common::host(&[engines[0].address(), engines[1].address()]).await;
+    let client = common::client();
+    let mut call = common::call("r1", 120);
+    call.path = path.to_owned();
+    let crash = async {
+        loop {
+            let running = engines.iter().find(|engine| engine.counters().tokens >= 10);
+            if let Some(engine) = running {
+                engine.crash();
+                return;
+            }
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    };
+    let sending = call.send(&client, host.caller_addr());
+    let (record, ()) = tokio::join!(sending, crash);
+    assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+    assert!(engines.iter().all(|engine| engine.runs().len() == 1));
+    host.shutdown().await;
+}
--- a/crates/testkit/src/engine/answer.rs
+++ b/crates/testkit/src/engine/answer.rs
@@ -23,6 +23,8 @@
     /// Whether the caller's bound cut the output.
     pub(crate) cut: bool,
     pub(crate) ticket: ticket::Ticket,
+    /// Tokens of the answer that the request already carried.
+    pub(crate) given: u32,
     pub(crate) tokens: u32,
     pub(crate) ended: bool,
 }
@@ -41,7 +43,7 @@
             self.ended = true;
             return Some(Err(std::io::ErrorKind::ConnectionAborted.into()));
         };
-        let token = text::token(&self.tag, self.tokens);
+        let token = text::token(&self.tag, self.given + self.tokens);
         self.tokens += 1;
         let mut piece = line(&self.chunk(&token, None));
         if event == Event::End {
@@ -57,7 +59,7 @@
         let mut content = String::new();
         loop {
             let event = self.ticket.next().await?;
-            content.push_str(&text::token(&self.tag, self.tokens));
+            content.push_str(&text::token(&self.tag, self.given + self.tokens));
             self.tokens += 1;
             if event == Event::End {
                 break;
--- a/crates/testkit/src/engine/routes.rs
+++ b/crates/testkit/src/engine/routes.rs
@@ -91,6 +91,8 @@
     let (sink, events) = mpsc::unbounded_channel();
     let progress = sync::Arc::<sequence::Progress>::default();
     let tag = text::clean(&body.user);
+    // A request that carries a part of its answer gets the rest.
+    let given = text::count(&tag, &prompt);
     let sequence = sequence::Sequence {
         serial: 0,
         tag: tag.clone(),
@@ -98,7 +100,7 @@
         prompt_left: prompt_tokens,
         prompt,
         chunk: 0,
-        length: wanted.min(body.bound()),
+        length: wanted.saturating_sub(given).min(body.bound()).max(1),
         crash_after: crash.map(|crash| crash.after_tokens),
         progress: sync::Arc::clone(&progress),
         sink,
@@ -110,7 +112,8 @@
         tag,
         prompt_tokens,
         include_usage: false,
-        cut: wanted > body.bound(),
+        cut: wanted.saturating_sub(given) > body.bound(),
+        given,
         tokens: 0,
         ended: false,
         ticket: ticket::Ticket {
--- a/crates/testkit/src/measure/settings.rs
+++ b/crates/testkit/src/measure/settings.rs
@@ -104,6 +104,7 @@
         long_tokens: LONG_TOKENS,
         long_share: 0.5,
         idempotent: None,
+        resume: kind == settings::Kind::Model,
     };
     let models = [shape.model, PROBE];
     let models = models.map(|name| (name.to_owned(), pool(settings::Kind::Model, None)));
--- a/crates/testkit/src/text.rs
+++ b/crates/testkit/src/text.rs
@@ -14,6 +14,14 @@
     format!("{tag}/{number} ")
 }
 
+/// Returns the number of tokens of the answer to `tag` within a text.
+pub fn count(tag: &str, text: &str) -> u32 {
+    if tag.is_empty() {
+        return 0;
+    }
+    text.matches(&format!("{tag}/")).count() as u32
+}
+
 /// Returns the tag with everything but letters, digits, `-` and `_` removed.
 pub fn clean(tag: &str) -> String {
     tag.chars()
