fix(fleet): judge silent hosts by probes and evenly dealt digests

Change: receivers are dealt like cards, hosts send heartbeats to a few monitors, a host that is about to be suspected is asked for a heartbeat, and a host that hears nobody waits twice as long. Discovery and tests in simulated time follow. Conclusion: a second observer is not enough where both miss the same digests.

--- /dev/null
+++ b/crates/fleet/src/discover.rs
@@ -0,0 +1,147 @@
+//! The answer to callers that ask which hosts to use.
+
+use core::time;
+use std::cmp;
+use std::collections;
+use std::net;
+
+use xxhash_rust::xxh3;
+
+use crate::entry;
+
+/// Weight of a host in the own data centre.
+const OWN_DATA_CENTRE: u32 = 100;
+
+/// Weight of a host elsewhere in the own region.
+const OWN_REGION: u32 = 10;
+
+/// Weight of a host in another region.
+const OTHER_REGION: u32 = 1;
+
+/// Settings of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// How long a caller keeps the answer.
+    pub ttl: time::Duration,
+    /// Most hosts in the answer.
+    pub hosts_max: usize,
+    /// Minted idempotency keys.
+    pub keys: Vec<String>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            ttl: time::Duration::from_secs(15),
+            hosts_max: 32,
+            keys: Vec::new(),
+        }
+    }
+}
+
+/// A host that a caller may use.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Host {
+    /// Host name.
+    pub name: String,
+    /// Address for callers.
+    pub address: net::SocketAddr,
+    /// Data centre.
+    pub data_centre: String,
+    /// Region.
+    pub region: String,
+    /// Share of new connections, in proportion to the other weights.
+    pub weight: u32,
+}
+
+/// What a caller learns.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Answer {
+    /// Hosts to use, nearest first.
+    pub hosts: Vec<Host>,
+    /// How long to keep this answer, in seconds.
+    pub ttl_s: u64,
+    /// Minted idempotency keys, each for one request.
+    pub keys: Vec<String>,
+}
+
+/// Returns the hosts that a caller should use.
+///
+/// `hosts` are the hosts that are not dead, such as those of
+/// [`crate::Membership::live`]; leaving ones are left out. Nearer hosts come
+/// first, and within the same distance the order depends on the caller's IP
+/// address only, so that callers spread and each keeps its hosts. A suspected
+/// host comes after the others of its distance, with the least weight. At most
+/// half of the answer is from `data_centre` if there are hosts elsewhere, so
+/// that a caller outlives its loss.
+pub fn answer<'a>(
+    hosts: impl IntoIterator<Item = &'a entry::Entry>,
+    data_centre: &str,
+    caller: net::IpAddr,
+    options: &Options,
+) -> Answer {
+    let up: Vec<&entry::Entry> = hosts
+        .into_iter()
+        .filter(|host| host.phase == entry::Phase::Up)
+        .collect();
+    let regions: collections::BTreeSet<&str> = up
+        .iter()
+        .filter(|host| host.data_centre == data_centre)
+        .map(|host| host.region.as_str())
+        .collect();
+    let mut near = Vec::new();
+    let mut far = Vec::new();
+    for host in up {
+        let weight = weight(host, data_centre, &regions);
+        let list = if weight == OWN_DATA_CENTRE {
+            &mut near
+        } else {
+            &mut far
+        };
+        list.push((weight, host));
+    }
+    let half = options.hosts_max.div_ceil(2);
+    let spare = options.hosts_max.saturating_sub(far.len());
+    sort(&mut near, caller);
+    sort(&mut far, caller);
+    near.truncate(half.max(spare));
+    near.extend(far);
+    near.truncate(options.hosts_max);
+    Answer {
+        hosts: near
+            .into_iter()
+            .map(|(weight, host)| listed(weight, host))
+            .collect(),
+        ttl_s: options.ttl.as_secs(),
+        keys: options.keys.clone(),
+    }
+}
+
+fn weight(host: &entry::Entry, data_centre: &str, regions: &collections::BTreeSet<&str>) -> u32 {
+    if host.data_centre == data_centre {
+        return OWN_DATA_CENTRE;
+    }
+    if regions.contains(host.region.as_str()) {
+        return OWN_REGION;
+    }
+    OTHER_REGION
+}
+
+/// Sorts by distance, then in an order that depends on the caller.
+fn sort(hosts: &mut [(u32, &entry::Entry)], caller: net::IpAddr) {
+    let seed = xxh3::xxh3_64(caller.to_canonical().to_string().as_bytes());
+    hosts.sort_by_cached_key(|&(weight, host)| {
+        let score = xxh3::xxh3_64_with_seed(host.name.as_bytes(), seed);
+        (cmp::Reverse(weight), host.suspected, score)
+    });
+}
+
+fn listed(weight: u32, host: &entry::Entry) -> Host {
+    Host {
+        name: host.name.clone(),
+        address: host.caller,
+        data_centre: host.data_centre.clone(),
+        region: host.region.clone(),
+        weight: if host.suspected { OTHER_REGION } else { weight },
+    }
+}
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -34,11 +34,7 @@
             let entries = self.choose(now);
             out.push((*target, self.digest(entries)));
         }
-        if self.is_small() {
-            return out;
-        }
-        let heartbeats = self.heartbeats(now);
-        for target in heartbeats {
+        for target in self.heartbeats(now) {
             if !targets.contains(&target) {
                 out.push((target, self.digest(Vec::new())));
             }
@@ -46,6 +42,9 @@
         for (target, entries) in self.alarms() {
             out.push((target, self.digest(entries)));
         }
+        for (target, entry) in self.probes(now) {
+            out.push((target, self.digest(vec![entry])));
+        }
         out
     }
 
@@ -60,21 +59,25 @@
 
     /// Chooses the receivers of this tick's gossip.
     fn targets(&mut self) -> Vec<net::SocketAddr> {
-        let known = || {
-            self.members
-                .values()
-                .filter(|member| member.dead.is_none())
-                .map(|member| &member.entry)
-        };
-        let near = known().filter(|entry| entry.region == self.own.region);
-        let far = known().filter(|entry| entry.region != self.own.region);
-        let mut targets = near
-            .map(|entry| entry.peer)
-            .sample(&mut self.rng, self.options.near_targets);
-        targets.extend(
-            far.map(|entry| entry.peer)
-                .sample(&mut self.rng, self.options.far_targets),
-        );
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for member in self.members.values() {
+            if member.dead.is_some() {
+                continue;
+            }
+            let is_near = member.entry.region == self.own.region;
+            let list = if is_near { &mut near } else { &mut far };
+            list.push(member.entry.name.as_str());
+        }
+        let options = &self.options;
+        let rng = &mut self.rng;
+        let mut names = self.near_deck.deal(rng, &near, options.near_targets);
+        names.extend(self.far_deck.deal(rng, &far, options.far_targets));
+        let mut targets: Vec<net::SocketAddr> = names
+            .iter()
+            .filter_map(|name| self.members.get(name))
+            .map(|member| member.entry.peer)
+            .collect();
         targets.extend(self.contact());
         targets
     }
@@ -147,7 +150,8 @@
         member.confirmed && member.silence(now) < self.options.suspect_after
     }
 
-    /// Returns the addresses of the own monitors.
+    /// Returns the addresses of the own monitors and of hosts that suspect
+    /// this one.
     fn heartbeats(&mut self, now: time::Duration) -> Vec<net::SocketAddr> {
         let chosen: Vec<net::SocketAddr> = self
             .monitors_of(&self.own)
@@ -159,7 +163,24 @@
         }
         self.monitors
             .retain(|_, at| now.saturating_sub(*at) < LINGER);
-        self.monitors.keys().copied().collect()
+        let mut targets = std::mem::take(&mut self.doubters);
+        targets.extend(self.monitors.keys().copied());
+        targets.into_iter().collect()
+    }
+
+    /// Returns the questions to hosts that are about to be suspected here, or
+    /// are suspected: a host that reads that it is suspected sends the asking
+    /// host a heartbeat.
+    fn probes(&self, now: time::Duration) -> Vec<(net::SocketAddr, entry::Entry)> {
+        self.members
+            .values()
+            .filter(|member| member.dead.is_none() && self.is_doubtful(now, member))
+            .map(|member| {
+                let mut entry = member.passed_on(true);
+                entry.suspected = true;
+                (entry.peer, entry)
+            })
+            .collect()
     }
 
     /// Returns what the other monitors of quietly suspected hosts are told.
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -71,7 +71,10 @@
     /// monitors of the host judge by its heartbeats; the others follow two
     /// monitors, or suspect the host after a much longer silence.
     fn verdict(&self, now: time::Duration, member: &member::Member, fresh: usize) -> Verdict {
-        if fresh == 0 || self.is_confirmed(now, member) {
+        if self.is_confirmed(now, member) {
+            return Verdict::Bury;
+        }
+        if fresh == 0 && member.silence(now) >= self.alone_limit() {
             return Verdict::Bury;
         }
         if self.is_small() || member.silence(now) >= self.gossip_limit() {
@@ -83,6 +86,27 @@
         Verdict::Trust
     }
 
+    /// Returns whether the host is or will soon be suspected here.
+    pub(crate) fn is_doubtful(&self, now: time::Duration, member: &member::Member) -> bool {
+        let silence = member.silence(now).saturating_add(self.options.period);
+        silence >= self.options.suspect_after
+            && (self.is_small() || silence >= self.gossip_limit() || self.is_monitor(member))
+    }
+
+    /// Returns the silence after which this host needs no second observer,
+    /// because it hears of no host that could be one.
+    ///
+    /// With one other host there is no second observer to wait for. With
+    /// several, a host that happened to receive nothing for a while must not
+    /// take all of them for dead.
+    fn alone_limit(&self) -> time::Duration {
+        let others = self.present().count() - 1;
+        if others <= 1 {
+            return self.options.suspect_after;
+        }
+        self.options.suspect_after * 2
+    }
+
     /// Counts the other hosts whose counters advance here.
     fn fresh(&self, now: time::Duration) -> usize {
         self.members
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,9 @@
 
 mod action;
 mod bucket;
+mod deck;
 mod digest;
+pub mod discover;
 mod entry;
 mod gossip;
 mod judge;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -4,6 +4,7 @@
 
 use rand::SeedableRng;
 
+use crate::deck;
 use crate::digest;
 use crate::entry;
 use crate::listed;
@@ -15,6 +16,9 @@
 use crate::state;
 use crate::tombs;
 
+/// Hosts that are sent an extra heartbeat in one tick.
+const DOUBTERS_MAX: usize = 16;
+
 /// What this host knows of the fleet.
 ///
 /// The host calls [`Membership::tick`] every second and sends the digests that
@@ -28,6 +32,9 @@
     pub(crate) members: collections::BTreeMap<String, member::Member>,
     pub(crate) listed: listing::Listing,
     pub(crate) monitors: collections::BTreeMap<net::SocketAddr, time::Duration>,
+    pub(crate) doubters: collections::BTreeSet<net::SocketAddr>,
+    pub(crate) near_deck: deck::Deck,
+    pub(crate) far_deck: deck::Deck,
     pub(crate) rng: rand_pcg::Pcg64Mcg,
     pub(crate) revision: u64,
     pub(crate) content: [u8; 32],
@@ -46,6 +53,9 @@
             members: collections::BTreeMap::new(),
             listed: listing::Listing::default(),
             monitors: collections::BTreeMap::new(),
+            doubters: collections::BTreeSet::new(),
+            near_deck: deck::Deck::default(),
+            far_deck: deck::Deck::default(),
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             revision: 0,
             content: [0; 32],
@@ -82,6 +92,10 @@
             return received::Received::default();
         }
         for entry in &digest.entries {
+            if entry.suspected && entry.name == self.own.name && self.doubters.len() < DOUBTERS_MAX
+            {
+                self.doubters.insert(sender.peer);
+            }
             self.learn(now, &sender.name, entry);
         }
         if let Some(member) = self.members.get_mut(&sender.name) {
--- /dev/null
+++ b/crates/fleet/tests/membership.rs
@@ -0,0 +1,249 @@
+//! Tests of the membership in simulated time.
+
+mod sim;
+
+use core::time::Duration;
+
+use fleet::{Phase, State};
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Starts 12 hosts that know each other.
+fn twelve(seed: u64) -> sim::Fleet {
+    let mut fleet = sim::Fleet::new(12, 4, 1, seed);
+    let took = fleet.run_until(MINUTE, sim::Fleet::is_whole);
+    assert!(took < Duration::from_secs(15), "the fleet met in {took:?}");
+    fleet
+}
+
+/// Guards against a dead host that stays in use.
+#[rstest::rstest]
+fn a_dead_host_is_dead_everywhere_within_8_seconds(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut fleet = twelve(seed);
+    for dead in [0, 5, 11] {
+        fleet.hosts[dead].is_up = false;
+        let took = fleet.run_until(MINUTE, |fleet| fleet.all_hold(dead, State::Dead));
+        assert!(took <= Duration::from_secs(8), "dead after {took:?}");
+        assert_eq!(fleet.false_deaths(), 0);
+    }
+}
+
+/// Guards against a loss of a data centre that the others see late.
+#[rstest::rstest]
+fn a_lost_data_centre_is_dead_everywhere_within_8_seconds(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = twelve(seed);
+    for dead in [2, 6, 10] {
+        fleet.hosts[dead].is_up = false;
+    }
+    let took = fleet.run_until(MINUTE, |fleet| {
+        [2, 6, 10]
+            .iter()
+            .all(|&dead| fleet.all_hold(dead, State::Dead))
+    });
+    assert!(took <= Duration::from_secs(8), "dead after {took:?}");
+}
+
+/// Guards against a process that takes its own pause for the death of others,
+/// and against datagrams that waited in its socket.
+#[rstest::rstest]
+fn the_return_of_a_paused_host_kills_nobody(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(2, 4, 20, 600)] pause_s: u64,
+) {
+    let mut fleet = twelve(seed);
+    fleet.hosts[4].is_paused = true;
+    for _ in 0..pause_s * 10 {
+        fleet.step();
+        assert_eq!(fleet.false_deaths(), 0);
+    }
+    fleet.hosts[4].is_paused = false;
+    for _ in 0..200 {
+        fleet.step();
+        let others = fleet.running().filter(|&observer| observer != 4);
+        let wrong = others
+            .filter(|&observer| (0..12).any(|host| host != 4 && fleet.holds_dead(observer, host)))
+            .count();
+        assert_eq!(wrong, 0);
+        assert!((0..12).all(|subject| !fleet.holds_dead(4, subject)));
+    }
+    assert!(fleet.is_whole());
+}
+
+/// Guards against deaths that are only lost datagrams.
+#[rstest::rstest]
+fn loss_of_a_tenth_kills_nobody(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = twelve(seed);
+    fleet.loss = 0.1;
+    for _ in 0..6_000 {
+        fleet.step();
+        assert_eq!(fleet.false_deaths(), 0, "at {:?}", fleet.now);
+    }
+}
+
+/// Guards against halves that do not find each other after a partition, and
+/// against a half that believes in the other.
+#[rstest::rstest]
+fn halves_meet_again_within_15_seconds(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = twelve(seed);
+    fleet.split = (6..12).collect();
+    fleet.run(Duration::from_secs(15));
+    for observer in 0..6 {
+        assert!((6..12).all(|other| fleet.holds_dead(observer, other)));
+        assert!((0..6).all(|other| !fleet.holds_dead(observer, other)));
+    }
+    fleet.run(60 * MINUTE);
+    fleet.split.clear();
+    let took = fleet.run_until(MINUTE, sim::Fleet::is_whole);
+    assert!(took <= Duration::from_secs(15), "met after {took:?}");
+}
+
+/// Guards against an old lifetime that is taken for the new one.
+#[rstest::rstest]
+fn a_new_lifetime_replaces_the_old(#[values(1, 2, 3)] seed: u64, #[values(0, 1, 20)] gap_s: u64) {
+    let mut fleet = twelve(seed);
+    let old = fleet.hosts[3].membership.own().clone();
+    fleet.hosts[3].is_up = false;
+    fleet.run(Duration::from_secs(gap_s));
+    fleet.restart(3);
+    let took = fleet.run_until(MINUTE, |fleet| {
+        fleet.is_whole()
+            && fleet
+                .hosts
+                .iter()
+                .all(|host| host.membership.is_gone(&old.name, old.incarnation))
+    });
+    assert!(took <= Duration::from_secs(10), "replaced after {took:?}");
+    let new = fleet.hosts[3].membership.own().incarnation;
+    assert!(
+        fleet
+            .hosts
+            .iter()
+            .all(|host| !host.membership.is_gone(&old.name, new))
+    );
+}
+
+/// Guards against a process that does not notice its successor, and against
+/// digests of an old lifetime that still count.
+#[test]
+fn a_superseded_process_learns_of_it() {
+    let mut fleet = twelve(1);
+    let mut old = fleet.hosts[3].membership.clone();
+    fleet.restart(3);
+    fleet.run(Duration::from_secs(10));
+    let news = fleet.hosts[0].membership.tick(fleet.now);
+    for (_, digest) in &news {
+        old.receive(fleet.now, digest);
+    }
+    assert!(old.is_superseded());
+    let before = fleet.hosts[0].membership.find("host-003").cloned();
+    for (_, digest) in old.tick(fleet.now) {
+        fleet.hosts[0].membership.receive(fleet.now, &digest);
+    }
+    assert_eq!(fleet.hosts[0].membership.find("host-003").cloned(), before);
+    assert!(!fleet.hosts[3].membership.is_superseded());
+}
+
+/// Guards against a leaving host that still gets work.
+#[test]
+fn leaving_spreads() {
+    let mut fleet = twelve(1);
+    fleet.hosts[7].membership.set_leaving();
+    let took = fleet.run_until(MINUTE, |fleet| fleet.all_hold(7, State::Leaving));
+    assert!(took <= Duration::from_secs(4), "known after {took:?}");
+    for host in &fleet.hosts {
+        assert!(
+            host.membership
+                .live()
+                .iter()
+                .all(|entry| entry.name != "host-007")
+        );
+        let entry = host.membership.find("host-007").expect("it runs");
+        assert_eq!(entry.phase, Phase::Leaving);
+    }
+}
+
+/// Guards against a list that lags and drops hosts or marks a new lifetime.
+#[test]
+fn the_platform_list_adds_and_marks_but_never_drops() {
+    let mut fleet = twelve(1);
+    let listed = fleet::Listed {
+        name: "host-005".to_owned(),
+        peer: sim::entry(5, 4, 1).peer,
+        phase: Phase::Leaving,
+    };
+    let now = fleet.now;
+    fleet.hosts[0]
+        .membership
+        .platform(now, std::slice::from_ref(&listed));
+    assert_eq!(fleet.state(0, 5), State::Leaving);
+    assert_eq!(fleet.state(0, 6), State::Live);
+    fleet.restart(5);
+    fleet.run(Duration::from_secs(10));
+    fleet.hosts[0].membership.platform(fleet.now, &[listed]);
+    assert_eq!(fleet.state(0, 5), State::Live, "the new lifetime serves");
+    fleet.hosts[0].membership.platform(fleet.now, &[]);
+    assert_eq!(fleet.state(0, 5), State::Live);
+
+    let mut lone = fleet::Membership::new(sim::entry(20, 4, 1), fleet::Options::default(), 1);
+    let up = fleet::Listed {
+        name: "host-006".to_owned(),
+        peer: sim::entry(6, 4, 1).peer,
+        phase: Phase::Up,
+    };
+    lone.platform(Duration::ZERO, &[up]);
+    let out = lone.tick(Duration::ZERO);
+    assert_eq!(out.len(), 1);
+    assert_eq!(out[0].0, sim::entry(6, 4, 1).peer);
+}
+
+/// Guards against a host that cannot be declared dead where only two are known.
+#[test]
+fn one_observer_is_enough_where_there_is_no_other() {
+    let mut fleet = sim::Fleet::new(2, 1, 1, 1);
+    fleet.run(Duration::from_secs(10));
+    assert!(fleet.is_whole());
+    fleet.hosts[1].is_up = false;
+    fleet.run(Duration::from_secs(6));
+    assert_eq!(fleet.state(0, 1), State::Dead);
+}
+
+/// Guards against a forgotten host that a stale digest revives.
+#[test]
+fn a_forgotten_host_returns_only_with_a_newer_life_sign() {
+    let mut fleet = twelve(1);
+    let mut stale = fleet.hosts[9].membership.clone();
+    fleet.hosts[9].is_up = false;
+    fleet.run(2 * 60 * MINUTE + MINUTE);
+    let observer = &mut fleet.hosts[0].membership;
+    assert!(
+        observer
+            .entries()
+            .all(|(entry, _)| entry.name != "host-009")
+    );
+    let incarnation = stale.own().incarnation;
+    assert!(observer.is_gone("host-009", incarnation));
+    let now = fleet.now;
+    let mut old = stale.tick(now).remove(0).1;
+    old.entries[0].counter -= 1;
+    observer.receive(now, &old);
+    assert_eq!(observer.find("host-009"), None);
+    old.entries[0].counter += 2;
+    observer.receive(now, &old);
+    assert!(observer.find("host-009").is_some());
+}
+
+/// Guards against revisions that a host does not learn of.
+#[test]
+fn a_higher_revision_is_reported_with_its_sender() {
+    let mut fleet = twelve(1);
+    fleet.hosts[0].membership.set_version(7, [7; 32]);
+    let now = fleet.now;
+    let (_, digest) = fleet.hosts[0].membership.tick(now).remove(0);
+    let received = fleet.hosts[1].membership.receive(now, &digest);
+    let notice = received.newer.expect("7 is higher than 0");
+    assert_eq!((notice.revision, notice.name.as_str()), (7, "host-000"));
+    assert_eq!(notice.peer, sim::entry(0, 4, 1).peer);
+    fleet.hosts[1].membership.set_version(7, [8; 32]);
+    let received = fleet.hosts[1].membership.receive(now, &digest);
+    assert!(received.newer.is_none() && received.conflict.is_some());
+}
--- /dev/null
+++ b/crates/fleet/tests/sim/mod.rs
@@ -0,0 +1,217 @@
+//! A fleet in simulated time with a queue of datagrams that are late or lost.
+
+use core::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use fleet::{Digest, Entry, Membership, Options, Phase, State};
+use rand::{RngExt, SeedableRng};
+
+/// One step of simulated time.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Time between two ticks of a host.
+pub const PERIOD: Duration = Duration::from_secs(1);
+
+/// Bounds of the delay of a datagram in milliseconds.
+const DELAY_MS: std::ops::Range<u64> = 1..150;
+
+/// A host and where it stands.
+pub struct Host {
+    pub membership: Membership,
+    pub is_up: bool,
+    pub is_paused: bool,
+    next: Duration,
+    inbox: Vec<Digest>,
+}
+
+/// The fleet, the network and the time.
+pub struct Fleet {
+    pub now: Duration,
+    pub hosts: Vec<Host>,
+    /// Share of datagrams that are lost.
+    pub loss: f64,
+    /// Hosts on the other side of a partition.
+    pub split: BTreeSet<usize>,
+    queue: BTreeMap<(Duration, u64), (usize, SocketAddr, Digest)>,
+    sent: u64,
+    rng: rand_pcg::Pcg64Mcg,
+}
+
+/// Returns the entry of the host of this number.
+pub fn entry(number: usize, centres: usize, regions: usize) -> Entry {
+    let centre = number % centres;
+    let ip = [10, 0, (number / 250) as u8, (number % 250) as u8 + 1];
+    Entry {
+        name: format!("host-{number:03}"),
+        incarnation: 1_764_000_000_000 + number as u64 * 977,
+        counter: 0,
+        phase: Phase::Up,
+        suspected: false,
+        data_centre: format!("dc-{centre}"),
+        region: format!("region-{}", centre % regions),
+        peer: SocketAddr::from((ip, 7000)),
+        caller: SocketAddr::from((ip, 8000)),
+    }
+}
+
+/// Returns options with the first three hosts as seeds.
+pub fn options() -> Options {
+    Options {
+        seeds: (0..3).map(|number| entry(number, 1, 1).peer).collect(),
+        ..Options::default()
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet whose hosts know the seeds only.
+    pub fn new(count: usize, centres: usize, regions: usize, seed: u64) -> Self {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+        let hosts = (0..count)
+            .map(|number| Host {
+                membership: Membership::new(
+                    entry(number, centres, regions),
+                    options(),
+                    rng.random(),
+                ),
+                is_up: true,
+                is_paused: false,
+                next: Duration::from_millis(rng.random_range(0..1_000)),
+                inbox: Vec::new(),
+            })
+            .collect();
+        Self {
+            now: Duration::ZERO,
+            hosts,
+            loss: 0.0,
+            split: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            sent: 0,
+            rng,
+        }
+    }
+
+    /// Starts a new lifetime of a host.
+    pub fn restart(&mut self, number: usize) {
+        let mut own = self.hosts[number].membership.own().clone();
+        own.incarnation += 1 + self.now.as_millis() as u64;
+        own.counter = 0;
+        own.phase = Phase::Up;
+        let host = &mut self.hosts[number];
+        host.membership = Membership::new(own, options(), self.rng.random());
+        host.is_up = true;
+        host.is_paused = false;
+        host.next = self.now;
+        host.inbox.clear();
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds and returns how long that took.
+    pub fn run_until(&mut self, most: Duration, condition: impl Fn(&Self) -> bool) -> Duration {
+        let start = self.now;
+        while !condition(self) && self.now - start < most {
+            self.step();
+        }
+        self.now - start
+    }
+
+    /// Moves time on by one step.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for number in 0..self.hosts.len() {
+            let host = &mut self.hosts[number];
+            if !host.is_up || host.is_paused || host.next > self.now {
+                continue;
+            }
+            host.next = self.now + PERIOD;
+            for digest in std::mem::take(&mut host.inbox) {
+                host.membership.receive(self.now, &digest);
+            }
+            for (target, digest) in host.membership.tick(self.now) {
+                self.send(number, target, digest);
+            }
+        }
+    }
+
+    /// Returns what one host holds of another.
+    pub fn state(&self, observer: usize, subject: usize) -> State {
+        let name = &self.hosts[subject].membership.own().name;
+        self.hosts[observer].membership.state(name)
+    }
+
+    /// Returns whether every running host holds this of the subject.
+    pub fn all_hold(&self, subject: usize, state: State) -> bool {
+        self.running()
+            .filter(|&observer| observer != subject)
+            .all(|observer| self.state(observer, subject) == state)
+    }
+
+    /// Returns whether every running host holds every running host live.
+    pub fn is_whole(&self) -> bool {
+        self.running()
+            .all(|subject| self.all_hold(subject, State::Live))
+    }
+
+    /// Counts pairs of running hosts of which the first holds the second dead
+    /// though it has known it.
+    pub fn false_deaths(&self) -> usize {
+        self.running()
+            .map(|observer| {
+                self.running()
+                    .filter(|&subject| self.holds_dead(observer, subject))
+                    .count()
+            })
+            .sum()
+    }
+
+    /// Returns whether the observer knows the subject and holds it dead.
+    pub fn holds_dead(&self, observer: usize, subject: usize) -> bool {
+        let own = self.hosts[subject].membership.own();
+        self.hosts[observer]
+            .membership
+            .is_gone(&own.name, own.incarnation)
+    }
+
+    /// Lists the hosts that run.
+    pub fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.hosts.len())
+            .filter(|&number| self.hosts[number].is_up && !self.hosts[number].is_paused)
+    }
+
+    fn send(&mut self, from: usize, target: SocketAddr, digest: Digest) {
+        if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+            return;
+        }
+        self.sent += 1;
+        let delay = Duration::from_millis(self.rng.random_range(DELAY_MS));
+        self.queue
+            .insert((self.now + delay, self.sent), (from, target, digest));
+    }
+
+    fn deliver(&mut self) {
+        let later = self.queue.split_off(&(self.now, u64::MAX));
+        for (_, (from, target, digest)) in std::mem::replace(&mut self.queue, later) {
+            let found = self
+                .hosts
+                .iter()
+                .position(|host| host.membership.own().peer == target);
+            let Some(to) = found else { continue };
+            if self.split.contains(&from) != self.split.contains(&to) || !self.hosts[to].is_up {
+                continue;
+            }
+            if self.hosts[to].is_paused {
+                self.hosts[to].inbox.push(digest);
+            } else {
+                self.hosts[to].membership.receive(self.now, &digest);
+            }
+        }
+    }
+}
