feat(back): speak HTTP/2 to endpoints and bound connections

Endpoints were reached over HTTP/1.1 only, with any number of connections and of idle ones. A request on a kept connection that the endpoint had already closed failed although it was never taken from the queue of the connection.

Client::send_as takes the HTTP version; Client::send stays HTTP/1.1. At a bound a request waits for connect_timeout and is then NotSent. A request that a kept connection gives back whole and unsent goes out on another one; with a fresh connection nothing is ever repeated.

--- a/crates/back/src/client.rs
+++ b/crates/back/src/client.rs
@@ -1,65 +1,64 @@
-use core::time;
 use std::net;
+use std::sync;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper_util::client::legacy;
 use hyper_util::rt;
+use tokio::sync::Semaphore;
 
+use crate::connector;
 use crate::error;
 use crate::load;
+use crate::options;
+use crate::reuse;
+use crate::slots;
+use crate::version;
 
 /// Upper bound of a load report in bytes.
 const LOAD_BYTES_MAX: usize = 4 * 1024;
 
-type Inner = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>;
+/// Bytes of one HTTP/2 answer that may be under way unread.
+const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+/// Bytes of all answers of an HTTP/2 connection that may be under way unread.
+/// It has room for 256 whole stream windows, so that callers who read slowly
+/// do not stop the other answers of the connection.
+const CONNECTION_WINDOW_BYTES: u32 = 256 * STREAM_WINDOW_BYTES;
 
-/// What the caller of the library chooses.
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Longest time to make a connection.
-    pub connect_timeout: time::Duration,
-    /// How long an idle connection is kept.
-    pub idle_timeout: time::Duration,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            connect_timeout: time::Duration::from_secs(1),
-            idle_timeout: time::Duration::from_secs(30),
-        }
-    }
-}
-
-/// Whether a request may use a kept connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reuse {
-    /// Takes an idle connection where there is one.
-    Kept,
-    /// Opens a connection for this request. An idle connection that the
-    /// endpoint closes at the same moment leaves the outcome unknown, which a
-    /// non-idempotent request must avoid.
-    Fresh,
-}
+type Inner = legacy::Client<connector::Connector, http_body_util::Full<Bytes>>;
 
 /// Sends requests to endpoints.
 #[derive(Clone)]
 pub struct Client {
+    http1: Pair,
+    http2: Pair,
+}
+
+#[derive(Clone)]
+struct Pair {
     kept: Inner,
     fresh: Inner,
 }
 
 impl Client {
     /// Returns a client without connections.
-    pub fn new(options: Options) -> Self {
+    pub fn new(options: options::Options) -> Self {
+        let max = options.connections_max.min(Semaphore::MAX_PERMITS);
+        let all = sync::Arc::new(Semaphore::new(max));
+        let pair = |version| Pair {
+            kept: build(&options, &all, version, options.endpoint_idle_max),
+            // Without room for idle connections the pool is off: every request
+            // opens a connection.
+            fresh: build(&options, &all, version, 0),
+        };
         Self {
-            kept: build(options, usize::MAX),
-            fresh: build(options, 0),
+            http1: pair(version::Version::Http1),
+            http2: pair(version::Version::Http2),
         }
     }
 
-    /// Sends a request and returns the answer's head with its body still to read.
+    /// Sends a request over HTTP/1.1 and returns the answer's head with its
+    /// body still to read.
     ///
     /// # Errors
     ///
@@ -68,11 +67,31 @@
     pub async fn send(
         &self,
         request: http::Request<http_body_util::Full<Bytes>>,
-        reuse: Reuse,
+        reuse: reuse::Reuse,
+    ) -> Result<http::Response<hyper::body::Incoming>, error::Error> {
+        self.send_as(request, reuse, version::Version::Http1).await
+    }
+
+    /// Sends a request over this HTTP version. Dropping the future or the
+    /// answer's body cancels the request: over HTTP/1.1 the connection is
+    /// closed, over HTTP/2 the stream is reset.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Client::send`] does.
+    pub async fn send_as(
+        &self,
+        request: http::Request<http_body_util::Full<Bytes>>,
+        reuse: reuse::Reuse,
+        version: version::Version,
     ) -> Result<http::Response<hyper::body::Incoming>, error::Error> {
+        let pair = match version {
+            version::Version::Http1 => &self.http1,
+            version::Version::Http2 => &self.http2,
+        };
         let client = match reuse {
-            Reuse::Kept => &self.kept,
-            Reuse::Fresh => &self.fresh,
+            reuse::Reuse::Kept => &pair.kept,
+            reuse::Reuse::Fresh => &pair.fresh,
         };
         client.request(request).await.map_err(classify)
     }
@@ -86,7 +105,7 @@
         let request = http::Request::get(format!("http://{address}/load"))
             .body(http_body_util::Full::default())
             .map_err(|cause| error::Error::NotSent(cause.to_string()))?;
-        let response = self.send(request, Reuse::Kept).await?;
+        let response = self.send(request, reuse::Reuse::Kept).await?;
         if !response.status().is_success() {
             return Err(error::Error::Invalid(response.status().to_string()));
         }
@@ -99,17 +118,29 @@
     }
 }
 
-fn build(options: Options, idle_max: usize) -> Inner {
-    let mut connector = legacy::connect::HttpConnector::new();
-    connector.set_connect_timeout(Some(options.connect_timeout));
-    connector.set_nodelay(true);
+fn build(
+    options: &options::Options,
+    all: &sync::Arc<Semaphore>,
+    version: version::Version,
+    idle_max: usize,
+) -> Inner {
+    let slots = slots::Slots::new(all.clone(), options.endpoint_connections_max);
     legacy::Client::builder(rt::TokioExecutor::new())
+        .timer(rt::TokioTimer::new())
         .pool_timer(rt::TokioTimer::new())
         .pool_idle_timeout(options.idle_timeout)
         .pool_max_idle_per_host(idle_max)
-        // A repeat is the router's decision, never the client's.
-        .retry_canceled_requests(false)
-        .build(connector)
+        .http2_only(version == version::Version::Http2)
+        .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .http2_keep_alive_interval(options.ping_interval)
+        .http2_keep_alive_timeout(options.ping_interval)
+        // Only a request that was never taken from the queue of a kept
+        // connection, because the endpoint had closed it, goes out on another
+        // one: the library gives it back whole, so no byte of it was sent. Any
+        // other repeat is the router's decision.
+        .retry_canceled_requests(idle_max > 0)
+        .build(connector::Connector::new(slots, options.connect_timeout))
 }
 
 fn classify(cause: legacy::Error) -> error::Error {
--- a/crates/back/src/lib.rs
+++ b/crates/back/src/lib.rs
@@ -4,14 +4,23 @@
 //! endpoint, which decides whether a non-idempotent request may be repeated.
 
 mod client;
+mod connector;
 mod error;
 mod load;
+mod options;
+mod reuse;
+mod slots;
+mod stream;
 mod tally;
+mod version;
 
-pub use client::{Client, Options, Reuse};
+pub use client::Client;
 pub use error::Error;
 pub use load::Load;
+pub use options::Options;
+pub use reuse::Reuse;
 pub use tally::Tally;
+pub use version::Version;
 
 /// Body of an endpoint's answer.
 pub type Body = hyper::body::Incoming;
