--- a/crates/testkit/src/engine/batch.rs
+++ b/crates/testkit/src/engine/batch.rs
@@ -20,7 +20,7 @@
     pub(crate) options: options::Options,
     pub(crate) counters: counters::Shared,
     pub(crate) crashed: tokio::sync::Notify,
-    state: state::Shared,
+    state: sync::Mutex<state::State>,
     work: tokio::sync::Notify,
     /// Ends the current step, because every request in it has left.
     emptied: tokio::sync::Notify,
@@ -152,10 +152,10 @@
 
     fn finish(&self) {
         let mut state = lock(&self.state);
-        let step = state.finish(&self.counters);
+        let crash = state.finish(&self.counters);
         self.note(&mut state);
         drop(state);
-        if matches!(step, state::Step::Crash) {
+        if crash {
             self.crash();
             self.crashed.notify_one();
         }
--- a/crates/testkit/src/engine/counters.rs
+++ b/crates/testkit/src/engine/counters.rs
@@ -25,28 +25,5 @@
     pub cached: u64,
 }
 
-impl Counters {
-    /// Returns what was counted after `before`.
-    pub fn since(&self, before: &Self) -> Self {
-        self.each(before, u64::saturating_sub)
-    }
-
-    /// Combines each count with that of another value.
-    pub(crate) fn each(&self, other: &Self, combine: impl Fn(u64, u64) -> u64) -> Self {
-        Self {
-            tokens: combine(self.tokens, other.tokens),
-            wasted: combine(self.wasted, other.wasted),
-            lost: combine(self.lost, other.lost),
-            executions: combine(self.executions, other.executions),
-            completed: combine(self.completed, other.completed),
-            cancelled: combine(self.cancelled, other.cancelled),
-            refused: combine(self.refused, other.refused),
-            fenced: combine(self.fenced, other.fenced),
-            crashes: combine(self.crashes, other.crashes),
-            cached: combine(self.cached, other.cached),
-        }
-    }
-}
-
 /// Counts that are shared. Locked after the state, never before it.
 pub(crate) type Shared = sync::Mutex<Counters>;
--- a/crates/testkit/src/engine/state.rs
+++ b/crates/testkit/src/engine/state.rs
@@ -1,5 +1,4 @@
 use std::collections;
-use std::sync;
 use std::sync::atomic::Ordering::Relaxed;
 
 use crate::engine::cache;
@@ -22,14 +21,6 @@
     pub(crate) runs: Vec<String>,
 }
 
-/// Result of a step.
-pub(crate) enum Step {
-    /// The engine goes on.
-    Done,
-    /// A request crashed the engine.
-    Crash,
-}
-
 impl State {
     pub(crate) fn new(cache_blocks: usize) -> Self {
         Self {
@@ -75,7 +66,8 @@
     }
 
     /// Ends the step: every sequence whose prompt is done gets a token.
-    pub(crate) fn finish(&mut self, counters: &counters::Shared) -> Step {
+    /// Returns whether a request crashes the engine.
+    pub(crate) fn finish(&mut self, counters: &counters::Shared) -> bool {
         let mut crash = false;
         self.running.retain_mut(|sequence| {
             sequence.prompt_left -= sequence.chunk;
@@ -90,7 +82,7 @@
             }
             generate(sequence, counters) < sequence.length
         });
-        if crash { Step::Crash } else { Step::Done }
+        crash
     }
 
     /// Removes a request whose caller left.
@@ -125,6 +117,3 @@
     sequence.sink.send(event).ok();
     tokens
 }
-
-/// State shared between the batch, the routes and the handle.
-pub(crate) type Shared = sync::Mutex<State>;
--- a/crates/testkit/src/measure.rs
+++ b/crates/testkit/src/measure.rs
@@ -18,6 +18,7 @@
 mod summary;
 mod table;
 mod team;
+mod tokens;
 mod trial;
 
 pub use class::{Class, Work};
@@ -30,6 +31,7 @@
 pub use summary::{Row, Summary};
 pub use table::Table;
 pub use team::Team;
+pub use tokens::Tokens;
 pub use trial::{Options, trial};
 
 /// Factor by which times are shorter than in a deployment.
--- a/crates/testkit/src/measure/cluster.rs
+++ b/crates/testkit/src/measure/cluster.rs
@@ -56,14 +56,6 @@
         let addresses: Vec<_> = named.map(|(_, service)| service.address()).collect();
         addresses[number % addresses.len()]
     }
-
-    /// Returns the sum of the engines' counters.
-    pub fn counters(&self) -> engine::Counters {
-        let counters = self.engines.iter().map(engine::Handle::counters);
-        counters.fold(engine::Counters::default(), |sum, next| {
-            sum.each(&next, |a, b| a + b)
-        })
-    }
 }
 
 fn services(shape: &Shape) -> io::Result<Vec<(&'static str, service::Service)>> {
--- a/crates/testkit/src/measure/figures.rs
+++ b/crates/testkit/src/measure/figures.rs
@@ -1,7 +1,6 @@
 use core::time;
 use std::collections;
 
-use crate::engine;
 use crate::load;
 use crate::load::Outcome;
 use crate::measure::class::{Class, Work};
@@ -10,6 +9,7 @@
 use crate::measure::shape::Shape;
 use crate::measure::slowdown::Slowdown;
 use crate::measure::table::Table;
+use crate::measure::tokens::Tokens;
 
 /// Everything that the figures of a run come from.
 pub(crate) struct Figures<'a> {
@@ -19,8 +19,8 @@
     pub(crate) slowdowns: &'a [Slowdown],
     /// Time during which requests arrived.
     pub(crate) span: time::Duration,
-    /// Counters of the engines at the end of that time.
-    pub(crate) counters: engine::Counters,
+    /// Tokens that the engines generated in that time.
+    pub(crate) tokens: Tokens,
 }
 
 impl Figures<'_> {
@@ -96,7 +96,6 @@
     }
 
     fn tokens(&self, table: &mut Table) {
-        let counters = self.counters;
         let seconds = self.span.as_secs_f64();
         let mut good = 0.0;
         let mut late = 0.0;
@@ -111,13 +110,14 @@
                 } += tokens;
             }
         }
-        let generated = counters.tokens as f64;
+        let wasted = self.tokens.wasted as f64;
+        let generated = self.tokens.generated as f64;
         table.set("generated_tokens_per_s", generated / seconds);
         table.set("goodput_tokens_per_s", good / seconds);
         table.set("off_target_tokens_per_s", late / seconds);
-        table.set("wasted_tokens_per_s", counters.wasted as f64 / seconds);
-        table.set("wasted_share", counters.wasted as f64 / generated);
-        table.set("lost_tokens_per_s", counters.lost as f64 / seconds);
+        table.set("wasted_tokens_per_s", wasted / seconds);
+        table.set("wasted_share", wasted / generated);
+        table.set("lost_tokens_per_s", self.tokens.lost as f64 / seconds);
     }
 
     /// Adds the wait of the class with short answers, which long work may hold up.
--- a/crates/testkit/src/measure/trial.rs
+++ b/crates/testkit/src/measure/trial.rs
@@ -10,6 +10,7 @@
 use crate::measure::shape::Shape;
 use crate::measure::slowdown::Slowdown;
 use crate::measure::table::Table;
+use crate::measure::tokens::Tokens;
 
 /// Time after its deadline at which a caller gives up.
 const PATIENCE: time::Duration = time::Duration::from_secs(5);
@@ -82,25 +83,25 @@
         Scenario::SlowEndpoint => Slowdown::plan(shape.engines, options.span, options.seed),
         _ => Vec::new(),
     };
-    let before = cluster.counters();
+    let before = Tokens::sum(&cluster.engines);
     let end = tokio::time::Instant::now() + options.span;
     let load = load::run(flows, &arrivals, &load_options, |flow, arrival, number| {
         let caller = arrival.flow + arrival.caller as usize;
         let host = hosts.as_ref().map(|hosts| hosts.address(caller));
         host.unwrap_or_else(|| cluster.direct(flow, number))
     });
-    let counters = async {
+    let tokens = async {
         tokio::time::sleep_until(end).await;
-        cluster.counters()
+        Tokens::sum(&cluster.engines)
     };
-    let (samples, (), after) = tokio::join!(load, slow(&cluster, &slowdowns), counters);
+    let (samples, (), after) = tokio::join!(load, slow(&cluster, &slowdowns), tokens);
     let figures = Figures {
         shape,
         flows,
         samples: &samples,
         slowdowns: &slowdowns,
         span: options.span,
-        counters: after.since(&before),
+        tokens: after.since(before),
     };
     figures.add(&cluster, &mut table);
     if let Some(hosts) = hosts {
