--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -22,7 +22,18 @@
     },
 }
 
+/// Paths of model requests, the same for callers and at endpoints.
+pub const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
 impl Path {
+    /// Returns the path and query to use at the endpoint.
+    pub fn at_endpoint(&self) -> &str {
+        match self {
+            Self::Model { path, .. } => path,
+            Self::Service { path, .. } => path,
+        }
+    }
+
     /// Returns the name of the pool.
     pub fn pool(&self) -> &str {
         match self {
@@ -65,6 +76,6 @@
     pub key: Option<String>,
     /// Time of the first attempt in Unix milliseconds.
     pub request_time: Option<u64>,
-    /// Whether the caller says that the work must not repeat.
+    /// Whether the caller says that the work may run more than once.
     pub idempotent: Option<bool>,
 }
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -7,10 +7,11 @@
 use axum::routing;
 
 use crate::body;
+use crate::fingerprint;
+use crate::options;
 use crate::parse;
 use crate::reply;
 use crate::request;
-use crate::server;
 use crate::service;
 
 /// Address of the caller of a connection.
@@ -20,14 +21,14 @@
 #[derive(Clone)]
 pub(crate) struct State {
     pub(crate) service: sync::Arc<dyn service::Service>,
-    pub(crate) options: sync::Arc<server::Options>,
+    pub(crate) options: sync::Arc<options::Options>,
 }
 
 /// Returns the routes of the caller interface.
 pub(crate) fn build(state: State) -> axum::Router {
     axum::Router::new()
-        .route("/v1/chat/completions", routing::post(chat))
-        .route("/v1/completions", routing::post(completions))
+        .route(request::MODEL_PATHS[0], routing::post(chat))
+        .route(request::MODEL_PATHS[1], routing::post(completions))
         .route("/v1/models", routing::get(models))
         .route("/v1/hosts", routing::get(hosts))
         .route("/services/{name}/{*path}", routing::any(service))
@@ -48,13 +49,12 @@
 }
 
 async fn not_found() -> axum::response::Response {
-    let refusal = Refusal::new(Kind::NotFound, "no such path");
-    reply::refusal(&refusal, &new_id())
+    reply::refused(&Refusal::new(Kind::NotFound, "no such path"))
 }
 
 async fn bad_method() -> axum::response::Response {
     let refusal = Refusal::new(Kind::BadMethod, "the path does not take this method");
-    reply::refusal(&refusal, &new_id())
+    reply::refused(&refusal)
 }
 
 async fn chat(
@@ -62,7 +62,7 @@
     extract::Extension(remote): extract::Extension<Remote>,
     request: extract::Request,
 ) -> axum::response::Response {
-    model(state, remote, request, "/v1/chat/completions").await
+    model(state, remote, request, request::MODEL_PATHS[0]).await
 }
 
 async fn completions(
@@ -70,7 +70,7 @@
     extract::Extension(remote): extract::Extension<Remote>,
     request: extract::Request,
 ) -> axum::response::Response {
-    model(state, remote, request, "/v1/completions").await
+    model(state, remote, request, request::MODEL_PATHS[1]).await
 }
 
 async fn model(
@@ -79,7 +79,7 @@
     request: extract::Request,
     path: &'static str,
 ) -> axum::response::Response {
-    let id = new_id();
+    let id = reply::new_id();
     let outcome = match read_model(&state, remote, request, path, &id).await {
         Ok(request) => state.service.serve(request).await,
         Err(refusal) => Err(refusal),
@@ -95,41 +95,58 @@
     id: &str,
 ) -> Result<request::Request, Refusal> {
     let (parts, raw) = request.into_parts();
-    let head = parse::head(&parts.headers, state.options.header_max)?;
+    let head = parse::head(&parts.headers)?;
     let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
-    let model = parse::model(&body)?;
+    let completion = parse::completion(&body)?;
     let path = request::Path::Model {
         path,
-        model: model.name,
+        model: completion.model,
     };
     Ok(request::Request {
+        stream: completion.stream,
+        max_tokens: completion.max_tokens,
+        prompt_tokens: completion.prompt_tokens,
+        prefix: completion.prefix,
+        ..plain(id, remote, path, parts.method, head, body)
+    })
+}
+
+/// Returns a request without what only the body of a model request says.
+fn plain(
+    id: &str,
+    remote: Remote,
+    path: request::Path,
+    method: http::Method,
+    head: parse::Head,
+    body: bytes::Bytes,
+) -> request::Request {
+    request::Request {
         id: id.to_owned(),
         address: remote.0.ip(),
-        fingerprint: parse::fingerprint(&path, head.bearer.as_deref(), &body),
+        fingerprint: fingerprint::fingerprint(&path, head.bearer.as_deref(), &body),
         bearer: head.bearer,
         path,
-        method: parts.method,
+        method,
         headers: head.passed,
         body,
-        stream: model.stream,
-        max_tokens: model.max_tokens,
-        prompt_tokens: model.prompt_tokens,
-        prefix: model.prefix,
+        stream: false,
+        max_tokens: None,
+        prompt_tokens: 0,
+        prefix: 0,
         deadline: head.deadline,
         key: head.key,
         request_time: head.request_time,
         idempotent: head.idempotent,
-    })
+    }
 }
 
 async fn service(
     extract::State(state): extract::State<State>,
     extract::Extension(remote): extract::Extension<Remote>,
-    extract::Path((name, path)): extract::Path<(String, String)>,
     request: extract::Request,
 ) -> axum::response::Response {
-    let id = new_id();
-    let outcome = match read_service(&state, remote, name, path, request, &id).await {
+    let id = reply::new_id();
+    let outcome = match read_service(&state, remote, request, &id).await {
         Ok(request) => state.service.serve(request).await,
         Err(refusal) => Err(refusal),
     };
@@ -139,37 +156,14 @@
 async fn read_service(
     state: &State,
     remote: Remote,
-    name: String,
-    path: String,
     request: extract::Request,
     id: &str,
 ) -> Result<request::Request, Refusal> {
     let (parts, raw) = request.into_parts();
-    let head = parse::head(&parts.headers, state.options.header_max)?;
+    let path = parse::path(&parts.uri)?;
+    let head = parse::head(&parts.headers)?;
     let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
-    let path = match parts.uri.query() {
-        Some(query) => format!("/{path}?{query}"),
-        None => format!("/{path}"),
-    };
-    let path = request::Path::Service { name, path };
-    Ok(request::Request {
-        id: id.to_owned(),
-        address: remote.0.ip(),
-        fingerprint: parse::fingerprint(&path, head.bearer.as_deref(), &body),
-        bearer: head.bearer,
-        path,
-        method: parts.method,
-        headers: head.passed,
-        body,
-        stream: false,
-        max_tokens: None,
-        prompt_tokens: 0,
-        prefix: 0,
-        deadline: head.deadline,
-        key: head.key,
-        request_time: head.request_time,
-        idempotent: head.idempotent,
-    })
+    Ok(plain(id, remote, path, parts.method, head, body))
 }
 
 fn finish(outcome: Result<crate::Answer, Refusal>, id: &str) -> axum::response::Response {
@@ -189,7 +183,3 @@
         }
     }
 }
-
-fn new_id() -> String {
-    format!("{:016x}", rand::random::<u64>())
-}
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -3,31 +3,27 @@
 use std::net;
 use std::sync;
 
-use hyper_util::rt;
-use hyper_util::server;
 use tokio::sync::watch;
+use tokio_util::task;
 
+use crate::connection;
+use crate::counters;
+use crate::options;
 use crate::routes;
 use crate::service;
+use crate::slots;
+use crate::throttle;
+use crate::tls;
 
 /// Time to wait after the listener failed to accept, such as when the process
 /// is out of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
-/// Limits of the caller interface.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Upper bound of a request body in bytes.
-    pub body_max: u64,
-    /// Upper bound of all headers of a request in bytes.
-    pub header_max: u64,
-    /// Longest silence of a caller while it sends its request.
-    pub idle_timeout: time::Duration,
-}
-
 /// A listener for callers.
 pub struct Server {
     address: net::SocketAddr,
+    shared: sync::Arc<connection::Shared>,
+    slots: sync::Arc<slots::Slots>,
     stop: watch::Sender<bool>,
     task: tokio::task::JoinHandle<()>,
 }
@@ -37,22 +33,37 @@
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be bound.
+    /// Fails if the address cannot be bound or the certificate cannot be used.
     pub async fn start(
         listen: net::SocketAddr,
-        options: Options,
+        options: options::Options,
         service: sync::Arc<dyn service::Service>,
     ) -> io::Result<Self> {
+        let tls = match options.tls.clone() {
+            None => None,
+            Some(options) => Some(tls::Acceptor::new(options).map_err(invalid)?),
+        };
         let listener = tokio::net::TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
+        let slots = slots::Slots::new(options.connections_max, options.address_connections_max);
+        let slots = sync::Arc::new(slots);
         let state = routes::State {
             service,
             options: sync::Arc::new(options),
         };
-        let task = tokio::spawn(accept(listener, state, stopped));
+        let shared = sync::Arc::new(connection::Shared::new(state, tls));
+        let listener = Listener {
+            listener,
+            shared: shared.clone(),
+            slots: slots.clone(),
+            throttle: throttle::Throttle::default(),
+        };
+        let task = tokio::spawn(listener.accept(stopped));
         Ok(Self {
             address,
+            shared,
+            slots,
             stop,
             task,
         })
@@ -63,6 +74,11 @@
         self.address
     }
 
+    /// Returns what happened to connections since the start.
+    pub fn counters(&self) -> counters::Counters {
+        self.shared.cells.read(self.slots.open() as u64)
+    }
+
     /// Stops accepting and waits until every request in flight has its answer.
     pub async fn shutdown(self) {
         self.stop.send_replace(true);
@@ -72,57 +88,62 @@
     }
 }
 
-async fn accept(
+fn invalid(cause: tls::Error) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, cause)
+}
+
+struct Listener {
     listener: tokio::net::TcpListener,
-    state: routes::State,
-    mut stopped: watch::Receiver<bool>,
-) {
-    let graceful = server::graceful::GracefulShutdown::new();
-    let builder = builder(&state.options);
-    let router = routes::build(state);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|&stop| stop) => break,
-        };
-        let (stream, remote) = match accepted {
-            Ok(pair) => pair,
-            Err(cause) => {
-                log::warn!(target: "front", "accept failed: {cause}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if let Err(cause) = stream.set_nodelay(true) {
-            log::debug!(target: "front", "no-delay not set for {remote}: {cause}");
+    shared: sync::Arc<connection::Shared>,
+    slots: sync::Arc<slots::Slots>,
+    throttle: throttle::Throttle,
+}
+
+impl Listener {
+    async fn accept(mut self, mut stopped: watch::Receiver<bool>) {
+        let connections = task::TaskTracker::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = stopped.wait_for(|&stop| stop) => break,
+            };
+            let (stream, remote) = match accepted {
+                Ok(pair) => pair,
+                Err(cause) => {
+                    log::warn!(target: "front", "accept failed: {cause}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let slot = match self.slots.take(remote.ip()) {
+                Ok(slot) => slot,
+                Err(full) => {
+                    self.refuse(remote, full);
+                    continue;
+                }
+            };
+            let serving = connection::serve(self.shared.clone(), stream, remote, stopped.clone());
+            connections.spawn(async move {
+                serving.await;
+                drop(slot);
+            });
         }
-        let router = router
-            .clone()
-            .layer(axum::Extension(routes::Remote(remote)));
-        let service = hyper_util::service::TowerToHyperService::new(router);
-        let connection = builder
-            .serve_connection_with_upgrades(rt::TokioIo::new(stream), service)
-            .into_owned();
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            if let Err(cause) = watched.await {
-                log::debug!(target: "front", "connection of {remote} ended: {cause}");
-            }
-        });
+        drop(self.listener);
+        connections.close();
+        connections.wait().await;
     }
-    drop(listener);
-    graceful.shutdown().await;
-}
 
-fn builder(options: &Options) -> server::conn::auto::Builder<rt::TokioExecutor> {
-    let mut builder = server::conn::auto::Builder::new(rt::TokioExecutor::new());
-    builder
-        .http1()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(options.idle_timeout);
-    builder
-        .http2()
-        .timer(rt::TokioTimer::new())
-        .max_header_list_size(u32::try_from(options.header_max).unwrap_or(u32::MAX));
-    builder
+    fn refuse(&mut self, remote: net::SocketAddr, full: slots::Full) {
+        let cells = &self.shared.cells;
+        counters::count(match full {
+            slots::Full::All => &cells.refused_all,
+            slots::Full::Address => &cells.refused_address,
+        });
+        if let Some(count) = self.throttle.note(std::time::Instant::now()) {
+            log::warn!(
+                target: "front",
+                "connection of {remote} refused: {full}; {count} refused since the last message"
+            );
+        }
+    }
 }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -1,16 +1,32 @@
 /// Retry budget of one class.
 ///
-/// It starts empty, so that retries are never more than a tenth of the fresh
-/// requests.
-#[derive(Clone, Copy, Debug, Default)]
+/// It starts with one retry, so that one dead endpoint does not cost the first
+/// request of a class its answer. The first fresh requests pay this retry back:
+/// after ten of them, retries are never more than a tenth.
+#[derive(Clone, Copy, Debug)]
 pub struct Budget {
     /// Saved retries in units of [`PART`].
     parts: u32,
+    /// What is left to pay back of the first retry.
+    owed: u32,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            parts: PART,
+            owed: PART,
+        }
+    }
 }
 
 impl Budget {
     /// Notes that a fresh request was sent to an endpoint.
     pub fn earn(&mut self) {
+        if self.owed > 0 {
+            self.owed -= 1;
+            return;
+        }
         self.parts = (self.parts + 1).min(PARTS_MAX);
     }
 
