feat(sched,pool): serve requests within their target first

Cause: in a tier above capacity every request waited for nearly its whole deadline, so almost none met its target, and refusals came late.

Change: a job past its first-token target goes after the others of its tier. An overload is expected to last as long again as it has lasted; a job past its target whose deadline is before that is refused at once. The estimate of the wait counts one job of every second team ahead.

--- a/crates/pool/src/admit.rs
+++ b/crates/pool/src/admit.rs
@@ -42,17 +42,19 @@
             return self.refuse(&ask, answer::Kind::NoEndpoint, after, out);
         }
         let capacity = self.capacity();
-        let caller = (ask.team, ask.caller);
-        let wait = self
-            .queue
-            .wait(now, ask.class, caller.0, caller.1, capacity);
+        let target = self.target(now, &ask);
+        let length = self.lengths[class].mean(ask.max_tokens);
+        let caller = (ask.team, ask.caller, cost(&ask, length));
+        let slack = target.saturating_sub(now);
+        let wait = self.queue.wait(now, ask.class, caller, slack, capacity);
         if ready.max(now + wait) >= latest {
             self.queue.refuse(now, ask.class, latest);
             let after = Some(self.advice(wait));
             return self.refuse(&ask, answer::Kind::Overload, after, out);
         }
         let suspect = verdict == route::Verdict::Suspect;
-        let job = self.job(&ask, suspect, ready, latest);
+        let mut job = self.job(&ask, suspect, ready, latest);
+        job.target = target;
         self.push(now, job, wait, out);
     }
 
@@ -99,6 +101,7 @@
             team: ask.team,
             caller: ask.caller,
             cost: cost(ask, length.mean(ask.max_tokens)),
+            target: latest,
             deadline: latest,
             lane: lane(need),
             ready,
@@ -118,6 +121,15 @@
         ask.deadline - service
     }
 
+    /// Returns the time until which a grant meets the class's first-token target.
+    fn target(&self, now: time::Duration, ask: &ask::Ask) -> time::Duration {
+        let class = self.class(ask);
+        let (target, _) = self.targets(class);
+        let first = self.table.first_mean(class).unwrap_or(0.0);
+        let most = target.as_secs_f64() * FIRST_PART_MAX;
+        now + target.saturating_sub(time::Duration::from_secs_f64(first.min(most)))
+    }
+
     /// Returns the delay before a retry: exponential, with jitter.
     fn backoff(&mut self, attempt: u16) -> time::Duration {
         if attempt == 0 {
@@ -129,7 +141,7 @@
     }
 
     /// Returns the service rate in tokens per second; infinite if unknown.
-    fn capacity(&self) -> f64 {
+    pub(crate) fn capacity(&self) -> f64 {
         let rate = self.pace.rate();
         rate.map_or(f64::INFINITY, |rate| rate * self.table.nominal())
     }
@@ -169,6 +181,10 @@
 /// Cost of a prompt token in output tokens; prompts are processed in parallel.
 const PROMPT_PART: f64 = 0.125;
 
+/// Part of the first-token target that the expected time at the endpoint takes
+/// at most; some of the target always remains for the queue.
+const FIRST_PART_MAX: f64 = 0.75;
+
 /// First delay of a retry.
 const BACKOFF: time::Duration = time::Duration::from_millis(50);
 
--- a/crates/pool/src/current.rs
+++ b/crates/pool/src/current.rs
@@ -128,6 +128,12 @@
     /// Follows outages and gives up what they leave without hope.
     fn check(&mut self, now: time::Duration, out: &mut Vec<action::Action>) {
         self.expire(now, now, answer::Kind::Overload, out);
+        let mut gone = Vec::new();
+        self.queue.trim(now, self.capacity(), &mut gone);
+        let after = Some(self.advice(self.wait_lowest(now)));
+        for ask in gone {
+            self.refuse(&ask, answer::Kind::Overload, after, out);
+        }
         if !self.table.any_open() {
             self.expire(now, time::Duration::MAX, answer::Kind::NoEndpoint, out);
         }
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -108,13 +108,22 @@
         });
     }
 
+    /// Returns the targets of a class for first token and time between tokens.
+    pub(crate) fn targets(&self, class: usize) -> (time::Duration, Option<time::Duration>) {
+        let class = self.options.classes.get(class);
+        class.map_or((TARGET_DEFAULT, None), |class| {
+            (class.target_first, class.target_gap)
+        })
+    }
+
     fn work(&self, ask: &ask::Ask, need: route::Need) -> route::Work {
-        let class = self.options.classes.get(self.class(ask));
+        let class = self.class(ask);
+        let (target_first, target_gap) = self.targets(class);
         route::Work {
             need,
-            class: self.class(ask) as u16,
-            target_first: class.map_or(TARGET_DEFAULT, |class| class.target_first),
-            target_gap: class.and_then(|class| class.target_gap),
+            class: class as u16,
+            target_first,
+            target_gap,
             prefix: ask.prefix,
             avoid: ask.avoid.map(|endpoint| endpoint.0),
         }
--- a/crates/pool/tests/sim/mod.rs
+++ b/crates/pool/tests/sim/mod.rs
@@ -68,6 +68,8 @@
 pub struct Line {
     pub class: u16,
     pub team: u32,
+    /// Arrival.
+    pub at: Duration,
     /// Arrival to first token.
     pub first: Option<Duration>,
     /// Arrival to the last answer.
@@ -348,6 +350,7 @@
         self.lines.push(Line {
             class: request.class,
             team: request.team,
+            at: request.at,
             first: live.first.map(since),
             end: since(now),
             fate,
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -33,6 +33,11 @@
         Some(self.place(now, key, work))
     }
 
+    /// Returns the mean time to first token of a class in seconds.
+    pub fn first_mean(&self, class: usize) -> Option<f64> {
+        self.firsts.get(class)?.get()
+    }
+
     /// Returns how many endpoints are ejected for slowness.
     pub fn ejected(&self) -> usize {
         let endpoints = self.endpoints.values();
--- a/crates/sched/src/caller.rs
+++ b/crates/sched/src/caller.rs
@@ -22,7 +22,7 @@
     pub(crate) refs: usize,
     /// Jobs that could be taken.
     pub(crate) linked: usize,
-    /// Cost of the jobs that could be taken, in tokens.
+    /// Cost of those before their target, in tokens.
     pub(crate) cost: f64,
     /// Jobs that could be taken, earliest deadline first.
     pub(crate) lines: lines::Lines<place::Place>,
--- a/crates/sched/src/choose.rs
+++ b/crates/sched/src/choose.rs
@@ -21,23 +21,28 @@
     /// The job stays queued until [`queue::Queue::take`].
     pub fn next(&mut self, now: time::Duration, lanes: lane::Lanes) -> Option<pick::Pick> {
         self.release(now);
+        self.demote(now);
         if lanes.is_empty() || self.is_empty() {
             return None;
         }
         if let Some(key) = self.floor(now, lanes) {
             return Some(pick::Pick { key, floor: true });
         }
-        let key = (0..self.flows.tiers.len()).find_map(|tier| {
-            self.freshen(tier, lanes);
-            self.fair(now, tier, lanes)
+        let tiers = 0..self.flows.tiers.len();
+        let mut turns = tiers.flat_map(|tier| [(tier, false), (tier, true)]);
+        let key = turns.find_map(|(tier, late)| {
+            self.freshen(tier, lanes, late);
+            self.fair(now, tier, lanes, late)
         })?;
         Some(pick::Pick { key, floor: false })
     }
 
-    fn freshen(&mut self, tier: usize, lanes: lane::Lanes) {
+    fn freshen(&mut self, tier: usize, lanes: lane::Lanes, late: bool) {
         for class in 0..self.groups.len() {
             if self.groups[class].tier == tier {
-                let lines = lanes.iter().map(|lane| queue::line(class as u16, lane));
+                let lines = lanes
+                    .iter()
+                    .map(|lane| queue::line(class as u16, lane, late));
                 lines.for_each(|line| self.flows.freshen(line));
             }
         }
@@ -48,8 +53,8 @@
         let due = (0..self.groups.len()).filter(|&class| self.groups[class].due(now));
         let mut due: Vec<_> = due
             .filter_map(|class| {
-                let heads = self.heads(class, lanes);
-                let head = heads.min_by_key(|head| head.tag)?;
+                let heads = |late| self.heads(class, lanes, late).min_by_key(|head| head.tag);
+                let head = heads(false).or_else(|| heads(true))?;
                 Some((self.groups[class].starved_at(), head))
             })
             .collect();
@@ -58,19 +63,29 @@
         Some(self.flows.front(head.line, head.team)?.key)
     }
 
-    fn heads(&self, class: usize, lanes: lane::Lanes) -> impl Iterator<Item = Head> {
+    fn heads(&self, class: usize, lanes: lane::Lanes, late: bool) -> impl Iterator<Item = Head> {
         lanes.iter().filter_map(move |lane| {
-            let line = queue::line(class as u16, lane);
+            let line = queue::line(class as u16, lane, late);
             let (tag, team) = self.flows.head(line)?;
             Some(Head { tag, team, line })
         })
     }
 
-    /// Returns the next job of a tier in weighted fair order.
-    fn fair(&self, now: time::Duration, tier: usize, lanes: lane::Lanes) -> Option<queue::Key> {
+    /// Returns the next job of a tier in weighted fair order, among those before
+    /// or past their target.
+    fn fair(
+        &self,
+        now: time::Duration,
+        tier: usize,
+        lanes: lane::Lanes,
+        late: bool,
+    ) -> Option<queue::Key> {
         let mut best: Option<(Head, Option<place::Place>)> = None;
         let classes = (0..self.groups.len()).filter(|&class| self.groups[class].tier == tier);
-        for head in classes.clone().flat_map(|class| self.heads(class, lanes)) {
+        for head in classes
+            .clone()
+            .flat_map(|class| self.heads(class, lanes, late))
+        {
             let better = match &mut best {
                 None => true,
                 Some((other, _)) if head.tag != other.tag => head.tag < other.tag,
@@ -85,7 +100,8 @@
             }
         }
         let (head, _) = best?;
-        let urgent = classes.filter_map(|class| self.urgent(now, class, lanes, head.tag));
+        let urgent = classes.filter_map(|class| self.urgent(now, class, lanes, &head));
+        let urgent = urgent.filter(|place| self.jobs[place.key].late == late);
         let first = urgent.min().map(|place| place.key);
         first.or_else(|| Some(self.flows.front(head.line, head.team)?.key))
     }
@@ -102,7 +118,7 @@
         now: time::Duration,
         class: usize,
         lanes: lane::Lanes,
-        least: tag::Tag,
+        least: &Head,
     ) -> Option<place::Place> {
         let &place = self.groups[class].deadlines.first()?;
         let (deadline, key) = (place.deadline(), place.key);
@@ -115,7 +131,7 @@
             return None;
         }
         let team = &self.flows.teams[self.flows.callers[entry.caller].team];
-        let lead = team.tag.0 - least.0;
+        let lead = team.tag.0 - least.tag.0;
         (lead <= entry.job.cost / team.weight).then_some(place)
     }
 }
--- a/crates/sched/src/expect.rs
+++ b/crates/sched/src/expect.rs
@@ -5,29 +5,38 @@
 impl<T> queue::Queue<T> {
     /// Estimates how long a new job of this class and caller would wait.
     ///
-    /// `capacity` is the service rate of the shard in tokens per second. The
-    /// result is the shorter of the wait in strict order, behind the arrivals
-    /// of higher tiers, and the wait for the floor of the class. It is capped
-    /// at [`WAIT_MAX`].
+    /// `cost` is in tokens, `capacity` is the service rate of the shard in
+    /// tokens per second, and `slack` the time until the job misses its target.
+    /// The result is the shorter of the wait in strict order, behind the
+    /// arrivals of higher tiers, and the wait for the floor of the class. It is
+    /// capped at an hour.
+    ///
+    /// A job that would miss its target goes after those that would not. Its
+    /// tier is then expected to stay overloaded for as long as it has been.
     pub fn wait(
         &self,
         now: time::Duration,
         class: u16,
-        team: u32,
-        caller: u64,
+        (team, caller, cost): (u32, u64, f64),
+        slack: time::Duration,
         capacity: f64,
     ) -> time::Duration {
         let group = &self.groups[usize::from(self.class(class))];
-        let tier = group.tier;
+        let tier = &self.flows.tiers[group.tier];
         let weight = self.weight(team);
-        let own = self.flows.ahead(tier, team, weight, caller);
-        let higher = &self.flows.tiers[..tier];
-        let ahead = own + higher.iter().map(|tier| tier.cost).sum::<f64>();
-        if ahead <= 0.0 {
+        let own = self.flows.ahead(group.tier, team, weight, caller, cost);
+        let higher = &self.flows.tiers[..group.tier];
+        let above = higher.iter().map(|tier| tier.cost).sum::<f64>();
+        if own + above <= 0.0 {
             return time::Duration::ZERO;
         }
         let arriving: f64 = higher.iter().map(|tier| tier.arrivals.rate(now)).sum();
-        let strict = ahead / (capacity - arriving).max(0.0);
+        let rate = (capacity - arriving).max(0.0);
+        let mut strict = (own + above) / rate;
+        if strict > ON_TIME * slack.as_secs_f64() {
+            let overloaded = tier.overloaded.map_or(0.0, |since| seconds(now, since));
+            strict = overloaded + (above + own + tier.late) / rate;
+        }
         let until = match group.starved_at() {
             Some(at) => at.saturating_sub(now),
             None => group.class.starvation_window,
@@ -56,5 +65,13 @@
     }
 }
 
+fn seconds(now: time::Duration, since: time::Duration) -> f64 {
+    now.saturating_sub(since).as_secs_f64()
+}
+
+/// Part of the slack that the estimated wait may take for a job to count as on
+/// time; the estimate does not see jobs that arrive later and go first.
+const ON_TIME: f64 = 0.5;
+
 /// Longest wait that is estimated; beyond it only the order matters.
 const WAIT_MAX: time::Duration = time::Duration::from_secs(3_600);
--- a/crates/sched/src/expire.rs
+++ b/crates/sched/src/expire.rs
@@ -27,7 +27,9 @@
     /// Records that a new job was refused because its deadline cannot be met.
     pub fn refuse(&mut self, now: time::Duration, class: u16, deadline: time::Duration) {
         let class = self.class(class);
-        let tier = self.groups[usize::from(class)].class.tier;
+        let group = &self.groups[usize::from(class)];
+        let tier = group.class.tier;
+        self.flows.tiers[group.tier].stress(now);
         let lost = record::Subject {
             class,
             tier,
@@ -35,4 +37,36 @@
         };
         self.note(now, record::Event::Late, lost, None);
     }
+
+    /// Gives up jobs past their target whose tier stays overloaded too long.
+    ///
+    /// An overload is expected to last as long again as it has lasted, so jobs
+    /// whose deadline is before that are removed at once instead of held. The
+    /// last job of a class stays if its floor comes before its deadline.
+    pub fn trim(&mut self, now: time::Duration, capacity: f64, out: &mut Vec<T>) {
+        self.demote(now);
+        for tier in &mut self.flows.tiers {
+            tier.watch(now, capacity);
+        }
+        for index in 0..self.groups.len() {
+            while let Some(key) = self.hopeless(now, index) {
+                let job = self.drop_job(key);
+                let lost = self.subject(&job);
+                let tier = self.groups[index].tier;
+                self.flows.tiers[tier].stress(now);
+                self.note(now, record::Event::Overload, lost, None);
+                out.push(job.data);
+            }
+        }
+    }
+
+    fn hopeless(&self, now: time::Duration, index: usize) -> Option<queue::Key> {
+        let group = &self.groups[index];
+        let since = self.flows.tiers[group.tier].overloaded?;
+        let place = group.late.first()?;
+        let floor = group.starved_at().is_some_and(|at| at < place.deadline());
+        let last = group.queued() == 1 && group.tier > 0 && floor;
+        let hopeless = place.deadline() <= now + now.saturating_sub(since);
+        (hopeless && !last).then_some(place.key)
+    }
 }
--- a/crates/sched/src/flows.rs
+++ b/crates/sched/src/flows.rs
@@ -87,6 +87,7 @@
         if team.linked == 0 {
             team.tag = team.tag.later(tier.system);
             tier.weight += team.weight;
+            tier.active += 1;
         }
         if flow.linked == 0 {
             flow.tag = flow.tag.later(team.system);
@@ -123,6 +124,7 @@
         }
         if team.linked == 0 {
             let tier = &mut self.tiers[team.tier];
+            tier.active -= 1;
             tier.weight = (tier.weight - team.weight).max(0.0);
         }
         if flow.lines.remove(line, place) && team.lines.remove(line, (flow.tag, key)) {
@@ -281,18 +283,19 @@
         }
     }
 
-    /// Returns the tokens that the tier serves before a new job of this caller.
-    pub(crate) fn ahead(&self, tier: usize, id: u32, weight: f64, caller: u64) -> f64 {
+    /// Returns the tokens that the tier serves before a new job of this caller,
+    /// which is before its target and costs `cost`.
+    pub(crate) fn ahead(&self, tier: usize, id: u32, weight: f64, caller: u64, cost: f64) -> f64 {
         let state = &self.tiers[tier];
+        let queued = (state.cost - state.late).max(0.0);
+        // Half of the other teams have a job with an earlier start.
+        let ties = state.active as f64 * cost / 2.0;
         let team = state.index.get(&id).and_then(|&key| self.teams.get(key));
         let Some(team) = team else {
-            return 0.0;
+            return ties.min(queued);
         };
-        let own = match team
-            .callers
-            .get(&caller)
-            .and_then(|&key| self.callers.get(key))
-        {
+        let flow = team.callers.get(&caller);
+        let own = match flow.and_then(|&key| self.callers.get(key)) {
             Some(flow) => {
                 let lead = (flow.tag.later(team.system).0 - team.system.0 + flow.cost).max(0.0);
                 (lead * team.active.max(1) as f64).min(team.cost)
@@ -301,7 +304,7 @@
         };
         let lead = team.tag.later(state.system).0 - state.system.0 + own / weight;
         let active = if team.linked == 0 { weight } else { 0.0 };
-        (lead * (state.weight + active)).clamp(0.0, state.cost)
+        (lead * (state.weight + active) + ties).clamp(0.0, queued)
     }
 }
 
--- a/crates/sched/src/group.rs
+++ b/crates/sched/src/group.rs
@@ -13,6 +13,10 @@
     pub(crate) tier: usize,
     /// Queued jobs by deadline.
     pub(crate) deadlines: collections::BTreeSet<place::Place>,
+    /// Queued jobs that are past their target, by deadline.
+    pub(crate) late: collections::BTreeSet<place::Place>,
+    /// Jobs by target; entries of jobs that left are dropped late.
+    pub(crate) fresh: collections::VecDeque<(time::Duration, queue::Key)>,
     /// Cost of the queued jobs, in tokens.
     pub(crate) cost: f64,
     /// Jobs in the order of arrival; entries of jobs that left are dropped late.
@@ -30,6 +34,8 @@
             class,
             tier,
             deadlines: collections::BTreeSet::new(),
+            late: collections::BTreeSet::new(),
+            fresh: collections::VecDeque::new(),
             cost: 0.0,
             arrivals: collections::VecDeque::new(),
             since: None,
@@ -48,7 +54,8 @@
     /// would otherwise starve without ever being queued.
     pub(crate) fn demand(&mut self, now: time::Duration) {
         let gap = now.saturating_sub(self.last_demand);
-        if self.since.is_none() || (self.queued() == 0 && gap > self.class.starvation_window) {
+        let forgotten = self.queued() == 0 && gap > FORGET * self.class.starvation_window;
+        if self.since.is_none() || forgotten {
             self.since = Some(now);
         }
         self.last_demand = now;
@@ -71,6 +78,9 @@
         if self.arrivals.len() > 2 * self.queued() + PRUNE_SLACK {
             self.arrivals.retain(|&(_, key)| live(key));
         }
+        if self.fresh.len() > 2 * self.queued() + PRUNE_SLACK {
+            self.fresh.retain(|&(_, key)| live(key));
+        }
     }
 
     /// Notes that a job of the class was taken.
@@ -109,6 +119,9 @@
     }
 }
 
+/// Windows without demand after which unserved demand is forgotten.
+const FORGET: u32 = 10;
+
 /// Stale arrival entries that are tolerated before a clean-up.
 const PRUNE_SLACK: usize = 64;
 
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -13,6 +13,10 @@
     pub caller: u64,
     /// Estimated cost in tokens.
     pub cost: f64,
+    /// Time until which a start meets the target of the class. Jobs that are
+    /// past it go after the others of their tier. The targets of one class are
+    /// expected to pass in the order of arrival.
+    pub target: time::Duration,
     /// Latest time at which starting the job is of use.
     pub deadline: time::Duration,
     /// Kind of room that the job needs.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod choose;
 mod class;
+mod demote;
 mod entry;
 mod expect;
 mod expire;
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -92,7 +92,7 @@
         self.groups = classes
             .map(|class| group::Group::new(*class, index(class)))
             .collect();
-        let lines = self.groups.len() * usize::from(lane::Lane::COUNT);
+        let lines = self.groups.len() * 2 * usize::from(lane::Lane::COUNT);
         let tiers = ranks.iter().map(|_| tier::Tier::new()).collect();
         self.flows.reset(tiers, lines);
         self.held.clear();
@@ -154,6 +154,7 @@
             job,
             caller: caller::Key::default(),
             at: now,
+            late: false,
             linked: false,
         });
         self.attach(now, now, key);
@@ -170,6 +171,12 @@
         entry.linked = false;
         group.deadlines.insert(place::Place::new(job.deadline, key));
         group.arrive(at, key);
+        if entry.late {
+            group.late.insert(place::Place::new(job.deadline, key));
+            self.flows.tiers[group.tier].late += job.cost;
+        } else {
+            group.fresh.push_back((job.target, key));
+        }
         group.cost += job.cost;
         self.flows.tiers[group.tier].cost += job.cost;
         if job.ready > now {
@@ -179,22 +186,24 @@
         }
     }
 
-    fn link(&mut self, key: Key) {
+    pub(crate) fn link(&mut self, key: Key) {
         let entry = &mut self.jobs[key];
         let job = &entry.job;
         entry.linked = true;
-        let line = line(job.class, job.lane);
+        let line = line(job.class, job.lane, entry.late);
         let place = place::Place::new(job.deadline, key);
-        self.flows.link(line, entry.caller, place, job.cost);
+        let cost = if entry.late { 0.0 } else { job.cost };
+        self.flows.link(line, entry.caller, place, cost);
     }
 
-    fn unlink(&mut self, key: Key) {
+    pub(crate) fn unlink(&mut self, key: Key) {
         let entry = &mut self.jobs[key];
         let job = &entry.job;
         if entry.linked {
             let place = place::Place::new(job.deadline, key);
-            let line = line(job.class, job.lane);
-            self.flows.unlink(line, entry.caller, place, job.cost);
+            let line = line(job.class, job.lane, entry.late);
+            let cost = if entry.late { 0.0 } else { job.cost };
+            self.flows.unlink(line, entry.caller, place, cost);
         } else {
             self.held.remove(&(job.ready, key));
         }
@@ -215,6 +224,10 @@
             .remove(&place::Place::new(job.deadline, key));
         let tier = &mut self.flows.tiers[group.tier];
         tier.cost = (tier.cost - job.cost).max(0.0);
+        if entry.late {
+            group.late.remove(&place::Place::new(job.deadline, key));
+            tier.late = (tier.late - job.cost).max(0.0);
+        }
         group.cost = (group.cost - job.cost).max(0.0);
         let jobs = &self.jobs;
         group.prune(key, |key| jobs.contains_key(key));
@@ -360,8 +373,10 @@
     }
 }
 
-pub(crate) fn line(class: u16, lane: lane::Lane) -> u32 {
-    u32::from(class) * u32::from(lane::Lane::COUNT) + u32::from(lane.index())
+/// Returns the line of a lane of a class, for jobs before or past their target.
+pub(crate) fn line(class: u16, lane: lane::Lane, late: bool) -> u32 {
+    let half = u32::from(class) * 2 + u32::from(late);
+    half * u32::from(lane::Lane::COUNT) + u32::from(lane.index())
 }
 
 fn after(one: &record::Subject, other: &record::Subject) -> bool {
--- a/crates/sched/src/record.rs
+++ b/crates/sched/src/record.rs
@@ -11,6 +11,8 @@
     Share,
     /// The deadline of a new job could not be met.
     Late,
+    /// A queued job was past its target while its tier stayed overloaded.
+    Overload,
     /// A queued job was still waiting when its start became useless.
     Expired,
 }
--- a/crates/sched/src/team.rs
+++ b/crates/sched/src/team.rs
@@ -28,7 +28,7 @@
     pub(crate) linked: usize,
     /// Callers with a job that could be taken.
     pub(crate) active: usize,
-    /// Cost of the jobs that could be taken, in tokens.
+    /// Cost of those before their target, in tokens.
     pub(crate) cost: f64,
     pub(crate) lines: lines::Lines<(tag::Tag, caller::Key)>,
     pub(crate) callers: rustc_hash::FxHashMap<u64, caller::Key>,
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -25,6 +25,7 @@
         team,
         caller: 0,
         cost: 100.0,
+        target: deadline,
         deadline,
         lane: Lane::new(0),
         ready: Duration::ZERO,
--- a/crates/sched/tests/order.rs
+++ b/crates/sched/tests/order.rs
@@ -81,6 +81,29 @@
     assert_eq!(queue.get(urgent.key).unwrap().data, 3);
 }
 
+/// Guards against jobs that missed their target and delay those that can meet it,
+/// and against holding them while the overload lasts.
+#[test]
+fn jobs_past_their_target_go_last_and_are_given_up_in_an_overload() {
+    let mut queue = Queue::new(common::options(2, 0.0, 600 * SECOND, 100));
+    for (id, class, target) in [(1, 0, 2), (4, 0, 2), (5, 0, 2), (2, 0, 9), (3, 1, 9)] {
+        let mut job = common::job(id, class, id as u32, 30 * SECOND);
+        job.target = target * SECOND;
+        queue.push(SECOND, job);
+    }
+    assert_eq!(serve(&mut queue, 3 * SECOND, Lanes::ALL), Some(2));
+    assert_eq!(serve(&mut queue, 3 * SECOND, Lanes::ALL), Some(1));
+    let mut gone = Vec::new();
+    // Two jobs of 100 tokens are late, and a second serves 150.
+    queue.trim(4 * SECOND, 150.0, &mut gone);
+    queue.trim(16 * SECOND, 150.0, &mut gone);
+    assert!(gone.is_empty(), "the overload may end before 28 s");
+    queue.trim(17 * SECOND, 150.0, &mut gone);
+    gone.sort_unstable();
+    assert_eq!(gone, [4, 5]);
+    assert_eq!(serve(&mut queue, 17 * SECOND, Lanes::ALL), Some(3));
+}
+
 /// Guards against a job that is taken without room of its kind, before its
 /// time, or after it was withdrawn.
 #[test]
