feat(host): answer discovery by distance and hand queued asks on when leaving

Cause: GET /v1/hosts listed hosts without weights, and asks that were queued at a leaving home waited there. Change: the discovery answer of the fleet crate, with a time to live of 5 s that the pause of a leaving host covers; a leaving home answers its queued asks with moved.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -24,9 +24,10 @@
 /// Shortest shared key in bytes that the transport takes.
 const KEY_BYTES: usize = 32;
 /// Time after leaving during which the host still accepts callers. It covers
-/// the time to live of the lists that callers keep, so that nobody who uses a
-/// listed address, or a key that came with it, finds the host gone.
-const LEAVE_PAUSE: time::Duration = time::Duration::from_secs(6);
+/// the time to live of the lists that callers keep and one second for the news
+/// to reach the other hosts, so that nobody who uses a listed address, or a key
+/// that came with it, finds the host gone.
+const LEAVE_PAUSE: time::Duration = view::LIST_TTL.saturating_add(time::Duration::from_secs(1));
 
 /// A running router host.
 pub struct Host {
--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -140,10 +140,19 @@
                 return Box::pin(core::future::ready(wire::Reply::Refusal(refusal)));
             }
         };
-        let (held, clock) = (self.held.clone(), self.clock);
+        let (held, clock, view) = (self.held.clone(), self.clock, self.view.clone());
         Box::pin(async move {
             let mut withdraw = shard::Withdraw::new(queued.shard.clone(), queued.id);
-            let verdict = queued.verdict.await;
+            let verdict = tokio::select! {
+                biased;
+                verdict = queued.verdict => verdict,
+                // What is queued here goes on at the next home.
+                () = view.left() => {
+                    held.lock().remove(&key);
+                    let kind = Kind::Moved.entry().name;
+                    return wire::Reply::Refusal(wire::Refusal::new(kind, "the host is leaving"));
+                }
+            };
             withdraw.disarm();
             let now = clock.now();
             let wait_ms = now.saturating_sub(start).as_millis() as u32;
--- a/crates/host/src/service.rs
+++ b/crates/host/src/service.rs
@@ -45,7 +45,8 @@
 
     fn hosts(&self, address: net::IpAddr) -> serde_json::Value {
         let keys = self.keyed.mint(KEYS_PER_ANSWER);
-        self.view.discover(address, keys)
+        let answer = self.view.discover(address, keys);
+        serde_json::to_value(answer).unwrap_or_default()
     }
 
     fn models(&self) -> serde_json::Value {
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -1,8 +1,14 @@
+use core::time;
 use std::net;
 use std::sync;
 
+use tokio::sync::watch;
+
 use crate::clock;
 
+/// How long a caller keeps the list of hosts.
+pub(crate) const LIST_TTL: time::Duration = time::Duration::from_secs(5);
+
 /// A host that may be the home of a shard.
 #[derive(Clone, Debug)]
 pub(crate) struct Home {
@@ -15,6 +21,7 @@
 pub(crate) struct View {
     clock: clock::Clock,
     membership: sync::Mutex<fleet::Membership>,
+    leaving: watch::Sender<bool>,
 }
 
 impl View {
@@ -22,6 +29,7 @@
         Self {
             clock,
             membership: sync::Mutex::new(membership),
+            leaving: watch::Sender::new(false),
         }
     }
 
@@ -70,6 +78,7 @@
     /// Marks this host as leaving.
     pub(crate) fn leave(&self) {
         self.lock().set_leaving();
+        self.leaving.send_replace(true);
     }
 
     /// Returns the digests that are due.
@@ -107,14 +116,26 @@
     }
 
     /// Returns the answer of `GET /v1/hosts`.
-    pub(crate) fn discover(&self, _address: net::IpAddr, keys: Vec<String>) -> serde_json::Value {
+    pub(crate) fn discover(
+        &self,
+        caller: net::IpAddr,
+        keys: Vec<String>,
+    ) -> fleet::discover::Answer {
+        let options = fleet::discover::Options {
+            ttl: LIST_TTL,
+            keys,
+            ..fleet::discover::Options::default()
+        };
         let membership = self.lock();
-        let live = membership.live();
-        let hosts: Vec<serde_json::Value> = live
-            .iter()
-            .map(|entry| serde_json::json!({"address": entry.caller, "weight": 1.0}))
-            .collect();
-        serde_json::json!({"hosts": hosts, "ttl_ms": 5_000, "keys": keys})
+        let data_centre = &membership.own().data_centre;
+        fleet::discover::answer(membership.live(), data_centre, caller, &options)
+    }
+
+    /// Waits until this host is leaving.
+    pub(crate) async fn left(&self) {
+        let mut leaving = self.leaving.subscribe();
+        // The sender lives as long as this view.
+        drop(leaving.wait_for(|&leaving| leaving).await);
     }
 
     /// Runs `read` on the membership.
