fix(host): renew the fencing number that an endpoint refuses

Cause: an engine that had taken orders of another home answered 409, which the caller got as its answer, and the home kept its old number for ever. Change: such a 409 counts as a refusal before the work, is tried again, and makes a host that takes itself for the home renew its number, at most once a second, so that two homes take turns during a split.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -248,6 +248,22 @@
 }
 
 impl Flow {
+    /// Returns whether an engine refused the fencing number.
+    ///
+    /// A service's own 409 is an answer for the caller.
+    fn is_fenced(&self, head: &http::response::Parts, permit: &permit::Permit) -> bool {
+        if head.status != http::StatusCode::CONFLICT {
+            return false;
+        }
+        let force = self.broker.state.force();
+        let name = permit.grant().name.split('@').next().unwrap_or_default();
+        force.settings.endpoints.get(name).is_some_and(|endpoint| {
+            let pool = force.settings.pools.get(&endpoint.pool);
+            endpoint.fencing == conf::settings::Fencing::Checked
+                && pool.is_some_and(|pool| pool.kind == conf::settings::Kind::Model)
+        })
+    }
+
     /// Sends a request and returns the head of an answer that is not a refusal
     /// or failure of the endpoint.
     async fn send(
@@ -269,7 +285,8 @@
             }
         };
         let (head, body) = response.into_parts();
-        let permit = check_status(head.status, permit)?;
+        let fenced = self.is_fenced(&head, &permit);
+        let permit = check_status(head.status, fenced, permit)?;
         Ok((permit, head, body))
     }
 }
@@ -332,9 +349,15 @@
 /// Returns the permit if the status is one that the caller gets.
 fn check_status(
     status: http::StatusCode,
+    fenced: bool,
     permit: permit::Permit,
 ) -> Result<permit::Permit, Failure> {
     match status {
+        _ if fenced => {
+            permit.finish(pool::Result::Refused);
+            let text = "the endpoint takes orders of a later home";
+            Err(failure(Refusal::new(Kind::EndpointConnect, text), true))
+        }
         http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE => {
             permit.finish(pool::Result::Refused);
             let text = format!("the endpoint refused with {status}");
--- a/crates/host/src/poll.rs
+++ b/crates/host/src/poll.rs
@@ -65,7 +65,9 @@
             }
         }
         for (key, shard) in state.shards() {
-            if !view.is_home(&key.0, key.1) && !shard.is_busy() {
+            let home = view.is_home(&key.0, key.1);
+            shard.set_home(home);
+            if !home && !shard.is_busy() {
                 continue;
             }
             for member in shard.members() {
--- a/crates/host/src/shard.rs
+++ b/crates/host/src/shard.rs
@@ -40,13 +40,48 @@
     waiting: collections::HashMap<pool::AskId, oneshot::Sender<Verdict>>,
     next: u64,
     actions: Vec<Action>,
+    fence: Fence,
+}
+
+/// Fencing number of this home.
+struct Fence {
+    number: u64,
+    renewed: Option<time::Duration>,
+    /// Whether this host takes itself for the home.
+    home: bool,
+}
+
+/// Shortest time between two renewals of a fencing number. During a split, two
+/// homes take turns at an endpoint that checks the numbers, no faster than this.
+const FENCE_PERIOD: time::Duration = time::Duration::from_secs(1);
+
+impl Fence {
+    fn new() -> Self {
+        Self {
+            // Of two hosts that are home one after the other, the later one
+            // has the higher number.
+            number: clock::Clock::wall_ms(),
+            renewed: None,
+            home: true,
+        }
+    }
+
+    /// Takes a higher number if another home may have given orders meanwhile.
+    fn renew(&mut self, now: time::Duration) {
+        let due = self
+            .renewed
+            .is_none_or(|at| now.saturating_sub(at) >= FENCE_PERIOD);
+        if self.home && due {
+            self.number = clock::Clock::wall_ms().max(self.number + 1);
+            self.renewed = Some(now);
+        }
+    }
 }
 
 /// One shard of a pool at its home host, under one lock.
 pub(crate) struct Shard {
     inner: sync::Mutex<Inner>,
     clock: clock::Clock,
-    fence: u64,
 }
 
 impl Shard {
@@ -57,13 +92,11 @@
             waiting: collections::HashMap::new(),
             next: 0,
             actions: Vec::new(),
+            fence: Fence::new(),
         };
         Self {
             inner: sync::Mutex::new(inner),
             clock,
-            // Of two hosts that are home one after the other, the later one
-            // has the higher number.
-            fence: clock::Clock::wall_ms(),
         }
     }
 
@@ -122,9 +155,24 @@
     pub(crate) fn done(&self, id: pool::AskId, finish: pool::Finish) {
         let now = self.clock.now();
         let mut inner = self.lock();
+        if finish.result == pool::Result::Refused {
+            // The endpoint may have taken orders of another home.
+            inner.fence.renew(now);
+        }
         self.apply(&mut inner, |policy, out| policy.done(now, id, finish, out));
     }
 
+    /// Notes whether this host takes itself for the home.
+    pub(crate) fn set_home(&self, home: bool) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let becomes = home && !inner.fence.home;
+        inner.fence.home = home;
+        if becomes {
+            inner.fence.renew(now);
+        }
+    }
+
     /// Notes a load report.
     pub(crate) fn report(&self, id: pool::EndpointId, load: pool::Load) {
         let now = self.clock.now();
@@ -198,7 +246,7 @@
                 let grant = Grant {
                     name: member.name.clone(),
                     address: member.address,
-                    fence: self.fence,
+                    fence: inner.fence.number,
                     dispatch_by: self.clock.now() + DISPATCH_WITHIN,
                 };
                 sender.send(Ok(grant)).err().map(|_| ask)
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -50,7 +50,8 @@
             "[endpoint engine-{index}]\npool = braille\naddress = {address}"
         )
         .expect("a string takes all");
-        writeln!(text, "data_centre = a\nslots = 4").expect("a string takes all");
+        writeln!(text, "data_centre = a\nslots = 4\nfencing = checked")
+            .expect("a string takes all");
     }
     let outcome = conf::load(&[conf::File::new("10-test.ini", text)]);
     let outcome = outcome.unwrap_or_else(|problems| panic!("{problems:?}"));
@@ -162,11 +163,16 @@
     value["keys"][0].as_str().expect("a key").to_owned()
 }
 
+/// Returns the time in Unix milliseconds.
+pub fn wall_ms() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .expect("the clock is past 1970")
+        .as_millis()
+}
+
 /// Returns a booking with an idempotency key whose first attempt is now.
 pub fn booking(tag: &str, key: &str) -> load::Call {
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .expect("the clock is past 1970");
     load::Call {
         path: "/services/order-desk/book".to_owned(),
         tag: tag.to_owned(),
@@ -174,7 +180,7 @@
         key: Some(KEY.to_owned()),
         headers: vec![
             ("idempotency-key".to_owned(), key.to_owned()),
-            ("request-time".to_owned(), now.as_millis().to_string()),
+            ("request-time".to_owned(), wall_ms().to_string()),
         ],
         ..load::Call::default()
     }
@@ -182,7 +188,12 @@
 
 /// Starts a stand-in engine that answers `tokens` tokens.
 pub fn engine(tokens: u32, crash: Option<engine::Crash>) -> engine::Handle {
-    let options = engine::Options {
+    engine::Engine::start(engine_options(tokens, crash)).expect("the engine starts")
+}
+
+/// Returns the properties of a stand-in engine that answers `tokens` tokens.
+pub fn engine_options(tokens: u32, crash: Option<engine::Crash>) -> engine::Options {
+    engine::Options {
         model: "braille".to_owned(),
         lengths: vec![engine::Length {
             median: f64::from(tokens),
@@ -191,8 +202,7 @@
         }],
         crash,
         ..engine::Options::default()
-    };
-    engine::Engine::start(options).expect("the engine starts")
+    }
 }
 
 /// Returns a streamed request.
--- a/crates/host/tests/whole_path.rs
+++ b/crates/host/tests/whole_path.rs
@@ -210,3 +210,33 @@
     assert!(engines.iter().all(|engine| engine.runs().len() == 1));
     host.shutdown().await;
 }
+
+/// Guards against a home that an endpoint refuses for ever after another home
+/// gave orders in between, and against its refusal reaching a caller.
+#[tokio::test]
+async fn a_home_with_an_old_fencing_number_takes_a_new_one() {
+    let options = engine::Options {
+        fencing: true,
+        ..common::engine_options(4, None)
+    };
+    let engine = engine::Engine::start(options).expect("the engine starts");
+    let host = common::host(&[engine.address()]).await;
+    let client = common::client();
+    let first = common::call("r1", 4);
+    let record = first.send(&client, host.caller_addr()).await;
+    assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+
+    tokio::time::sleep(time::Duration::from_millis(5)).await;
+    let mut other = common::call("r2", 4);
+    let number = common::wall_ms().to_string();
+    other.headers = vec![("x-fencing-number".to_owned(), number)];
+    let record = other.send(&client, engine.address()).await;
+    assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+
+    tokio::time::sleep(time::Duration::from_millis(5)).await;
+    let third = common::call("r3", 4);
+    let record = third.send(&client, host.caller_addr()).await;
+    assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+    assert_eq!(engine.counters().fenced, 1);
+    host.shutdown().await;
+}
