--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -25,7 +25,7 @@
 const FRESH_PERIODS: f64 = 1.5;
 
 /// One in so many ticks contacts a dead host.
-const DEAD_CONTACT: u32 = 4;
+const DEAD_CONTACT: u32 = 2;
 
 type Out = (net::SocketAddr, digest::Digest);
 
@@ -118,7 +118,7 @@
 
     /// Chooses the entries of a digest beside the own one.
     ///
-    /// Recent changes may take half of the places. The rest goes to the hosts
+    /// News may take three quarters of the places. The rest goes to the hosts
     /// whose counters advanced last.
     fn choose(&mut self, now: time::Duration) -> Vec<entry::Entry> {
         let places = self.options.entries_max.saturating_sub(1);
@@ -129,11 +129,11 @@
             .collect();
         if told.len() > places {
             told.shuffle(&mut self.rng);
-            let recent = |member: &&member::Member| now.saturating_sub(member.changed) < RECENT;
-            let (mut first, mut rest): (Vec<_>, Vec<_>) = told.into_iter().partition(recent);
+            let is_news = |member: &&member::Member| is_news(now, member);
+            let (mut first, mut rest): (Vec<_>, Vec<_>) = told.into_iter().partition(is_news);
             let kept = first
                 .len()
-                .min(places.div_ceil(2).max(places.saturating_sub(rest.len())));
+                .min((places * 3 / 4).max(places.saturating_sub(rest.len())));
             first.truncate(kept);
             rest.sort_by_key(|member| member.silence(now));
             first.extend(rest);
@@ -209,3 +209,8 @@
         alarms
     }
 }
+
+/// Returns whether other hosts may not know yet what this one knows.
+fn is_news(now: time::Duration, member: &member::Member) -> bool {
+    member.entry.suspected || now.saturating_sub(member.changed) < RECENT
+}
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -67,10 +67,14 @@
         if now < self.retry_at {
             return action::Action::Follow;
         }
-        if self.is_read_due(now) && self.bucket.take(now) {
+        if self.is_read_due(now) {
+            // A read without a token waits for the next draw as well: all
+            // buckets refill at the same time after a common start.
             self.read = Some(now);
             self.patience = self.draw_patience();
-            return action::Action::Read;
+            if self.bucket.take(now) {
+                return action::Action::Read;
+            }
         }
         if is_watcher(own, live) {
             return action::Action::Watch;
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -1,5 +1,6 @@
 //! Tests of the membership in simulated time.
 
+mod sample;
 mod sim;
 
 use core::time::Duration;
@@ -168,7 +169,7 @@
     let mut fleet = twelve(1);
     let listed = fleet::Listed {
         name: "host-005".to_owned(),
-        peer: sim::entry(5, 4, 1).peer,
+        peer: sample::entry(5, 4, 1).peer,
         phase: Phase::Leaving,
     };
     let now = fleet.now;
@@ -184,16 +185,16 @@
     fleet.hosts[0].membership.platform(fleet.now, &[]);
     assert_eq!(fleet.state(0, 5), State::Live);
 
-    let mut lone = fleet::Membership::new(sim::entry(20, 4, 1), fleet::Options::default(), 1);
+    let mut lone = fleet::Membership::new(sample::entry(20, 4, 1), fleet::Options::default(), 1);
     let up = fleet::Listed {
         name: "host-006".to_owned(),
-        peer: sim::entry(6, 4, 1).peer,
+        peer: sample::entry(6, 4, 1).peer,
         phase: Phase::Up,
     };
     lone.platform(Duration::ZERO, &[up]);
     let out = lone.tick(Duration::ZERO);
     assert_eq!(out.len(), 1);
-    assert_eq!(out[0].0, sim::entry(6, 4, 1).peer);
+    assert_eq!(out[0].0, sample::entry(6, 4, 1).peer);
 }
 
 /// Guards against a host that cannot be declared dead where only two are known.
@@ -242,7 +243,7 @@
     let received = fleet.hosts[1].membership.receive(now, &digest);
     let notice = received.newer.expect("7 is higher than 0");
     assert_eq!((notice.revision, notice.name.as_str()), (7, "host-000"));
-    assert_eq!(notice.peer, sim::entry(0, 4, 1).peer);
+    assert_eq!(notice.peer, sample::entry(0, 4, 1).peer);
     fleet.hosts[1].membership.set_version(7, [8; 32]);
     let received = fleet.hosts[1].membership.receive(now, &digest);
     assert!(received.newer.is_none() && received.conflict.is_some());
--- a/crates/fleet/tests/sim/mod.rs
+++ b/crates/fleet/tests/sim/mod.rs
@@ -4,14 +4,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use fleet::{Digest, Entry, Membership, Options, Phase, State};
+use fleet::{Digest, Membership, Options, Phase, State};
 use rand::{RngExt, SeedableRng};
 
+use crate::sample;
+
 /// One step of simulated time.
 const STEP: Duration = Duration::from_millis(100);
 
 /// Time between two ticks of a host.
-pub const PERIOD: Duration = Duration::from_secs(1);
+const PERIOD: Duration = Duration::from_secs(1);
 
 /// Bounds of the delay of a datagram in milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 1..150;
@@ -39,27 +41,12 @@
     rng: rand_pcg::Pcg64Mcg,
 }
 
-/// Returns the entry of the host of this number.
-pub fn entry(number: usize, centres: usize, regions: usize) -> Entry {
-    let centre = number % centres;
-    let ip = [10, 0, (number / 250) as u8, (number % 250) as u8 + 1];
-    Entry {
-        name: format!("host-{number:03}"),
-        incarnation: 1_764_000_000_000 + number as u64 * 977,
-        counter: 0,
-        phase: Phase::Up,
-        suspected: false,
-        data_centre: format!("dc-{centre}"),
-        region: format!("region-{}", centre % regions),
-        peer: SocketAddr::from((ip, 7000)),
-        caller: SocketAddr::from((ip, 8000)),
-    }
-}
-
 /// Returns options with the first three hosts as seeds.
 pub fn options() -> Options {
     Options {
-        seeds: (0..3).map(|number| entry(number, 1, 1).peer).collect(),
+        seeds: (0..3)
+            .map(|number| sample::entry(number, 1, 1).peer)
+            .collect(),
         ..Options::default()
     }
 }
@@ -71,7 +58,7 @@
         let hosts: Vec<Host> = (0..count)
             .map(|number| Host {
                 membership: Membership::new(
-                    entry(number, centres, regions),
+                    sample::entry(number, centres, regions),
                     options(),
                     rng.random(),
                 ),
@@ -84,7 +71,7 @@
         Self {
             now: Duration::ZERO,
             addresses: (0..count)
-                .map(|number| (entry(number, centres, regions).peer, number))
+                .map(|number| (sample::entry(number, centres, regions).peer, number))
                 .collect(),
             hosts,
             loss: 0.0,
--- /dev/null
+++ b/crates/fleet/tests/version.rs
@@ -0,0 +1,56 @@
+//! Tests of the configuration in force.
+
+use fleet::{Outcome, Version};
+use proptest::prelude::*;
+
+proptest! {
+    /// Guards against a configuration that goes back or changes under its
+    /// revision, whatever arrives in whatever order.
+    #[test]
+    fn revisions_rise_and_contents_stay(
+        offers in prop::collection::vec((0..20_u64, 0..3_u8, any::<bool>()), 0..200),
+    ) {
+        let mut version = Version::new();
+        let mut highest = 0;
+        for (revision, content, is_valid) in offers {
+            let before = version.in_force();
+            let verdict = if is_valid { Ok(()) } else { Err("no pool".to_owned()) };
+            let outcome = version.offer(revision, [content; 32], verdict);
+            highest = highest.max(revision);
+            prop_assert_eq!(version.highest_seen(), highest);
+            let after = version.in_force();
+            match (before, after) {
+                (Some((old, same)), Some((new, other))) => {
+                    prop_assert!(new > old || (new == old && same == other));
+                }
+                (before, after) => prop_assert!(before.is_none() || after.is_some()),
+            }
+            prop_assert_eq!(outcome == Outcome::InForce, before != after);
+            prop_assert!(outcome != Outcome::InForce || is_valid);
+        }
+    }
+}
+
+/// Guards against a refusal whose reason `status` cannot show, and against
+/// reasons that pile up.
+#[test]
+fn refused_revisions_keep_their_reasons_within_a_bound() {
+    let mut version = Version::new();
+    assert_eq!(version.offer(5, [5; 32], Ok(())), Outcome::InForce);
+    assert_eq!(version.offer(5, [5; 32], Ok(())), Outcome::Same);
+    assert_eq!(version.offer(4, [4; 32], Ok(())), Outcome::Old);
+    assert_eq!(version.offer(5, [6; 32], Ok(())), Outcome::Conflict);
+    let refused = version.offer(6, [6; 32], Err("no pool".to_owned()));
+    assert_eq!(refused, Outcome::Refused);
+    assert!(version.is_refused(6, [6; 32]) && version.is_refused(5, [6; 32]));
+    assert_eq!(version.in_force(), Some((5, [5; 32])));
+    let last = version.refused().last().expect("two were refused");
+    assert_eq!((last.revision, last.reason.as_str()), (6, "no pool"));
+    for revision in 7..1_000 {
+        version.offer(revision, [1; 32], Err("no pool".to_owned()));
+    }
+    assert_eq!(version.refused().count(), 16);
+    assert!(version.is_refused(999, [1; 32]));
+    assert_eq!(version.offer(1_000, [2; 32], Ok(())), Outcome::InForce);
+    assert_eq!(version.highest_seen(), 1_000);
+}
