feat(route): judge late first tokens by the spread of their class

Cause: an endpoint that turns slow took two or three more requests before its pending first tokens were judged late.

Change: one pending first token beyond eight mean deviations of its class counts at once; two beyond 2.5 times the mean count as before. Windows of any length no longer overflow.

--- a/crates/pool/examples/figures.rs
+++ b/crates/pool/examples/figures.rs
@@ -228,6 +228,32 @@
     });
 }
 
+fn only_long() {
+    println!("only long work: 12/s of 200 to 400 tokens, long from 100 tokens, 48 places");
+    let names = ["met", "timely"];
+    for share in [0.5, 1.0] {
+        row(&format!("share {share}"), &names, |seed| {
+            let mut rng = rng(seed);
+            let times = sim::arrivals(&mut rng, 12.0, 120 * SECOND);
+            let load = times.into_iter().map(|at| {
+                let mut request = Request::new(at, 0, rng.random_range(200..400));
+                request.team = rng.random_range(0..10);
+                request
+            });
+            let load = load.collect();
+            let mut options = Options {
+                seed,
+                ..sim::options(1)
+            };
+            options.long_tokens = 100;
+            options.long_share = share;
+            let engines = vec![Engine::new(8, 8); 6];
+            let figures = figures(Sim::new(Current::new(&options), engines, load, seed).run());
+            vec![figures.met[0], figures.timely[0]]
+        });
+    }
+}
+
 fn binding() {
     println!("late binding: batch 8, 8 endpoints, tier 0 at 20/s and tier 1 at 45/s");
     let names = ["t0 p99 s", "t0 met", "t1 met", "t1 timely"];
@@ -404,10 +430,11 @@
 
 fn main() {
     let wanted = std::env::args().nth(1);
-    let parts: [(&str, fn()); 8] = [
+    let parts: [(&str, fn()); 9] = [
         ("order", order),
         ("shares", shares),
         ("lengths", lengths),
+        ("only_long", only_long),
         ("binding", binding),
         ("choice", choice),
         ("slowness", slowness),
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -35,7 +35,7 @@
 
     /// Returns the mean time to first token of a class in seconds.
     pub fn first_mean(&self, class: usize) -> Option<f64> {
-        self.firsts.get(class)?.get()
+        self.firsts.get(class)?.mean()
     }
 
     /// Returns how many endpoints are ejected for slowness.
--- a/crates/route/src/spell.rs
+++ b/crates/route/src/spell.rs
@@ -1,4 +1,4 @@
-/// Mean and mean deviation of the time that requests of one class are in service.
+/// Mean and mean deviation of a time that requests of one class take.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Spell {
     mean: Option<f64>,
@@ -14,6 +14,16 @@
         self.deviation += WEIGHT * (error.abs() - self.deviation);
     }
 
+    /// Returns the mean in seconds.
+    pub const fn mean(&self) -> Option<f64> {
+        self.mean
+    }
+
+    /// Returns a time that hardly any request takes, in seconds.
+    pub(crate) fn rare(&self) -> Option<f64> {
+        Some(self.mean? + DEVIATIONS_RARE * self.deviation)
+    }
+
     /// Returns the time within which nearly all requests end, in seconds.
     pub fn upper(&self) -> f64 {
         self.mean.unwrap_or(0.0) + DEVIATIONS * self.deviation
@@ -23,5 +33,8 @@
 /// Weight of the latest observation.
 const WEIGHT: f64 = 0.05;
 
+/// Mean deviations above the mean that hardly any request exceeds.
+const DEVIATIONS_RARE: f64 = 8.0;
+
 /// Mean deviations above the mean; for evenly spread times this is the maximum.
 const DEVIATIONS: f64 = 2.0;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -7,11 +7,11 @@
 use crate::event;
 use crate::health;
 use crate::hot;
-use crate::mean;
 use crate::options;
 use crate::report;
 use crate::run;
 use crate::setting;
+use crate::spell;
 use crate::work;
 
 /// Endpoints of one shard and the requests that hold places there.
@@ -33,10 +33,10 @@
     /// Where each prefix ran last.
     pub(crate) prefixes: rustc_hash::FxHashMap<u64, endpoint::Key>,
     pub(crate) prefix_order: collections::VecDeque<u64>,
-    /// Mean time to first token per class, in seconds.
-    pub(crate) firsts: Vec<mean::Mean>,
-    /// Mean time between tokens per class, in seconds.
-    pub(crate) gaps: Vec<mean::Mean>,
+    /// Time to first token per class, in seconds.
+    pub(crate) firsts: Vec<spell::Spell>,
+    /// Time between tokens per class, in seconds.
+    pub(crate) gaps: Vec<spell::Spell>,
     pub(crate) rng: rand_pcg::Pcg64Mcg,
     pub(crate) watched: time::Duration,
 }
@@ -329,22 +329,19 @@
 }
 
 /// Divides a time by the mean of its class, which then follows it.
-pub(crate) fn normalise(means: &mut Vec<mean::Mean>, class: usize, seconds: f64) -> f64 {
+pub(crate) fn normalise(means: &mut Vec<spell::Spell>, class: usize, seconds: f64) -> f64 {
     if means.len() <= class {
-        means.resize(class + 1, mean::Mean::new(CLASS_WEIGHT));
+        means.resize(class + 1, spell::Spell::default());
     }
     let mean = &mut means[class];
     mean.observe(seconds);
-    seconds / mean.get().unwrap_or(seconds).max(SECONDS_MIN)
+    seconds / mean.mean().unwrap_or(seconds).max(SECONDS_MIN)
 }
 
 /// Part of the first-token target that a request may spend at the endpoint; the
 /// rest is for the queue. At 1, the limit settles where every request is late.
 pub(crate) const FIRST_PART: f64 = 0.5;
 
-/// Weight of the latest observation in the mean of a class.
-const CLASS_WEIGHT: f64 = 0.01;
-
 /// Smallest mean time in seconds.
 const SECONDS_MIN: f64 = 1e-6;
 
--- a/crates/route/src/watch.rs
+++ b/crates/route/src/watch.rs
@@ -9,6 +9,8 @@
     waiting: u32,
     overdue: u32,
     ratio: f64,
+    /// One of them is later than hardly any request.
+    rare: bool,
 }
 
 impl table::Table {
@@ -51,19 +53,25 @@
                 run.late = true;
                 endpoint.limit.observe(run.granted, class, true);
             }
-            let Some(mean) = self.firsts.get(class).and_then(|mean| mean.get()) else {
+            let Some(mean) = self.firsts.get(class) else {
                 continue;
             };
-            let ratio = age.as_secs_f64() / mean.max(f64::MIN_POSITIVE);
+            let (Some(usual), Some(rare)) = (mean.mean(), mean.rare()) else {
+                continue;
+            };
+            let age = age.as_secs_f64();
+            let ratio = age / usual.max(f64::MIN_POSITIVE);
             let slot = &mut pending[endpoint.position];
             slot.waiting += 1;
             if ratio > OVERDUE {
                 slot.overdue += 1;
                 slot.ratio += ratio;
+                slot.rare |= age > rare;
             }
         }
         for (hot, pending) in self.hot.iter().zip(pending) {
-            if pending.overdue >= OVERDUE_MIN && pending.overdue * 2 > pending.waiting {
+            let enough = pending.rare || pending.overdue >= OVERDUE_MIN;
+            if enough && pending.overdue > 0 && pending.overdue * 2 > pending.waiting {
                 let ratio = pending.ratio / f64::from(pending.overdue);
                 self.endpoints[hot.key].speed.overdue(now, ratio);
             }
@@ -109,7 +117,8 @@
 /// Multiple of the class's mean at which a pending first token counts as slow.
 const OVERDUE: f64 = 2.5;
 
-/// Late first tokens that count; a single one may be a large prompt.
+/// Late first tokens that count unless one is very late; a single one may be a
+/// large prompt.
 const OVERDUE_MIN: u32 = 2;
 
 /// Age at which a load report says nothing about foreign load any more.
--- a/crates/sched/src/group.rs
+++ b/crates/sched/src/group.rs
@@ -54,7 +54,8 @@
     /// would otherwise starve without ever being queued.
     pub(crate) fn demand(&mut self, now: time::Duration) {
         let gap = now.saturating_sub(self.last_demand);
-        let forgotten = self.queued() == 0 && gap > FORGET * self.class.starvation_window;
+        let forgotten =
+            self.queued() == 0 && gap > self.class.starvation_window.saturating_mul(FORGET);
         if self.since.is_none() || forgotten {
             self.since = Some(now);
         }
@@ -102,7 +103,7 @@
     fn overdue(&self, now: time::Duration) -> bool {
         self.arrivals
             .front()
-            .is_some_and(|&(at, _)| at + self.class.starvation_window <= now)
+            .is_some_and(|&(at, _)| at.saturating_add(self.class.starvation_window) <= now)
     }
 
     /// Returns whether the floor asks for service now.
@@ -115,7 +116,8 @@
 
     /// Returns the time at which the class has waited for the whole window.
     pub(crate) fn starved_at(&self) -> Option<time::Duration> {
-        self.since.map(|since| since + self.class.starvation_window)
+        self.since
+            .map(|since| since.saturating_add(self.class.starvation_window))
     }
 }
 
