--- a/crates/carobbay/src/cli.rs
+++ b/crates/carobbay/src/cli.rs
@@ -53,6 +53,10 @@
     /// Address for other hosts; overrides the settings.
     #[arg(long, value_name = "ADDR")]
     pub(crate) peer_listen: Option<net::SocketAddr>,
+    /// Address at which other hosts reach this one, if it is not the address
+    /// that it listens on.
+    #[arg(long, value_name = "ADDR")]
+    pub(crate) peer_advertise: Option<net::SocketAddr>,
     /// Address of the administration API; overrides the settings.
     #[arg(long, value_name = "ADDR")]
     pub(crate) admin_listen: Option<net::SocketAddr>,
--- a/crates/carobbay/src/serve.rs
+++ b/crates/carobbay/src/serve.rs
@@ -33,7 +33,11 @@
     let folder = arguments.settings.clone();
     let host = host::Host::start(options(arguments, outcome.settings)?).await?;
     // Whoever starts the process learns the bound addresses from this line.
-    println!("listening callers={}", host.caller_addr());
+    println!(
+        "listening callers={} peers={}",
+        host.caller_addr(),
+        host.peer_addr()
+    );
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -83,6 +87,7 @@
             .or(own.listen)
             .context("no address for callers: set --listen or [host] listen")?,
         peer_listen: arguments.peer_listen.or(own.peer_listen).unwrap_or(any),
+        peer_advertise: arguments.peer_advertise,
         admin_listen: arguments.admin_listen.or(own.admin_listen),
         policy: host::Choice::Current,
         settings: sync::Arc::new(settings),
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -67,7 +67,8 @@
             name: options.name.clone(),
             incarnation: clock::Clock::wall_ms(),
         };
-        let parts = parts(&options, &identity, address, keys.clone())?;
+        let advertised = options.peer_advertise.unwrap_or(address);
+        let parts = parts(&options, &identity, advertised, keys.clone())?;
         let inbound = inbound::Inbound::new(
             &parts.state,
             &parts.view,
--- a/crates/host/src/options.rs
+++ b/crates/host/src/options.rs
@@ -25,6 +25,8 @@
     pub listen: net::SocketAddr,
     /// Address for other hosts.
     pub peer_listen: net::SocketAddr,
+    /// Address at which other hosts reach `peer_listen`, if it is another one.
+    pub peer_advertise: Option<net::SocketAddr>,
     /// Address of the administration API.
     pub admin_listen: Option<net::SocketAddr>,
     /// Policy.
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -80,6 +80,7 @@
         region: "north".to_owned(),
         listen: any,
         peer_listen: any,
+        peer_advertise: None,
         admin_listen: None,
         policy: host::Choice::Current,
     };
--- a/crates/testkit/src/measure/hosts.rs
+++ b/crates/testkit/src/measure/hosts.rs
@@ -49,6 +49,7 @@
                 region: shape.name.into(),
                 listen: (net::Ipv4Addr::LOCALHOST, 0).into(),
                 peer_listen: peer,
+                peer_advertise: None,
                 admin_listen: None,
                 policy,
             };
