--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -82,6 +82,7 @@
         region: "north".to_owned(),
         listen: any,
         peer_listen: any,
+        peer_advertise: None,
         admin_listen: None,
         policy: host::Choice::Current,
     };
