feat(front): make the closing time of connections an option

An HTTP/2 caller that is served once and then never finishes a head held its connection for the closing time of 30 s beyond the keep-alive time, and no test could show that it ends.

front::Options has close_grace (30 s). A new test drives the case with raw frames.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -1,5 +1,4 @@
 use core::convert;
-use core::time;
 use std::net;
 use std::sync;
 
@@ -21,8 +20,6 @@
 use crate::stream;
 use crate::tls;
 
-/// Longest time to send the rest of the last answer once a connection closes.
-const CLOSE_GRACE: time::Duration = time::Duration::from_secs(30);
 /// Bytes of a request head that are read above its limits, so that the
 /// refusal is the router's own. The HTTP library refuses without a body.
 const HEAD_ROOM_BYTES: usize = 64 * 1024;
@@ -175,7 +172,7 @@
     };
     let cut = state
         .quiet_since()
-        .map(|quiet| quiet.max(start) + CLOSE_GRACE);
+        .map(|quiet| quiet.max(start) + options.close_grace);
     match deadline {
         Some((at, activity::Reason::Slow)) if cut.is_some_and(|cut| at < cut) => {
             (Some(at), activity::Reason::Slow)
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -15,6 +15,11 @@
 /// Headers of HTTP/2 stream 1 that a continuation must follow.
 const UNFINISHED: &[u8] = b"\x00\x00\x01\x01\x00\x00\x00\x00\x01\x82";
 
+/// Headers of HTTP/2 stream 3 that a continuation must follow.
+const UNFINISHED_SECOND: &[u8] = b"\x00\x00\x01\x01\x00\x00\x00\x00\x03\x82";
+/// `GET /v1/models` on HTTP/2 stream 1.
+const REQUEST: &[u8] = b"\x00\x00\x11\x01\x05\x00\x00\x00\x01\x82\x86\x04\x0a/v1/models\x01\x01x";
+
 async fn read_answer(stream: &mut tokio::net::TcpStream) {
     let mut answer = Vec::new();
     while !answer.ends_with(b"}") {
@@ -91,6 +96,7 @@
 fn keeps_briefly() -> front::Options {
     front::Options {
         keep_alive: time::Duration::from_millis(100),
+        close_grace: time::Duration::from_millis(100),
         ..common::options()
     }
 }
@@ -120,6 +126,22 @@
     server.shutdown().await;
 }
 
+/// Guards against an HTTP/2 caller that is served once and then holds its
+/// connection with a head that it never finishes, while it answers no ping.
+#[tokio::test]
+async fn an_unfinished_later_head_closes_the_connection() {
+    let server = common::start(keeps_briefly(), sync::Arc::default()).await;
+    let mut stream = common::connect(&server).await;
+    let bytes = [PREFACE, REQUEST].concat();
+    stream.write_all(&bytes).await.expect("the listener reads");
+    read_answer(&mut stream).await;
+    drop(stream.write_all(UNFINISHED_SECOND).await);
+    common::rest(stream).await;
+    common::until(&server, 0, |counters| counters.open).await;
+    assert_eq!(server.counters().idle_closed, 1);
+    server.shutdown().await;
+}
+
 /// Guards against a long answer that is cut by the limits for idle callers.
 #[rstest]
 #[case::http1(false)]
