feat(front): cut connections whose caller does not read

A caller that stopped reading in the middle of an answer kept its connection and, through backpressure, the endpoint's slot for ever.

Each connection notes since when bytes cannot leave. After write_timeout (30 s, a new field of front::Options) it is closed, counted (Counters::stalled), and dropping the answer cancels the request at the endpoint. Over HTTP/2 this covers a caller that reads nothing; one that only withholds the window of a single stream is not covered.

--- a/crates/front/src/activity.rs
+++ b/crates/front/src/activity.rs
@@ -1,8 +1,8 @@
-use core::time;
-
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::options;
+
 /// What a connection does at the moment.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Activity {
@@ -16,15 +16,19 @@
     http2: bool,
     /// Arrival of the first byte since no request is in flight.
     head: Option<Instant>,
+    /// Start of the time in which the caller takes no bytes that wait for it.
+    blocked: Option<Instant>,
 }
 
-/// Why a connection without a request in flight is closed.
+/// Why a connection is closed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Reason {
     /// A request head did not arrive in time.
     Slow,
     /// No request was in flight for the keep-alive time.
     Idle,
+    /// The caller did not read its answer.
+    Stalled,
 }
 
 impl Activity {
@@ -36,6 +40,7 @@
             served: false,
             http2: false,
             head: None,
+            blocked: None,
         }
     }
 
@@ -44,20 +49,19 @@
     /// Over HTTP/2 any frame may arrive between two requests, so that a late
     /// head cannot be told from an idle connection once a request was served;
     /// it is closed as idle.
-    pub(crate) fn deadline(
-        &self,
-        head: time::Duration,
-        idle: time::Duration,
-    ) -> Option<(Instant, Reason)> {
+    pub(crate) fn deadline(&self, options: &options::Options) -> Option<(Instant, Reason)> {
+        if let Some(start) = self.blocked {
+            return Some((start + options.write_timeout, Reason::Stalled));
+        }
         if self.in_flight > 0 {
             return None;
         }
         if !self.served {
-            return Some((self.changed + head, Reason::Slow));
+            return Some((self.changed + options.idle_timeout, Reason::Slow));
         }
         match self.head {
-            Some(start) if !self.http2 => Some((start + head, Reason::Slow)),
-            _ => Some((self.changed + idle, Reason::Idle)),
+            Some(start) if !self.http2 => Some((start + options.idle_timeout, Reason::Slow)),
+            _ => Some((self.changed + options.keep_alive, Reason::Idle)),
         }
     }
 
@@ -104,3 +108,8 @@
         is_first
     });
 }
+
+/// Notes whether the caller takes the bytes that wait for it.
+pub(crate) fn blocked(activity: &watch::Sender<Activity>, is_blocked: bool) {
+    activity.send_modify(|state| state.blocked = is_blocked.then(Instant::now));
+}
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -55,6 +55,22 @@
         }
     }
 
+    /// Counts and logs the end of a connection that is closed at once.
+    fn cut(&self, remote: net::SocketAddr, reason: activity::Reason) {
+        let cause = match reason {
+            activity::Reason::Slow => {
+                counters::count(&self.cells.slow_heads);
+                "no request head in time"
+            }
+            activity::Reason::Stalled => {
+                counters::count(&self.cells.stalled);
+                "the caller does not read its answer"
+            }
+            activity::Reason::Idle => "it did not close in time",
+        };
+        log::debug!(target: "front", "connection of {remote} cut: {cause}");
+    }
+
     async fn answer(
         self: sync::Arc<Self>,
         mut request: http::Request<hyper::body::Incoming>,
@@ -137,20 +153,13 @@
                 connection.as_mut().graceful_shutdown();
             }
             _ = changes.changed() => {}
-            () = sleep(deadline) => match reason {
-                activity::Reason::Idle if closing.is_none() => {
+            () = sleep(deadline) => {
+                if reason == activity::Reason::Idle && closing.is_none() {
                     counters::count(&shared.cells.idle_closed);
                     closing = Some(Instant::now());
                     connection.as_mut().graceful_shutdown();
-                }
-                activity::Reason::Idle => {
-                    log::debug!(target: "front", "connection of {remote} cut: it did not close in time");
-                    return;
-                }
-                activity::Reason::Slow => {
-                    counters::count(&shared.cells.slow_heads);
-                    log::debug!(target: "front", "connection of {remote} closed: no request head in time");
-                    return;
+                } else {
+                    return shared.cut(remote, reason);
                 }
             }
         }
@@ -163,7 +172,7 @@
     closing: Option<Instant>,
     options: &options::Options,
 ) -> (Option<Instant>, activity::Reason) {
-    let deadline = state.deadline(options.idle_timeout, options.keep_alive);
+    let deadline = state.deadline(options);
     let Some(start) = closing else {
         return match deadline {
             Some((at, reason)) => (Some(at), reason),
@@ -174,8 +183,10 @@
         .quiet_since()
         .map(|quiet| quiet.max(start) + options.close_grace);
     match deadline {
-        Some((at, activity::Reason::Slow)) if cut.is_some_and(|cut| at < cut) => {
-            (Some(at), activity::Reason::Slow)
+        Some((at, reason))
+            if reason != activity::Reason::Idle && cut.is_none_or(|cut| at < cut) =>
+        {
+            (Some(at), reason)
         }
         _ => (cut, activity::Reason::Idle),
     }
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -15,6 +15,8 @@
     pub slow_heads: u64,
     /// Connections closed because no request was in flight for the keep-alive time.
     pub idle_closed: u64,
+    /// Connections closed because the caller did not read its answer.
+    pub stalled: u64,
 }
 
 /// Counters that connections add to.
@@ -25,6 +27,7 @@
     pub(crate) handshakes_failed: atomic::AtomicU64,
     pub(crate) slow_heads: atomic::AtomicU64,
     pub(crate) idle_closed: atomic::AtomicU64,
+    pub(crate) stalled: atomic::AtomicU64,
 }
 
 impl Cells {
@@ -38,6 +41,7 @@
             handshakes_failed: load(&self.handshakes_failed),
             slow_heads: load(&self.slow_heads),
             idle_closed: load(&self.idle_closed),
+            stalled: load(&self.stalled),
         }
     }
 }
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -21,6 +21,8 @@
     pub address_connections_max: usize,
     /// How long a connection without a request in flight is kept.
     pub keep_alive: time::Duration,
+    /// How long a caller may take no byte of an answer that waits for it.
+    pub write_timeout: time::Duration,
     /// Longest time to send the rest of the last answer once a connection closes.
     pub close_grace: time::Duration,
     /// Upper bound of requests in flight on one HTTP/2 connection.
@@ -42,6 +44,7 @@
             connections_max: 20_000,
             address_connections_max: 512,
             keep_alive: time::Duration::from_secs(75),
+            write_timeout: time::Duration::from_secs(30),
             close_grace: time::Duration::from_secs(30),
             streams_max: 128,
             header_count_max: 100,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -7,17 +7,31 @@
 
 use crate::activity;
 
-/// A byte stream that notes when bytes arrive.
+/// A byte stream that notes when bytes arrive and when bytes cannot leave.
 #[derive(Debug)]
 pub(crate) struct Stream<I> {
     inner: I,
     activity: watch::Sender<activity::Activity>,
+    is_blocked: bool,
 }
 
 impl<I> Stream<I> {
     /// Returns a stream that notes arrivals in `activity`.
     pub(crate) fn new(inner: I, activity: watch::Sender<activity::Activity>) -> Self {
-        Self { inner, activity }
+        Self {
+            inner,
+            activity,
+            is_blocked: false,
+        }
+    }
+
+    /// Notes the result of a write and passes it on.
+    fn note<T>(&mut self, written: task::Poll<T>) -> task::Poll<T> {
+        if self.is_blocked != written.is_pending() {
+            self.is_blocked = written.is_pending();
+            activity::blocked(&self.activity, self.is_blocked);
+        }
+        written
     }
 }
 
@@ -42,14 +56,16 @@
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = pin::Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.note(written)
     }
 
     fn poll_flush(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.inner).poll_flush(context)
+        let flushed = pin::Pin::new(&mut self.inner).poll_flush(context);
+        self.note(flushed)
     }
 
     fn poll_shutdown(
@@ -64,7 +80,8 @@
         context: &mut task::Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.inner).poll_write_vectored(context, parts)
+        let written = pin::Pin::new(&mut self.inner).poll_write_vectored(context, parts);
+        self.note(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -7,6 +7,9 @@
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+/// Bytes of a large answer, more than the buffers of two sockets take.
+pub const LARGE_BYTES: usize = 64 * 1024 * 1024;
+
 /// Service that answers `ok` once its gate is open, and counts what runs.
 #[derive(Default)]
 pub struct Gate {
@@ -32,7 +35,7 @@
 }
 
 impl front::Service for Gate {
-    fn serve(&self, _request: front::Request) -> front::Serving<'_> {
+    fn serve(&self, request: front::Request) -> front::Serving<'_> {
         Box::pin(async move {
             let running = self.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
             self.peak.fetch_max(running, atomic::Ordering::SeqCst);
@@ -42,7 +45,12 @@
             Ok(front::Answer {
                 status: http::StatusCode::OK,
                 headers: http::HeaderMap::new(),
-                body: front::Body::from("ok"),
+                body: match request.path {
+                    front::Path::Service { path, .. } if path == "/large" => {
+                        front::Body::from(vec![b'x'; LARGE_BYTES])
+                    }
+                    _ => front::Body::from("ok"),
+                },
                 class: "open".to_owned(),
                 queued: time::Duration::ZERO,
             })
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -97,6 +97,7 @@
     front::Options {
         keep_alive: time::Duration::from_millis(100),
         close_grace: time::Duration::from_millis(100),
+        write_timeout: time::Duration::from_millis(100),
         ..common::options()
     }
 }
@@ -169,6 +170,33 @@
     server.shutdown().await;
 }
 
+/// Guards against a caller that does not read, and with it an endpoint that
+/// waits in the middle of an answer for ever.
+#[rstest]
+#[case::http1(b"GET /services/a/large HTTP/1.1\r\nhost: x\r\n\r\n")]
+#[case::pipelined(
+    b"GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\nGET /services/a/large HTTP/1.1\r\nhost: x\r\n\r\n"
+)]
+#[tokio::test]
+async fn an_answer_that_is_not_read_is_cut(#[case] request: &[u8]) {
+    let server = common::start(keeps_briefly(), sync::Arc::default()).await;
+    let mut stream = common::connect(&server).await;
+    stream.write_all(request).await.expect("the listener reads");
+    common::until(&server, 1, |counters| counters.stalled).await;
+    common::until(&server, 0, |counters| counters.open).await;
+    server.shutdown().await;
+}
+
+/// Guards against a large answer that is cut although its caller reads it.
+#[tokio::test]
+async fn an_answer_that_is_read_is_whole() {
+    let server = common::start(common::options(), sync::Arc::default()).await;
+    let request = b"GET /services/a/large HTTP/1.1\r\nconnection: close\r\n\r\n";
+    let answer = common::exchange(common::connect(&server).await, request).await;
+    assert!(answer.len() > common::LARGE_BYTES, "{}", answer.len());
+    server.shutdown().await;
+}
+
 /// Guards against one HTTP/2 connection that brings more requests at once than
 /// many connections of HTTP/1.1.
 #[tokio::test]
