feat(front): give up a single HTTP/2 answer that is not read

An HTTP/2 caller that withheld the window of one stream held the endpoint's slot of that request for ever, while its connection went on.

The body of an HTTP/2 answer notes when it handed over a part. If the next part is not asked for within write_timeout, the answer is dropped, which cancels it at the endpoint; the stream ends with an error when the caller opens its window. Other answers of the connection go on. It costs one task for each HTTP/2 answer; that cost was not measured.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -1,4 +1,5 @@
 use core::convert;
+use core::time;
 use std::net;
 use std::sync;
 
@@ -55,6 +56,11 @@
         }
     }
 
+    /// Returns how long a caller may take no byte of an answer.
+    pub(crate) fn write_timeout(&self) -> time::Duration {
+        self.options.write_timeout
+    }
+
     /// Counts and logs the end of a connection that is closed at once.
     fn cut(&self, remote: net::SocketAddr, reason: activity::Reason) {
         let cause = match reason {
@@ -77,6 +83,7 @@
         remote: net::SocketAddr,
         running: activity::Running,
     ) -> Result<Response, convert::Infallible> {
+        let is_http2 = request.version() == http::Version::HTTP_2;
         let bounds = parse::bounds(request.uri(), request.headers(), &self.options);
         let response = match bounds {
             Ok(()) => {
@@ -85,9 +92,9 @@
             }
             Err(refusal) => reply::refused(&refusal),
         };
-        Ok(response.map(|inner| reply_body::Body {
-            inner,
-            _running: running,
+        Ok(response.map(|inner| {
+            let body = reply_body::Body::new(inner, running);
+            if is_http2 { body.watched(self) } else { body }
         }))
     }
 }
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -15,7 +15,7 @@
     pub slow_heads: u64,
     /// Connections closed because no request was in flight for the keep-alive time.
     pub idle_closed: u64,
-    /// Connections closed because the caller did not read its answer.
+    /// Answers that were given up because their caller did not read them.
     pub stalled: u64,
 }
 
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -10,6 +10,11 @@
 /// Bytes of a large answer, more than the buffers of two sockets take.
 pub const LARGE_BYTES: usize = 64 * 1024 * 1024;
 
+/// One part of a large answer.
+const CHUNK: &[u8] = &[b'x'; 16 * 1024];
+/// Bytes of an HTTP/2 answer that a caller takes without reading it.
+const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+
 /// Service that answers `ok` once its gate is open, and counts what runs.
 #[derive(Default)]
 pub struct Gate {
@@ -34,6 +39,26 @@
     }
 }
 
+/// A large answer that comes in this many parts.
+struct Chunks(usize);
+
+impl http_body::Body for Chunks {
+    type Data = bytes::Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: core::pin::Pin<&mut Self>,
+        _context: &mut core::task::Context<'_>,
+    ) -> core::task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, Self::Error>>> {
+        let Some(left) = self.0.checked_sub(1) else {
+            return core::task::Poll::Ready(None);
+        };
+        self.0 = left;
+        let frame = http_body::Frame::data(bytes::Bytes::from_static(CHUNK));
+        core::task::Poll::Ready(Some(Ok(frame)))
+    }
+}
+
 impl front::Service for Gate {
     fn serve(&self, request: front::Request) -> front::Serving<'_> {
         Box::pin(async move {
@@ -47,7 +72,7 @@
                 headers: http::HeaderMap::new(),
                 body: match request.path {
                     front::Path::Service { path, .. } if path == "/large" => {
-                        front::Body::from(vec![b'x'; LARGE_BYTES])
+                        front::Body::new(Chunks(LARGE_BYTES / CHUNK.len()))
                     }
                     _ => front::Body::from("ok"),
                 },
@@ -122,7 +147,9 @@
 {
     let executor = hyper_util::rt::TokioExecutor::new();
     let stream = hyper_util::rt::TokioIo::new(stream);
-    let (sender, connection) = hyper::client::conn::http2::handshake(executor, stream)
+    let (sender, connection) = hyper::client::conn::http2::Builder::new(executor)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .handshake(stream)
         .await
         .expect("speaks HTTP/2");
     tokio::spawn(connection);
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -187,6 +187,29 @@
     server.shutdown().await;
 }
 
+/// Guards against an HTTP/2 caller that stops one answer for ever, and against
+/// a remedy that cuts the other answers of its connection.
+#[tokio::test]
+async fn a_stopped_stream_is_given_up_alone() {
+    let options = front::Options {
+        write_timeout: time::Duration::from_millis(100),
+        ..common::options()
+    };
+    let server = common::start(options, sync::Arc::default()).await;
+    let mut sender = common::http2(common::connect(&server).await).await;
+    let request = http::Request::get("http://x/services/a/large");
+    let request = request.body(http_body_util::Full::default());
+    let stopped = sender.send_request(request.expect("valid")).await;
+    let stopped = stopped.expect("an answer").into_body();
+    common::until(&server, 1, |counters| counters.stalled).await;
+    let other = http::Request::get("http://x/services/a/b");
+    let answer = common::send(sender.clone(), other, "").await;
+    assert_eq!(answer, (200, "ok".to_owned()));
+    let rest = http_body_util::BodyExt::collect(stopped).await;
+    assert!(rest.is_err());
+    server.shutdown().await;
+}
+
 /// Guards against a large answer that is cut although its caller reads it.
 #[tokio::test]
 async fn an_answer_that_is_read_is_whole() {
