feat(front): bound the time of a whole request body

A caller that sent one byte of a body within each idle_timeout held its connection and the body's memory for as long as it liked.

front::Options has body_timeout (60 s); later bodies are refused with caller_timeout. A new TLS test shows that the files are not read between checks.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -4,13 +4,30 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 
+use crate::options;
+
 /// Reads a whole request body within its limits.
 ///
 /// # Errors
 ///
-/// Refuses a body above `limit` bytes, a caller that is silent for longer than
-/// `idle`, and a body that ends early.
+/// Refuses a body above the limit, a caller that is silent for too long or
+/// needs too long in all, and a body that ends early.
 pub(crate) async fn read(
+    body: axum::body::Body,
+    options: &options::Options,
+) -> Result<Bytes, Refusal> {
+    let reading = collect(body, options.body_max, options.idle_timeout);
+    match tokio::time::timeout(options.body_timeout, reading).await {
+        Ok(body) => body,
+        Err(_) => {
+            let millis = options.body_timeout.as_millis();
+            let text = format!("no whole body in {millis} ms");
+            Err(Refusal::new(Kind::CallerTimeout, text))
+        }
+    }
+}
+
+async fn collect(
     body: axum::body::Body,
     limit: u64,
     idle: time::Duration,
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -12,6 +12,8 @@
     /// Longest silence of a caller while it sends its request, and longest
     /// time for the head of the first request of a connection.
     pub idle_timeout: time::Duration,
+    /// Longest time for a whole request body, however often bytes arrive.
+    pub body_timeout: time::Duration,
     /// Certificate and key; without them the listener speaks plain HTTP.
     pub tls: Option<tls::Options>,
     /// Upper bound of open connections.
@@ -40,6 +42,7 @@
             body_max: 4 * 1024 * 1024,
             header_max: 32 * 1024,
             idle_timeout: time::Duration::from_secs(10),
+            body_timeout: time::Duration::from_secs(60),
             tls: None,
             connections_max: 20_000,
             address_connections_max: 512,
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -96,7 +96,7 @@
 ) -> Result<request::Request, Refusal> {
     let (parts, raw) = request.into_parts();
     let head = parse::head(&parts.headers)?;
-    let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
+    let body = body::read(raw, &state.options).await?;
     let completion = parse::completion(&body)?;
     let path = request::Path::Model {
         path,
@@ -162,7 +162,7 @@
     let (parts, raw) = request.into_parts();
     let path = parse::path(&parts.uri)?;
     let head = parse::head(&parts.headers)?;
-    let body = body::read(raw, state.options.body_max, state.options.idle_timeout).await?;
+    let body = body::read(raw, &state.options).await?;
     Ok(plain(id, remote, path, parts.method, head, body))
 }
 
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -93,6 +93,30 @@
     server.shutdown().await;
 }
 
+/// Guards against a caller that keeps its request unfinished by sending one
+/// byte of the body now and then.
+#[tokio::test]
+async fn a_trickled_body_is_refused() {
+    let options = front::Options {
+        idle_timeout: time::Duration::from_secs(60),
+        body_timeout: time::Duration::from_millis(200),
+        ..common::options()
+    };
+    let server = common::start(options, sync::Arc::default()).await;
+    let (reader, mut writer) = common::connect(&server).await.into_split();
+    let head = b"POST /services/a/b HTTP/1.1\r\nconnection: close\r\ncontent-length: 900\r\n\r\n";
+    writer.write_all(head).await.expect("the listener reads");
+    let sending = tokio::spawn(async move {
+        while writer.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    });
+    let answer = common::rest(reader).await;
+    assert!(answer.contains(r#""kind":"caller_timeout""#), "{answer}");
+    sending.await.expect("no panic");
+    server.shutdown().await;
+}
+
 fn keeps_briefly() -> front::Options {
     front::Options {
         keep_alive: time::Duration::from_millis(100),
--- a/crates/front/tests/tls.rs
+++ b/crates/front/tests/tls.rs
@@ -121,6 +121,25 @@
     server.shutdown().await;
 }
 
+/// Guards against files that are read for every connection.
+#[tokio::test]
+async fn the_files_are_left_alone_between_checks() {
+    let folder = Folder::new();
+    let old = folder.issue();
+    let tls = front::tls::Options {
+        check_interval: time::Duration::from_secs(3_600),
+        ..folder.options()
+    };
+    let options = front::Options {
+        tls: Some(tls),
+        ..common::options()
+    };
+    let server = common::start(options, sync::Arc::default()).await;
+    folder.issue();
+    connect(&server, &old, b"http/1.1").await.expect("trusted");
+    server.shutdown().await;
+}
+
 /// Guards against a listener that stops serving because of a half-written,
 /// mismatched or deleted file, and that does not recover from one.
 #[rstest]
