--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/world/mod.rs
@@ -225,9 +225,8 @@
         let key = (back - self.rng.random_range(0..RECENT).min(back)) as usize;
         let entry = options(self.rng.random_range(1..=2));
         let owner = once::owner_of(&entry.owners, &self.keys[key].text);
-        let ids = self.ids().into_iter();
-        let ids = ids.filter(|id| Some(NAMES[self.lifetimes[id].name]) == owner);
-        let ids = ids.collect::<Vec<_>>();
+        let mut ids = self.ids();
+        ids.retain(|id| Some(NAMES[self.lifetimes[id].name]) == owner);
         if !ids.is_empty() {
             let id = ids[self.rng.random_range(0..ids.len())];
             let at = self.time + self.rng.random_range(0..500);
@@ -283,15 +282,11 @@
         Ok(())
     }
 
-    /// Sends a datagram to every lifetime of the name, with loss, delay and
-    /// duplication.
+    /// Sends a datagram to a name, with loss, delay and duplication.
     fn cast(&mut self, from: u64, to: &str, claim: &Claim) {
         let group = |id: u64| self.groups >> (id % 16) & 1;
-        let targets = self
-            .ids()
-            .into_iter()
-            .filter(|id| NAMES[self.lifetimes[id].name] == to);
-        let targets = targets.collect::<Vec<_>>();
+        let mut targets = self.ids();
+        targets.retain(|id| NAMES[self.lifetimes[id].name] == to);
         for &id in targets.iter().filter(|&&id| group(id) == group(from)) {
             if targets.len() > 1 && self.rng.random_ratio(1, 2) {
                 continue; // An address leads to one of two lifetimes.
