feat(pool): count crashes in other shards

Cause: a request that crashes endpoints was blamed per shard, so it could lose two endpoints in each shard of a pool.

Change: Policy::blame takes a fingerprint and a hash of the endpoint; the default does nothing.

Conclusion: the host can forward blame messages to every shard.

--- a/crates/pool/src/boxed.rs
+++ b/crates/pool/src/boxed.rs
@@ -55,6 +55,10 @@
         (**self).report(now, id, load, out);
     }
 
+    fn blame(&mut self, now: time::Duration, fingerprint: u64, endpoint: u64) {
+        (**self).blame(now, fingerprint, endpoint);
+    }
+
     fn tick(&mut self, now: time::Duration, out: &mut Vec<action::Action>) {
         (**self).tick(now, out);
     }
--- a/crates/pool/src/current.rs
+++ b/crates/pool/src/current.rs
@@ -235,6 +235,11 @@
         self.dispatch(now, out);
     }
 
+    fn blame(&mut self, now: time::Duration, fingerprint: u64, endpoint: u64) {
+        // Above every identity that this shard gives to its own endpoints.
+        self.blame.accuse(now, fingerprint, endpoint | 1 << 63);
+    }
+
     fn tick(&mut self, now: time::Duration, out: &mut Vec<action::Action>) {
         self.table.tick(now);
         if now >= self.swept + SWEEP {
--- a/crates/pool/src/dispatch.rs
+++ b/crates/pool/src/dispatch.rs
@@ -151,7 +151,7 @@
             finish::Result::Cancelled => (route::End::Cancelled, spent),
             finish::Result::Failed => {
                 let endpoint = self.table.endpoint(running.run).unwrap_or(u32::MAX);
-                self.blame.accuse(now, ask.fingerprint, endpoint);
+                self.blame.accuse(now, ask.fingerprint, u64::from(endpoint));
                 (route::End::Failed, spent)
             }
             finish::Result::Refused => (route::End::Refused, 0.0),
--- a/crates/pool/src/policy.rs
+++ b/crates/pool/src/policy.rs
@@ -52,6 +52,13 @@
         out: &mut Vec<action::Action>,
     );
 
+    /// Notes that a request was in flight at the crash of an endpoint of another
+    /// shard. `endpoint` is a hash of the endpoint's name.
+    ///
+    /// Without it, a request that crashes endpoints would lose two per shard.
+    /// The default does nothing.
+    fn blame(&mut self, _now: time::Duration, _fingerprint: u64, _endpoint: u64) {}
+
     /// Does what is due: expiry, floors, limits, ejection. Called every 20 ms
     /// while anything is queued or running.
     fn tick(&mut self, now: time::Duration, out: &mut Vec<action::Action>);
--- a/crates/pool/tests/contract.rs
+++ b/crates/pool/tests/contract.rs
@@ -182,6 +182,23 @@
     assert_eq!(granted(&mut out), [3]);
 }
 
+/// Guards against a request that crashes two endpoints of every shard.
+#[test]
+fn crashes_in_other_shards_count() {
+    let mut shard = shard();
+    let mut out = Vec::new();
+    shard.blame(SECOND, 7, 0);
+    shard.ask(SECOND, ask(7), &mut out);
+    assert_eq!(granted(&mut out), [7], "a suspect runs alone");
+    shard.done(SECOND, AskId(7), end(pool::Result::Failed), &mut out);
+    shard.ask(SECOND, ask(7), &mut out);
+    assert_eq!(refused(&mut out), [(7, answer::Kind::Poison)]);
+    shard.blame(SECOND, 8, 1);
+    shard.blame(SECOND, 8, 2);
+    shard.ask(SECOND, ask(8), &mut out);
+    assert_eq!(refused(&mut out), [(8, answer::Kind::Poison)]);
+}
+
 /// Guards against an ask whose deadline passes in the queue without an answer.
 #[test]
 fn a_queued_ask_is_answered_by_its_deadline() {
--- a/crates/pool/tests/sim/mod.rs
+++ b/crates/pool/tests/sim/mod.rs
@@ -8,8 +8,10 @@
 use rand::{RngExt, SeedableRng};
 
 mod engine;
+mod request;
 
 pub use engine::Engine;
+pub use request::{Fate, Line, Request};
 
 pub const SECOND: Duration = Duration::from_secs(1);
 pub const MILLISECOND: Duration = Duration::from_millis(1);
@@ -20,65 +22,6 @@
 /// Interval and lag of load reports.
 const REPORT: Duration = Duration::from_millis(500);
 
-/// One request of the trace.
-#[derive(Clone, Debug)]
-pub struct Request {
-    pub at: Duration,
-    pub class: u16,
-    pub team: u32,
-    pub caller: u64,
-    pub output: u32,
-    pub max_tokens: Option<u32>,
-    pub fingerprint: u64,
-    /// Deadline, counted from the arrival.
-    pub within: Duration,
-    /// Crashes the endpoint that runs it.
-    pub poison: bool,
-    /// Attempts after a failure that the entry host makes at most.
-    pub retries: u16,
-}
-
-impl Request {
-    pub fn new(at: Duration, class: u16, output: u32) -> Self {
-        Self {
-            at,
-            class,
-            team: 1,
-            caller: 1,
-            output,
-            max_tokens: None,
-            fingerprint: 0,
-            within: 30 * SECOND,
-            poison: false,
-            retries: 0,
-        }
-    }
-}
-
-/// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Fate {
-    Complete,
-    Refused(answer::Kind),
-    Failed,
-}
-
-/// What happened to one request.
-#[derive(Clone, Copy, Debug)]
-pub struct Line {
-    pub class: u16,
-    pub team: u32,
-    /// Arrival.
-    pub at: Duration,
-    /// Arrival to first token.
-    pub first: Option<Duration>,
-    /// Arrival to the last answer.
-    pub end: Duration,
-    pub fate: Fate,
-    /// Completed before its deadline.
-    pub timely: bool,
-}
-
 /// Change of an endpoint: when, which one, and what happens to it.
 pub type Change = (Duration, usize, fn(&mut Engine));
 
--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -6,7 +6,7 @@
 #[derive(Debug)]
 struct Suspect {
     /// First endpoint that crashed.
-    endpoint: u32,
+    endpoint: u64,
     /// Time of the first crash.
     first: time::Duration,
     crashes: u32,
@@ -21,7 +21,7 @@
     /// Order of eviction; entries of cleared requests are dropped late.
     order: collections::VecDeque<u64>,
     /// Crashes that a poisonous request explains.
-    explained: collections::VecDeque<(u32, time::Duration)>,
+    explained: collections::VecDeque<(u64, time::Duration)>,
     /// Suspects that run now.
     running: rustc_hash::FxHashSet<u64>,
 }
@@ -52,7 +52,10 @@
     }
 
     /// Counts a crash of an endpoint while the request was in flight there.
-    pub fn accuse(&mut self, now: time::Duration, fingerprint: u64, endpoint: u32) {
+    ///
+    /// `endpoint` only has to differ between endpoints; it may stand for one of
+    /// another shard.
+    pub fn accuse(&mut self, now: time::Duration, fingerprint: u64, endpoint: u64) {
         let mut explained = self.explained.iter();
         let known = explained.any(|&crash| same(crash, (endpoint, now)));
         if fingerprint == 0 || (known && !self.running.contains(&fingerprint)) {
@@ -80,7 +83,7 @@
         }
     }
 
-    fn add(&mut self, now: time::Duration, fingerprint: u64, endpoint: u32) {
+    fn add(&mut self, now: time::Duration, fingerprint: u64, endpoint: u64) {
         let suspect = Suspect {
             endpoint,
             first: now,
@@ -98,7 +101,7 @@
     }
 
     /// Clears the requests whose only crash is explained by a poisonous one.
-    fn exonerate(&mut self, crash: (u32, time::Duration)) {
+    fn exonerate(&mut self, crash: (u64, time::Duration)) {
         self.suspects.retain(|_, suspect| {
             suspect.poison_until.is_some() || !same((suspect.endpoint, suspect.first), crash)
         });
@@ -147,7 +150,7 @@
     }
 }
 
-fn same(one: (u32, time::Duration), other: (u32, time::Duration)) -> bool {
+fn same(one: (u64, time::Duration), other: (u64, time::Duration)) -> bool {
     one.0 == other.0 && one.1.abs_diff(other.1) <= SAME_CRASH
 }
 
