fix(pool,route): let a probe end an outage and prove recovered endpoints

Cause: when all endpoints had been down for longer than the deadlines of the asks, every ask was refused and nothing probed, because pauses end in ticks and no tick comes while nothing is queued. An endpoint that returned from ejection got several requests before the first token of the first one.

Change: a fresh ask ends due pauses and is admitted as a probe. After an ejection an endpoint gets one request until a first token is seen.

--- a/crates/pool/src/admit.rs
+++ b/crates/pool/src/admit.rs
@@ -37,6 +37,7 @@
         let latest = self.latest(now, &ask);
         if let Some(wait) = self.outage_wait(now)
             && now + wait >= latest
+            && !self.probes(now, ask.attempt)
         {
             let after = Some(self.advice(wait));
             return self.refuse(&ask, answer::Kind::NoEndpoint, after, out);
@@ -159,6 +160,14 @@
         Some(now.saturating_sub(since).max(OUTAGE_MIN))
     }
 
+    /// Returns whether a fresh ask may probe an endpoint during an outage.
+    ///
+    /// No tick comes while nothing is queued or running, so due pauses end here.
+    fn probes(&mut self, now: time::Duration, attempt: u16) -> bool {
+        self.table.wake(now);
+        attempt == 0 && self.queue.is_empty() && self.table.has_room(route::Need::default())
+    }
+
     /// Returns the advised delay for an estimated wait.
     pub(crate) fn advice(&self, wait: time::Duration) -> time::Duration {
         wait.clamp(ADVICE_MIN, ADVICE_MAX)
--- a/crates/pool/tests/contract.rs
+++ b/crates/pool/tests/contract.rs
@@ -199,6 +199,35 @@
     assert_eq!(refused(&mut out), [(8, answer::Kind::Poison)]);
 }
 
+/// Guards against an outage that outlives itself: without probes, and without
+/// ticks while nothing is queued, no ask would ever find out that it is over.
+#[test]
+fn an_outage_ends_with_a_probe() {
+    let mut shard = shard();
+    let mut out = Vec::new();
+    let short = |id, now: Duration| Ask {
+        deadline: now + 5 * SECOND,
+        ..ask(id)
+    };
+    for id in 1..=600 {
+        let now = id as u32 * SECOND / 10;
+        shard.ask(now, short(id, now), &mut out);
+        shard.tick(now, &mut out);
+        for id in granted(&mut out) {
+            shard.done(now, AskId(id), end(pool::Result::Unreachable), &mut out);
+        }
+    }
+    let now = 100 * SECOND;
+    shard.ask(now, short(1_000, now), &mut out);
+    assert_eq!(granted(&mut out), [1_000], "the probe");
+    shard.ask(now, short(1_001, now), &mut out);
+    assert_eq!(refused(&mut out), [(1_001, answer::Kind::NoEndpoint)]);
+    shard.first(now, AskId(1_000));
+    shard.done(now, AskId(1_000), end(pool::Result::Complete), &mut out);
+    shard.ask(now, short(1_002, now), &mut out);
+    assert_eq!(granted(&mut out), [1_002]);
+}
+
 /// Guards against an ask whose deadline passes in the queue without an answer.
 #[test]
 fn a_queued_ask_is_answered_by_its_deadline() {
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -74,6 +74,29 @@
     assert!(waited < 20 * SECOND, "{waited:?}: held until the deadline");
 }
 
+/// Guards against an outage of all endpoints after which nothing is served.
+#[test]
+fn service_resumes_after_an_outage() {
+    let trace = mixed(12, [20.0, 5.0, 5.0, 5.0], 80 * SECOND);
+    let mut run = Sim::new(
+        Current::new(&sim::options(4)),
+        vec![Engine::new(8, 8); 8],
+        trace,
+        12,
+    );
+    for index in 0..8 {
+        run.changes
+            .push((10 * SECOND, index, |engine| engine.dead = true));
+        run.changes
+            .push((40 * SECOND, index, |engine| engine.dead = false));
+    }
+    let run = run.run();
+    let late = run.lines.iter().filter(|line| line.at > 55 * SECOND);
+    let served = late.clone().filter(|line| line.timely).count();
+    let share = served as f64 / late.count() as f64;
+    assert!(share >= 0.95, "{share}");
+}
+
 /// Guards against a request that crashes more than two endpoints, and against
 /// co-runners that are refused with it.
 #[test]
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -104,6 +104,10 @@
         if !self.open() || self.health.until().is_some() || self.speed.ejected() {
             return 0;
         }
+        if self.speed.proving() {
+            let wanted = self.own + u32::from(self.speed.wants_proof());
+            return wanted.min(self.slots().saturating_sub(self.foreign));
+        }
         let capacity = if self.health.probing() {
             1
         } else {
--- a/crates/route/src/speed.rs
+++ b/crates/route/src/speed.rs
@@ -2,6 +2,20 @@
 
 use crate::mean;
 
+/// Where an endpoint stands after it was slow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    /// Gets work by its weight.
+    Normal,
+    /// Gets nothing until this time.
+    Ejected(time::Duration),
+    /// Gets one request, whose first token decides.
+    Proving {
+        /// The request was sent.
+        sent: bool,
+    },
+}
+
 /// Recent speed of an endpoint against its past and its peers.
 ///
 /// An observation is a time divided by the mean of its class over the shard,
@@ -11,7 +25,7 @@
     fast: mean::Mean,
     past: mean::Mean,
     weight: f64,
-    ejected_until: Option<time::Duration>,
+    state: State,
     ejections: u32,
     seen: time::Duration,
 }
@@ -22,7 +36,7 @@
             fast: mean::Mean::new(FAST_WEIGHT),
             past: mean::Mean::new(PAST_WEIGHT),
             weight: 1.0,
-            ejected_until: None,
+            state: State::Normal,
             ejections: 0,
             seen: time::Duration::ZERO,
         }
@@ -32,6 +46,33 @@
         self.fast.observe(ratio);
         self.past.observe(ratio);
         self.seen = now;
+        if matches!(self.state, State::Proving { .. }) {
+            self.state = State::Normal;
+        }
+    }
+
+    /// Notes that a request was sent to the endpoint.
+    pub(crate) fn sent(&mut self) {
+        if matches!(self.state, State::Proving { .. }) {
+            self.state = State::Proving { sent: true };
+        }
+    }
+
+    /// Notes that a request ended, with or without an observation.
+    pub(crate) fn ended(&mut self) {
+        if matches!(self.state, State::Proving { .. }) {
+            self.state = State::Proving { sent: false };
+        }
+    }
+
+    /// Returns whether the endpoint waits for a request that proves its speed.
+    pub(crate) fn wants_proof(&self) -> bool {
+        self.state == State::Proving { sent: false }
+    }
+
+    /// Returns whether the endpoint gets at most one request.
+    pub(crate) const fn proving(&self) -> bool {
+        matches!(self.state, State::Proving { .. })
     }
 
     /// Notes a ratio that is still growing and not part of the past yet.
@@ -52,7 +93,7 @@
     }
 
     pub(crate) const fn ejected(&self) -> bool {
-        self.ejected_until.is_some()
+        matches!(self.state, State::Ejected(_))
     }
 
     /// Lowers the weight at once, so that it returns gradually.
@@ -63,16 +104,16 @@
     /// Moves the weight one step. `eject` says whether the shard allows another
     /// ejection; returns whether this endpoint was ejected now.
     pub(crate) fn step(&mut self, now: time::Duration, median: f64, eject: bool) -> bool {
-        if let Some(until) = self.ejected_until {
+        if let State::Ejected(until) = self.state {
             if now >= until {
-                self.ejected_until = None;
+                self.state = State::Proving { sent: false };
                 self.weight = WEIGHT_RETURN;
                 self.fast = mean::Mean::new(FAST_WEIGHT);
             }
             return false;
         }
         let normal = self.past.get().unwrap_or(1.0).max(median).max(NORMAL_MIN);
-        if now.saturating_sub(self.seen) > QUIET {
+        if now.saturating_sub(self.seen) > QUIET && !self.proving() {
             // Without observations the endpoint is tried again gradually.
             self.fast.observe(normal);
         }
@@ -84,7 +125,7 @@
         };
         if target < self.weight {
             self.weight = target.max(self.weight * FALL);
-        } else {
+        } else if !self.proving() {
             self.weight = target.min(self.weight + RISE);
         }
         if self.weight >= 1.0 {
@@ -92,7 +133,7 @@
         }
         if self.weight < WEIGHT_EJECT && target < WEIGHT_EJECT && eject {
             let factor = 1 << self.ejections.min(EJECTIONS_MAX);
-            self.ejected_until = Some(now + EJECTION * factor);
+            self.state = State::Ejected(now + EJECTION * factor);
             self.ejections += 1;
             return true;
         }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -140,6 +140,7 @@
         if endpoint.own >= endpoint.places {
             endpoint.limit.bind();
         }
+        endpoint.speed.sent();
         self.long += u32::from(work.need.long);
         self.remember(work.prefix, key);
         self.refresh(key);
@@ -193,6 +194,7 @@
         let jitter = self.rng.random::<f64>();
         let endpoint = &mut self.endpoints[run.endpoint];
         endpoint.own -= 1;
+        endpoint.speed.ended();
         endpoint.long -= u32::from(run.long);
         endpoint.suspects -= u32::from(run.work.need.suspect);
         endpoint.history.push(now, endpoint.own);
@@ -289,7 +291,11 @@
         }
         hot.room = bits;
         hot.load = (endpoint.own + endpoint.foreign) as f32;
-        hot.capacity = endpoint.capacity() as f32;
+        hot.capacity = if endpoint.speed.wants_proof() {
+            PROOF_CAPACITY
+        } else {
+            endpoint.capacity() as f32
+        };
     }
 
     pub(crate) fn refresh_all(&mut self) {
@@ -342,6 +348,10 @@
 /// rest is for the queue. At 1, the limit settles where every request is late.
 pub(crate) const FIRST_PART: f64 = 0.5;
 
+/// Capacity in the scan of an endpoint that is to prove its speed, so that it
+/// gets the next request even when others are idle.
+const PROOF_CAPACITY: f32 = 1e6;
+
 /// Smallest mean time in seconds.
 const SECONDS_MIN: f64 = 1e-6;
 
--- a/crates/route/src/watch.rs
+++ b/crates/route/src/watch.rs
@@ -14,6 +14,16 @@
 }
 
 impl table::Table {
+    /// Ends the pauses whose time has come.
+    pub fn wake(&mut self, now: time::Duration) {
+        for index in 0..self.hot.len() {
+            let key = self.hot[index].key;
+            if self.endpoints[key].health.wake(now) {
+                self.refresh(key);
+            }
+        }
+    }
+
     /// Updates limits, weights and ejections. Work is done every 100 ms;
     /// pauses end at any call.
     pub fn tick(&mut self, now: time::Duration) {
