--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -120,7 +120,7 @@
         if others <= 1 {
             return self.options.suspect_after;
         }
-        self.options.suspect_after * 2
+        self.options.suspect_after.saturating_mul(2)
     }
 
     /// Counts the other hosts whose counters advance here.
@@ -167,6 +167,6 @@
             .mul_f64(self.members.len() as f64 / per_period as f64);
         self.options
             .suspect_after
-            .saturating_add(interval * GOSSIP_INTERVALS)
+            .saturating_add(interval.saturating_mul(GOSSIP_INTERVALS))
     }
 }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -91,14 +91,14 @@
         if self.is_outdated(sender) {
             return received::Received::default();
         }
+        let before = self.counter_of(&sender.name);
         for entry in &digest.entries {
-            if entry.suspected && entry.name == self.own.name && self.doubters.len() < DOUBTERS_MAX
-            {
-                self.doubters.insert(sender.peer);
-            }
-            self.learn(now, &sender.name, entry);
+            self.learn(now, sender, entry);
         }
-        if let Some(member) = self.members.get_mut(&sender.name) {
+        // Several digests of one tick, and repeated ones, count once.
+        if self.counter_of(&sender.name) > before
+            && let Some(member) = self.members.get_mut(&sender.name)
+        {
             member.note_direct(now);
         }
         self.compare(sender, digest)
@@ -223,15 +223,25 @@
         )
     }
 
-    fn learn(&mut self, now: time::Duration, sender: &str, entry: &entry::Entry) {
+    /// Returns the last life sign of another host.
+    fn counter_of(&self, name: &str) -> Option<(u64, u64)> {
+        let entry = &self.members.get(name)?.entry;
+        Some((entry.incarnation, entry.counter))
+    }
+
+    /// Takes one entry of a digest.
+    fn learn(&mut self, now: time::Duration, sender: &entry::Entry, entry: &entry::Entry) {
         if entry.name == self.own.name {
             self.meet_namesake(entry);
+            if entry.suspected && self.doubters.len() < DOUBTERS_MAX {
+                self.doubters.insert(sender.peer);
+            }
             return;
         }
         if let Some(member) = self.members.get_mut(&entry.name) {
             member.update(now, entry);
-            if entry.suspected && entry.name != sender {
-                member.note_vote(now, sender, entry);
+            if entry.suspected && entry.name != sender.name {
+                member.note_vote(now, &sender.name, entry);
             }
             mark(now, &mut self.listed, member);
             if entry.suspected {
--- a/crates/fleet/src/pause.rs
+++ b/crates/fleet/src/pause.rs
@@ -13,7 +13,7 @@
 impl Pause {
     pub(crate) fn new(period: time::Duration) -> Self {
         Self {
-            limit: period + PAUSE,
+            limit: period.saturating_add(PAUSE),
             last: None,
         }
     }
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -98,6 +98,38 @@
     assert!(took <= Duration::from_secs(15), "met after {took:?}");
 }
 
+/// Guards against a fleet that does not fit into a digest and so takes hosts
+/// for dead of which it hears seldom, or notices deaths late.
+#[rstest::rstest]
+fn large_fleets_tell_silence_from_death(#[values(1, 2)] seed: u64) {
+    let mut fleet = sim::Fleet::new(60, 11, 3, seed);
+    let took = fleet.run_until(MINUTE, sim::Fleet::is_whole);
+    assert!(took < MINUTE, "the fleet met in {took:?}");
+    fleet.loss = 0.1;
+    for _ in 0..60 {
+        fleet.run(Duration::from_secs(1));
+        assert_eq!(fleet.false_deaths(), 0, "at {:?}", fleet.now);
+    }
+    fleet.loss = 0.0;
+    fleet.hosts[7].is_up = false;
+    let took = fleet.run_until(MINUTE, |fleet| fleet.all_hold(7, State::Dead));
+    assert!(took <= Duration::from_secs(8), "dead after {took:?}");
+    fleet.split = (0..60).filter(|host| host % 11 % 3 == 0).collect();
+    let split = fleet.split.clone();
+    let took = fleet.run_until(MINUTE, |fleet| {
+        let pairs = fleet
+            .running()
+            .flat_map(|a| fleet.running().map(move |b| (a, b)));
+        pairs
+            .filter(|(a, b)| split.contains(a) != split.contains(b))
+            .all(|(a, b)| fleet.holds_dead(a, b))
+    });
+    assert!(took < MINUTE, "each side saw the other dead in {took:?}");
+    fleet.split.clear();
+    let took = fleet.run_until(MINUTE, sim::Fleet::is_whole);
+    assert!(took <= Duration::from_secs(15), "met after {took:?}");
+}
+
 /// Guards against an old lifetime that is taken for the new one.
 #[rstest::rstest]
 fn a_new_lifetime_replaces_the_old(#[values(1, 2, 3)] seed: u64, #[values(0, 1, 20)] gap_s: u64) {
