feat(host): spread crash blame to the other shards of a pool

Cause: blame was kept per shard, so a request that crashes engines lost two in each shard of its pool. Change: the entry host reports a failure with the request in flight to the home of every shard of the pool and to the host that follows each home; a shard that had no request yet is created for it.

--- a/crates/host/src/broker.rs
+++ b/crates/host/src/broker.rs
@@ -176,6 +176,50 @@
         }
     }
 
+    /// Tells the homes of the pool's other shards, and the next home of each
+    /// shard, that the request was in flight when the endpoint failed. The home
+    /// that granted it learns it from the end of the grant.
+    pub(crate) fn blame(&self, request: &front::Request, endpoint: &str) {
+        let pool = request.path.pool();
+        let force = self.state.force();
+        let Some(shards) = force.layout.get(pool) else {
+            return;
+        };
+        let plain = endpoint.split('@').next().unwrap_or_default();
+        for (index, members) in (0..).zip(shards) {
+            let own = members.iter().any(|member| member == plain);
+            let homes = self.view.homes(pool, index);
+            for home in homes
+                .into_iter()
+                .take(view::NEAR_HOMES)
+                .skip(usize::from(own))
+            {
+                self.blame_at(&home, pool, index, request.fingerprint, endpoint);
+            }
+        }
+    }
+
+    fn blame_at(
+        &self,
+        home: &view::Home,
+        pool: &str,
+        index: u32,
+        fingerprint: u64,
+        endpoint: &str,
+    ) {
+        if home.is_self {
+            self.state.shard(pool, index).blame(fingerprint, endpoint);
+            return;
+        }
+        let blame = wire::Blame {
+            pool: pool.to_owned(),
+            fingerprint,
+            endpoint: endpoint.to_owned(),
+            count: 1,
+        };
+        self.peers.blame(home.address, blame);
+    }
+
     /// Takes the shard with the shorter last wait of two random ones.
     fn choose_shard(&self, pool: &str) -> Result<u32, Refusal> {
         let force = self.state.force();
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -126,6 +126,9 @@
                 Err(failure) => failure,
             };
             progress.may_have_run |= failure.refusal.run() != Run::NotRun;
+            if failure.refusal.kind == Kind::EndpointFailed {
+                self.broker.blame(request, &endpoint);
+            }
             let safe = terms.idempotent || !progress.may_have_run;
             let last = progress.attempt + 1 >= ATTEMPTS_MAX;
             if !failure.retry || !safe || last {
@@ -181,15 +184,16 @@
         begin(permit, body).await.map_err(|failure| failure.refusal)
     }
 
-    fn resumption(&self, attempt: &Attempt<'_>) -> Option<relay::Resume> {
+    fn resumption(&self, attempt: &Attempt<'_>) -> relay::Resume {
         let force = self.broker.state.force();
-        let pool = force.settings.pools.get(attempt.request.path.pool())?;
-        (pool.resume && attempt.terms.idempotent).then(|| relay::Resume {
+        let pool = force.settings.pools.get(attempt.request.path.pool());
+        relay::Resume {
             flow: self.clone(),
             request: attempt.request.clone(),
             terms: attempt.terms.clone(),
             attempt: attempt.number,
-        })
+            allowed: attempt.terms.idempotent && pool.is_some_and(|pool| pool.resume),
+        }
     }
 
     async fn attempt(
@@ -233,7 +237,7 @@
         let body = match attempt.delivery {
             Delivery::Streamed if stream => {
                 let source = begin(permit, body).await?;
-                relay::events(source, request.id.clone(), self.resumption(&attempt))
+                relay::events(source, self.resumption(&attempt))
             }
             _ => whole(permit, body, stream).await?,
         };
--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -217,7 +217,27 @@
         Box::pin(core::future::ready(files))
     }
 
-    fn blame(&self, _from: &peer::Origin, _blame: wire::Blame) {}
+    fn blame(&self, from: &peer::Origin, blame: wire::Blame) {
+        log::info!(
+            target: "host",
+            "host {} reports a request that was in flight when {} failed",
+            from.name,
+            blame.endpoint
+        );
+        let count = self
+            .state
+            .force()
+            .layout
+            .get(&blame.pool)
+            .map_or(0, Vec::len);
+        for index in 0..count as u32 {
+            // A shard that had no request yet must know the count as well.
+            if self.view.is_near_home(&blame.pool, index) {
+                let shard = self.state.shard(&blame.pool, index);
+                shard.blame(blame.fingerprint, &blame.endpoint);
+            }
+        }
+    }
 
     fn leave(&self, from: &peer::Origin) {
         log::info!(target: "host", "host {} is leaving", from.name);
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -68,16 +68,17 @@
     pub(crate) terms: terms::Terms,
     /// Attempts that were made before the stream began.
     pub(crate) attempt: u16,
+    /// Whether the stream may go on elsewhere.
+    pub(crate) allowed: bool,
 }
 
 struct Stream {
     source: Source,
     tally: back::Tally,
     transcript: transcript::Transcript,
-    resume: Option<Resume>,
+    resume: Resume,
     /// Tokens of earlier endpoints.
     earlier: u32,
-    request: String,
 }
 
 /// Passes on an event stream whose first data was read, and reports its end.
@@ -85,14 +86,13 @@
 /// A stream that is cut goes on at another endpoint where `resume` allows it.
 /// Otherwise it gets an error event, so that a caller never takes it for a
 /// whole answer.
-pub(crate) fn events(source: Source, request: String, resume: Option<Resume>) -> front::Body {
+pub(crate) fn events(source: Source, resume: Resume) -> front::Body {
     let stream = Stream {
         source,
         tally: back::Tally::default(),
         transcript: transcript::Transcript::default(),
         resume,
         earlier: 0,
-        request,
     };
     front::Body::from_stream(futures_util::stream::unfold(Some(stream), step))
 }
@@ -141,9 +141,10 @@
 
     fn pass(&mut self, data: Bytes) -> Step {
         // Without a way to resume there is no reason to look into the events.
-        let data = match &self.resume {
-            Some(_) => self.transcript.push(data),
-            None => data,
+        let data = if self.resume.allowed {
+            self.transcript.push(data)
+        } else {
+            data
         };
         if data.is_empty() {
             return Step::ReadOn;
@@ -156,9 +157,12 @@
 
     /// Goes on at another endpoint after `cause`.
     async fn go_on(&mut self, cause: &str) -> Step {
-        let Some(resume) = &mut self.resume else {
+        let resume = &mut self.resume;
+        let avoid = self.source.permit.grant().name.clone();
+        resume.flow.broker.blame(&resume.request, &avoid);
+        if !resume.allowed {
             return Step::Fail(cause.to_owned());
-        };
+        }
         self.transcript.cut();
         if self.transcript.is_ended() {
             // The answer is whole but for the mark of its end.
@@ -172,12 +176,11 @@
         log::info!(
             target: "host",
             "request {} goes on after {} tokens: {cause}",
-            self.request,
+            resume.request.id,
             self.transcript.tokens()
         );
         self.earlier = self.tally.tokens();
         resume.attempt += 1;
-        let avoid = self.source.permit.grant().name.clone();
         self.source.permit.end(pool::Result::Failed);
         match resume.flow.resume(resume, body, &avoid).await {
             Ok(source) => {
@@ -190,7 +193,7 @@
 
     fn fail(mut self, cause: &str) -> Bytes {
         let tokens = self.tally.tokens();
-        log::warn!(target: "host", "request {} cut after {tokens} tokens: {cause}", self.request);
+        log::warn!(target: "host", "request {} cut after {tokens} tokens: {cause}", self.resume.request.id);
         self.source.permit.end(pool::Result::Failed);
         let entry = answer::Kind::EndpointFailed.entry();
         let event = serde_json::json!({
--- a/crates/host/src/shard.rs
+++ b/crates/host/src/shard.rs
@@ -5,6 +5,7 @@
 
 use pool::Action;
 use tokio::sync::oneshot;
+use xxhash_rust::xxh3;
 
 use crate::clock;
 
@@ -173,6 +174,14 @@
         }
     }
 
+    /// Notes that a request was in flight at the crash of an endpoint of
+    /// another shard.
+    pub(crate) fn blame(&self, fingerprint: u64, endpoint: &str) {
+        let now = self.clock.now();
+        let endpoint = xxh3::xxh3_64(endpoint.as_bytes());
+        self.lock().policy.blame(now, fingerprint, endpoint);
+    }
+
     /// Notes a load report.
     pub(crate) fn report(&self, id: pool::EndpointId, load: pool::Load) {
         let now = self.clock.now();
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -6,6 +6,10 @@
 
 use crate::clock;
 
+/// Hosts of each shard that learn of a request that was in flight at a crash:
+/// the home and the one that follows it.
+pub(crate) const NEAR_HOMES: usize = 2;
+
 /// How long a caller keeps the list of hosts.
 pub(crate) const LIST_TTL: time::Duration = time::Duration::from_secs(5);
 
@@ -70,6 +74,14 @@
             .is_some_and(|home| home.is_self)
     }
 
+    /// Returns whether this host is the home of a shard or follows it.
+    pub(crate) fn is_near_home(&self, pool: &str, shard: u32) -> bool {
+        self.homes(pool, shard)
+            .iter()
+            .take(NEAR_HOMES)
+            .any(|home| home.is_self)
+    }
+
     /// Returns whether another live host is known.
     pub(crate) fn has_peers(&self) -> bool {
         self.lock().live().len() > 1
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -38,7 +38,7 @@
 
 /// Returns the settings for engines at these addresses, with further lines.
 pub fn settings(engines: &[net::SocketAddr], further: &str) -> sync::Arc<conf::Settings> {
-    let mut text = format!("{CLASSES}{further}");
+    let mut text = CLASSES.to_owned();
     let hash: String = sha2::Sha256::digest(KEY)
         .iter()
         .map(|byte| format!("{byte:02x}"))
@@ -53,7 +53,11 @@
         writeln!(text, "data_centre = a\nslots = 4\nfencing = checked")
             .expect("a string takes all");
     }
-    let outcome = conf::load(&[conf::File::new("10-test.ini", text)]);
+    let files = [
+        conf::File::new("10-test.ini", text),
+        conf::File::new("20-further.ini", further),
+    ];
+    let outcome = conf::load(&files);
     let outcome = outcome.unwrap_or_else(|problems| panic!("{problems:?}"));
     sync::Arc::new(outcome.settings)
 }
--- a/crates/host/tests/fleet.rs
+++ b/crates/host/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use core::time;
 
+use testkit::engine;
 use testkit::load;
 
 /// Guards against hosts that do not find each other, and against answers that
@@ -151,3 +152,33 @@
     assert_eq!(service.executions().len(), 1);
     common::shutdown(hosts).await;
 }
+
+/// Guards against a request that crashes engines and loses two in every shard
+/// of a pool when its caller sends it again through other hosts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_crashing_request_loses_two_engines_of_a_pool_with_many_shards() {
+    let crash = engine::Crash {
+        marker: "fault".to_owned(),
+        after_tokens: 1,
+        back_after: None,
+    };
+    let engines: Vec<_> = (0..6)
+        .map(|_| common::engine(8, Some(crash.clone())))
+        .collect();
+    let addresses: Vec<_> = engines.iter().map(engine::Handle::address).collect();
+    let shards = "[pool braille]\nshard_endpoints = 1\n";
+    let hosts = common::fleet(3, &addresses, shards).await;
+    let client = common::client();
+    for number in 0..20 {
+        let mut call = common::call("r1", 8);
+        call.prompt = "fault".to_owned();
+        let record = call.send(&client, hosts[number % 3].caller_addr()).await;
+        assert!(!record.outcome.is_whole(), "{:?}", record.outcome);
+    }
+    let lost: u64 = engines.iter().map(|engine| engine.counters().crashes).sum();
+    assert!(lost <= 2, "{lost} engines were lost");
+    let call = common::call("r2", 8);
+    let record = call.send(&client, hosts[0].caller_addr()).await;
+    assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+    common::shutdown(hosts).await;
+}
