fix(testkit): give each caller an address of its own

Each caller now connects from its own address in 127.2.0.0/16. The reason of each broken request is printed with its causes.

--- a/crates/testkit/src/load/call.rs
+++ b/crates/testkit/src/load/call.rs
@@ -58,7 +58,7 @@
         let start = Instant::now();
         let request = self.request(address);
         record.outcome = match client.send(request).await {
-            Err(error) => Outcome::Broken(format!("no answer: {error}")),
+            Err(error) => Outcome::Broken(format!("no answer: {}", causes(&error))),
             Ok(response) => self.take(response, start, record).await,
         };
         record.total = start.elapsed();
@@ -123,7 +123,7 @@
         } else {
             self.whole(response, start, record).await
         };
-        result.unwrap_or_else(|error| Outcome::Broken(format!("cut off: {error}")))
+        result.unwrap_or_else(|error| Outcome::Broken(format!("cut off: {}", causes(&error))))
     }
 
     async fn stream(
@@ -201,6 +201,13 @@
     .to_owned()
 }
 
+/// Returns an error with the errors that caused it.
+fn causes(error: &dyn core::error::Error) -> String {
+    let causes = core::iter::successors(Some(error), |error| error.source());
+    let texts: Vec<_> = causes.map(ToString::to_string).collect();
+    texts.join(": ")
+}
+
 async fn refusal(response: http::Response<body::Incoming>) -> Outcome {
     let status = response.status().as_u16();
     let retry_after = header(&response, "retry-after")
--- a/crates/testkit/src/load/run.rs
+++ b/crates/testkit/src/load/run.rs
@@ -93,12 +93,16 @@
     }
 }
 
-/// Anonymous callers connect from addresses in different /24 networks.
+/// Each caller has an address of its own, because hosts bound the connections per
+/// address; anonymous callers are in different /24 networks.
 fn connect(flow: &Flow, arrival: &Arrival) -> client::Client {
-    let network = (arrival.caller % 250) as u8 + 1;
-    let source = net::Ipv4Addr::new(127, 1, network, 1);
-    let source = flow.key.is_none().then_some(source);
-    client::Client::new(client::Version::Http1, source)
+    let caller = (arrival.caller % 250) as u8 + 1;
+    let source = if flow.key.is_none() {
+        net::Ipv4Addr::new(127, 1, caller, 1)
+    } else {
+        net::Ipv4Addr::new(127, 2, (arrival.flow % 250) as u8, caller)
+    };
+    client::Client::new(client::Version::Http1, Some(source))
 }
 
 fn call(flow: &Flow, arrival: &Arrival, options: &Options, number: usize) -> Call {
--- a/crates/testkit/src/measure/figures.rs
+++ b/crates/testkit/src/measure/figures.rs
@@ -182,6 +182,11 @@
         });
         table.set("unanswered", overdue.count() as f64);
         table.set("broken", broken);
+        for sample in self.samples {
+            if let Outcome::Broken(reason) = &sample.record.outcome {
+                table.count(format!("broken.{reason}"));
+            }
+        }
         table.set("damaged", damaged);
         let services = cluster.services.iter().map(|(_, service)| service);
         let mut effects = collections::HashMap::<String, u32>::new();
--- a/crates/testkit/src/platform/handle.rs
+++ b/crates/testkit/src/platform/handle.rs
@@ -17,6 +17,9 @@
 use crate::server;
 use crate::sync::lock;
 
+/// Upper bound of the time that a watch waits.
+const WAIT_MAX: core::time::Duration = core::time::Duration::from_secs(60);
+
 struct Shared {
     options: Options,
     state: sync::Mutex<State>,
@@ -140,7 +143,7 @@
 ) -> response::Response {
     let mut changed = shared.changed.subscribe();
     let wait = core::time::Duration::try_from_secs_f64(query.wait).unwrap_or_default();
-    let until = time::Instant::now() + wait.min(shared.options.wait_max);
+    let until = time::Instant::now() + wait.min(WAIT_MAX);
     if let Err(refusal) = admit(&shared, &reader, &cut, |figures| figures.config += 1).await {
         return refusal;
     }
--- a/crates/testkit/src/platform/options.rs
+++ b/crates/testkit/src/platform/options.rs
@@ -7,8 +7,6 @@
     pub budget: u32,
     /// Time by which the host list is behind.
     pub hosts_lag: time::Duration,
-    /// Upper bound of the time that a watch waits.
-    pub wait_max: time::Duration,
 }
 
 impl Default for Options {
@@ -16,7 +14,6 @@
         Self {
             budget: 2000,
             hosts_lag: time::Duration::ZERO,
-            wait_max: time::Duration::from_secs(60),
         }
     }
 }
