--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -20,8 +20,12 @@
 /// differ for some seconds, and a monitor must not take their end for a death.
 const LINGER: time::Duration = time::Duration::from_secs(15);
 
+/// Periods for which the progress of a counter is passed on. Later it would
+/// only delay the moment at which other hosts notice that it has stopped.
+const FRESH_PERIODS: f64 = 1.5;
+
 /// One in so many ticks contacts a dead host.
-const DEAD_CONTACT: u32 = 4;
+const DEAD_CONTACT: u32 = 2;
 
 type Out = (net::SocketAddr, digest::Digest);
 
@@ -34,11 +38,7 @@
             let entries = self.choose(now);
             out.push((*target, self.digest(entries)));
         }
-        if self.is_small() {
-            return out;
-        }
-        let heartbeats = self.heartbeats(now);
-        for target in heartbeats {
+        for target in self.heartbeats(now) {
             if !targets.contains(&target) {
                 out.push((target, self.digest(Vec::new())));
             }
@@ -46,6 +46,9 @@
         for (target, entries) in self.alarms() {
             out.push((target, self.digest(entries)));
         }
+        for (target, entry) in self.probes(now) {
+            out.push((target, self.digest(vec![entry])));
+        }
         out
     }
 
@@ -60,21 +63,25 @@
 
     /// Chooses the receivers of this tick's gossip.
     fn targets(&mut self) -> Vec<net::SocketAddr> {
-        let known = || {
-            self.members
-                .values()
-                .filter(|member| member.dead.is_none())
-                .map(|member| &member.entry)
-        };
-        let near = known().filter(|entry| entry.region == self.own.region);
-        let far = known().filter(|entry| entry.region != self.own.region);
-        let mut targets = near
-            .map(|entry| entry.peer)
-            .sample(&mut self.rng, self.options.near_targets);
-        targets.extend(
-            far.map(|entry| entry.peer)
-                .sample(&mut self.rng, self.options.far_targets),
-        );
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for member in self.members.values() {
+            if member.dead.is_some() {
+                continue;
+            }
+            let is_near = member.entry.region == self.own.region;
+            let list = if is_near { &mut near } else { &mut far };
+            list.push(member.entry.name.as_str());
+        }
+        let options = &self.options;
+        let rng = &mut self.rng;
+        let mut names = self.near_deck.deal(rng, &near, options.near_targets);
+        names.extend(self.far_deck.deal(rng, &far, options.far_targets));
+        let mut targets: Vec<net::SocketAddr> = names
+            .iter()
+            .filter_map(|name| self.members.get(name))
+            .map(|member| member.entry.peer)
+            .collect();
         targets.extend(self.contact());
         targets
     }
@@ -111,8 +118,8 @@
 
     /// Chooses the entries of a digest beside the own one.
     ///
-    /// Recent changes may take half of the places. The rest goes to hosts
-    /// whose counters advance; a stale counter tells nobody anything.
+    /// News may take three quarters of the places. The rest goes to the hosts
+    /// whose counters advanced last.
     fn choose(&mut self, now: time::Duration) -> Vec<entry::Entry> {
         let places = self.options.entries_max.saturating_sub(1);
         let mut told: Vec<&member::Member> = self
@@ -122,12 +129,13 @@
             .collect();
         if told.len() > places {
             told.shuffle(&mut self.rng);
-            let recent = |member: &&member::Member| now.saturating_sub(member.changed) < RECENT;
-            let (mut first, rest): (Vec<_>, Vec<_>) = told.into_iter().partition(recent);
+            let is_news = |member: &&member::Member| is_news(now, member);
+            let (mut first, mut rest): (Vec<_>, Vec<_>) = told.into_iter().partition(is_news);
             let kept = first
                 .len()
-                .min(places.div_ceil(2).max(places.saturating_sub(rest.len())));
+                .min((places * 3 / 4).max(places.saturating_sub(rest.len())));
             first.truncate(kept);
+            rest.sort_by_key(|member| member.silence(now));
             first.extend(rest);
             first.truncate(places);
             told = first;
@@ -144,10 +152,11 @@
         if member.entry.suspected {
             return member.is_loud;
         }
-        member.confirmed && member.silence(now) < self.options.suspect_after
+        member.confirmed && member.silence(now) < self.options.period.mul_f64(FRESH_PERIODS)
     }
 
-    /// Returns the addresses of the own monitors.
+    /// Returns the addresses of the own monitors and of hosts that suspect
+    /// this one.
     fn heartbeats(&mut self, now: time::Duration) -> Vec<net::SocketAddr> {
         let chosen: Vec<net::SocketAddr> = self
             .monitors_of(&self.own)
@@ -159,7 +168,24 @@
         }
         self.monitors
             .retain(|_, at| now.saturating_sub(*at) < LINGER);
-        self.monitors.keys().copied().collect()
+        let mut targets = std::mem::take(&mut self.doubters);
+        targets.extend(self.monitors.keys().copied());
+        targets.into_iter().collect()
+    }
+
+    /// Returns the questions to hosts that are about to be suspected here, or
+    /// are suspected: a host that reads that it is suspected sends the asking
+    /// host a heartbeat.
+    fn probes(&self, now: time::Duration) -> Vec<(net::SocketAddr, entry::Entry)> {
+        self.members
+            .values()
+            .filter(|member| member.dead.is_none() && self.is_doubtful(now, member))
+            .map(|member| {
+                let mut entry = member.passed_on(true);
+                entry.suspected = true;
+                (entry.peer, entry)
+            })
+            .collect()
     }
 
     /// Returns what the other monitors of quietly suspected hosts are told.
@@ -183,3 +209,8 @@
         alarms
     }
 }
+
+/// Returns whether other hosts may not know yet what this one knows.
+fn is_news(now: time::Duration, member: &member::Member) -> bool {
+    member.entry.suspected || now.saturating_sub(member.changed) < RECENT
+}
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -4,6 +4,7 @@
 
 use rand::SeedableRng;
 
+use crate::deck;
 use crate::digest;
 use crate::entry;
 use crate::listed;
@@ -15,6 +16,9 @@
 use crate::state;
 use crate::tombs;
 
+/// Hosts that are sent an extra heartbeat in one tick.
+const DOUBTERS_MAX: usize = 16;
+
 /// What this host knows of the fleet.
 ///
 /// The host calls [`Membership::tick`] every second and sends the digests that
@@ -28,6 +32,9 @@
     pub(crate) members: collections::BTreeMap<String, member::Member>,
     pub(crate) listed: listing::Listing,
     pub(crate) monitors: collections::BTreeMap<net::SocketAddr, time::Duration>,
+    pub(crate) doubters: collections::BTreeSet<net::SocketAddr>,
+    pub(crate) near_deck: deck::Deck,
+    pub(crate) far_deck: deck::Deck,
     pub(crate) rng: rand_pcg::Pcg64Mcg,
     pub(crate) revision: u64,
     pub(crate) content: [u8; 32],
@@ -46,6 +53,9 @@
             members: collections::BTreeMap::new(),
             listed: listing::Listing::default(),
             monitors: collections::BTreeMap::new(),
+            doubters: collections::BTreeSet::new(),
+            near_deck: deck::Deck::default(),
+            far_deck: deck::Deck::default(),
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             revision: 0,
             content: [0; 32],
@@ -81,10 +91,14 @@
         if self.is_outdated(sender) {
             return received::Received::default();
         }
+        let before = self.counter_of(&sender.name);
         for entry in &digest.entries {
-            self.learn(now, &sender.name, entry);
+            self.learn(now, sender, entry);
         }
-        if let Some(member) = self.members.get_mut(&sender.name) {
+        // Several digests of one tick, and repeated ones, count once.
+        if self.counter_of(&sender.name) > before
+            && let Some(member) = self.members.get_mut(&sender.name)
+        {
             member.note_direct(now);
         }
         self.compare(sender, digest)
@@ -223,17 +237,30 @@
         )
     }
 
-    fn learn(&mut self, now: time::Duration, sender: &str, entry: &entry::Entry) {
+    /// Returns the last life sign of another host.
+    fn counter_of(&self, name: &str) -> Option<(u64, u64)> {
+        let entry = &self.members.get(name)?.entry;
+        Some((entry.incarnation, entry.counter))
+    }
+
+    /// Takes one entry of a digest.
+    fn learn(&mut self, now: time::Duration, sender: &entry::Entry, entry: &entry::Entry) {
         if entry.name == self.own.name {
             self.meet_namesake(entry);
+            if entry.suspected && self.doubters.len() < DOUBTERS_MAX {
+                self.doubters.insert(sender.peer);
+            }
             return;
         }
         if let Some(member) = self.members.get_mut(&entry.name) {
             member.update(now, entry);
-            if entry.suspected && entry.name != sender {
-                member.note_vote(now, sender, entry);
+            if entry.suspected && entry.name != sender.name {
+                member.note_vote(now, &sender.name, entry);
             }
             mark(now, &mut self.listed, member);
+            if entry.suspected {
+                self.judge_vote(now, &entry.name);
+            }
             return;
         }
         let is_stale = entry.suspected
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -21,8 +21,6 @@
 use crate::stream;
 use crate::tls;
 
-/// Longest time to send the rest of the last answer once a connection closes.
-const CLOSE_GRACE: time::Duration = time::Duration::from_secs(30);
 /// Bytes of a request head that are read above its limits, so that the
 /// refusal is the router's own. The HTTP library refuses without a body.
 const HEAD_ROOM_BYTES: usize = 64 * 1024;
@@ -58,12 +56,34 @@
         }
     }
 
+    /// Returns how long a caller may take no byte of an answer.
+    pub(crate) fn write_timeout(&self) -> time::Duration {
+        self.options.write_timeout
+    }
+
+    /// Counts and logs the end of a connection that is closed at once.
+    fn cut(&self, remote: net::SocketAddr, reason: activity::Reason) {
+        let cause = match reason {
+            activity::Reason::Slow => {
+                counters::count(&self.cells.slow_heads);
+                "no request head in time"
+            }
+            activity::Reason::Stalled => {
+                counters::count(&self.cells.stalled);
+                "the caller does not read its answer"
+            }
+            activity::Reason::Idle => "it did not close in time",
+        };
+        log::debug!(target: "front", "connection of {remote} cut: {cause}");
+    }
+
     async fn answer(
         self: sync::Arc<Self>,
         mut request: http::Request<hyper::body::Incoming>,
         remote: net::SocketAddr,
         running: activity::Running,
     ) -> Result<Response, convert::Infallible> {
+        let is_http2 = request.version() == http::Version::HTTP_2;
         let bounds = parse::bounds(request.uri(), request.headers(), &self.options);
         let response = match bounds {
             Ok(()) => {
@@ -72,9 +92,9 @@
             }
             Err(refusal) => reply::refused(&refusal),
         };
-        Ok(response.map(|inner| reply_body::Body {
-            inner,
-            _running: running,
+        Ok(response.map(|inner| {
+            let body = reply_body::Body::new(inner, running);
+            if is_http2 { body.watched(self) } else { body }
         }))
     }
 }
@@ -140,20 +160,13 @@
                 connection.as_mut().graceful_shutdown();
             }
             _ = changes.changed() => {}
-            () = sleep(deadline) => match reason {
-                activity::Reason::Idle if closing.is_none() => {
+            () = sleep(deadline) => {
+                if reason == activity::Reason::Idle && closing.is_none() {
                     counters::count(&shared.cells.idle_closed);
                     closing = Some(Instant::now());
                     connection.as_mut().graceful_shutdown();
-                }
-                activity::Reason::Idle => {
-                    log::debug!(target: "front", "connection of {remote} cut: it did not close in time");
-                    return;
-                }
-                activity::Reason::Slow => {
-                    counters::count(&shared.cells.slow_heads);
-                    log::debug!(target: "front", "connection of {remote} closed: no request head in time");
-                    return;
+                } else {
+                    return shared.cut(remote, reason);
                 }
             }
         }
@@ -166,7 +179,7 @@
     closing: Option<Instant>,
     options: &options::Options,
 ) -> (Option<Instant>, activity::Reason) {
-    let deadline = state.deadline(options.idle_timeout, options.keep_alive);
+    let deadline = state.deadline(options);
     let Some(start) = closing else {
         return match deadline {
             Some((at, reason)) => (Some(at), reason),
@@ -175,10 +188,12 @@
     };
     let cut = state
         .quiet_since()
-        .map(|quiet| quiet.max(start) + CLOSE_GRACE);
+        .map(|quiet| quiet.max(start) + options.close_grace);
     match deadline {
-        Some((at, activity::Reason::Slow)) if cut.is_some_and(|cut| at < cut) => {
-            (Some(at), activity::Reason::Slow)
+        Some((at, reason))
+            if reason != activity::Reason::Idle && cut.is_none_or(|cut| at < cut) =>
+        {
+            (Some(at), reason)
         }
         _ => (cut, activity::Reason::Idle),
     }
--- a/crates/pool/src/current.rs
+++ b/crates/pool/src/current.rs
@@ -128,6 +128,12 @@
     /// Follows outages and gives up what they leave without hope.
     fn check(&mut self, now: time::Duration, out: &mut Vec<action::Action>) {
         self.expire(now, now, answer::Kind::Overload, out);
+        let mut gone = Vec::new();
+        self.queue.trim(now, self.capacity(), &mut gone);
+        let after = Some(self.advice(self.wait_lowest(now)));
+        for ask in gone {
+            self.refuse(&ask, answer::Kind::Overload, after, out);
+        }
         if !self.table.any_open() {
             self.expire(now, time::Duration::MAX, answer::Kind::NoEndpoint, out);
         }
@@ -229,6 +235,11 @@
         self.dispatch(now, out);
     }
 
+    fn blame(&mut self, now: time::Duration, fingerprint: u64, endpoint: u64) {
+        // Above every identity that this shard gives to its own endpoints.
+        self.blame.accuse(now, fingerprint, endpoint | 1 << 63);
+    }
+
     fn tick(&mut self, now: time::Duration, out: &mut Vec<action::Action>) {
         self.table.tick(now);
         if now >= self.swept + SWEEP {
