feat(testkit): print options and ratios as JSON

The JSON output had the figures alone, so that a saved file did not say what was run. The stand-in service loses an unused way to slow it down.

--- a/crates/testkit/src/bin/measure.rs
+++ b/crates/testkit/src/bin/measure.rs
@@ -123,7 +123,7 @@
 
 fn print(arguments: &Arguments, summaries: &[measure::Summary]) -> anyhow::Result<()> {
     if arguments.format == Format::Json {
-        println!("{}", serde_json::to_string_pretty(summaries)?);
+        println!("{:#}", json(arguments, summaries));
         return Ok(());
     }
     let Arguments {
@@ -163,6 +163,29 @@
     Ok(())
 }
 
+fn json(arguments: &Arguments, summaries: &[measure::Summary]) -> serde_json::Value {
+    let medians = |name: &str| {
+        let rows = summaries.iter().map(|summary| summary.row(name));
+        rows.map(|row| row.map(|row| row.median))
+            .collect::<Vec<_>>()
+    };
+    let ratios = names(summaries).into_iter().filter_map(|name| {
+        let [Some(first), Some(second)] = medians(name)[..] else {
+            return None;
+        };
+        (second != 0.0).then(|| (name.to_owned(), (first / second).into()))
+    });
+    serde_json::json!({
+        "shape": format!("{:?}", arguments.shape),
+        "scenario": format!("{:?}", arguments.scenario),
+        "seconds": arguments.seconds,
+        "hosts": arguments.hosts,
+        "scale": measure::SCALE,
+        "policies": summaries,
+        "ratios": ratios.collect::<serde_json::Map<_, _>>(),
+    })
+}
+
 /// Returns the names of all figures in the order of their first mention.
 fn names(summaries: &[measure::Summary]) -> Vec<&str> {
     let mut names = Vec::new();
--- a/crates/testkit/src/engine/sequence.rs
+++ b/crates/testkit/src/engine/sequence.rs
@@ -22,7 +22,6 @@
 }
 
 /// A request inside the engine.
-#[derive(Debug)]
 pub(crate) struct Sequence {
     pub(crate) serial: u64,
     pub(crate) tag: String,
--- a/crates/testkit/src/service/handle.rs
+++ b/crates/testkit/src/service/handle.rs
@@ -30,7 +30,6 @@
     slots: tokio::sync::Semaphore,
     waiting: atomic::AtomicUsize,
     draining: atomic::AtomicBool,
-    factor: atomic::AtomicU64,
     rng: sync::Mutex<rand_pcg::Pcg64Mcg>,
     script: sync::Mutex<collections::VecDeque<Reply>>,
     executions: sync::Mutex<Vec<Execution>>,
@@ -57,7 +56,6 @@
             slots: tokio::sync::Semaphore::new(options.slots),
             waiting: atomic::AtomicUsize::new(0),
             draining: atomic::AtomicBool::new(false),
-            factor: atomic::AtomicU64::new(1f64.to_bits()),
             rng: sync::Mutex::new(rand_pcg::Pcg64Mcg::seed_from_u64(options.seed)),
             script: sync::Mutex::default(),
             executions: sync::Mutex::default(),
@@ -101,11 +99,6 @@
         *lock(&self.shared.script) = replies.into_iter().collect();
     }
 
-    /// Makes the usual delay `factor` times as long.
-    pub fn set_slow(&self, factor: f64) {
-        self.shared.factor.store(factor.to_bits(), Relaxed);
-    }
-
     /// Sets whether `GET /load` reports that the service drains.
     pub fn set_draining(&self, draining: bool) {
         self.shared.draining.store(draining, Relaxed);
@@ -133,8 +126,7 @@
 
     fn delay(&self) -> core::time::Duration {
         let spread = lock(&self.rng).random_range(-1.0..=1.0) * self.options.jitter;
-        let scripted = engine::Slow::factor(&self.options.slow, self.started.elapsed());
-        let factor = scripted * f64::from_bits(self.factor.load(Relaxed));
+        let factor = engine::Slow::factor(&self.options.slow, self.started.elapsed());
         self.options.delay.mul_f64((1.0 + spread).max(0.0) * factor)
     }
 
@@ -197,8 +189,7 @@
 
 fn answer(body: &str) -> String {
     let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
-    let tag = value["tag"].as_str().unwrap_or_default();
-    text::token(&text::clean(tag), 0)
+    text::token(&text::clean(value["tag"].as_str().unwrap_or_default()), 0)
 }
 
 fn slow_body(answer: String, reply: Reply) -> axum::body::Body {
