--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -3,7 +3,7 @@
 use answer::{Kind, Refusal};
 use bytes::Bytes;
 
-use crate::keyed;
+use crate::kept;
 use crate::terms;
 
 /// Packs a request for the host that may dispatch it.
@@ -83,7 +83,7 @@
 }
 
 /// Packs the end of a run.
-pub(crate) fn outcome(ended: keyed::Ended) -> wire::Outcome {
+pub(crate) fn outcome(ended: kept::Ended) -> wire::Outcome {
     match ended {
         Ok(kept) => wire::Outcome::Answer(wire::Answer {
             status: kept.status.as_u16(),
@@ -105,9 +105,9 @@
 ///
 /// Returns the other host's refusal, or one that leaves the outcome open when
 /// the link failed.
-pub(crate) fn unpack(outcome: Result<wire::Outcome, peer::Error>) -> keyed::Ended {
+pub(crate) fn unpack(outcome: Result<wire::Outcome, peer::Error>) -> kept::Ended {
     match outcome {
-        Ok(wire::Outcome::Answer(answer)) => Ok(keyed::Kept {
+        Ok(wire::Outcome::Answer(answer)) => Ok(kept::Kept {
             status: http::StatusCode::from_u16(answer.status)
                 .unwrap_or(http::StatusCode::BAD_GATEWAY),
             headers: unpack_headers(answer.headers),
--- /dev/null
+++ b/crates/host/src/job.rs
@@ -0,0 +1,50 @@
+use sha2::Digest;
+
+use crate::terms;
+
+/// A request with its key, as the host that may dispatch it sees it.
+pub(crate) struct Job {
+    pub(crate) request: front::Request,
+    pub(crate) terms: terms::Terms,
+    /// Key within its caller.
+    pub(crate) key: String,
+    pub(crate) fingerprint: once::Fingerprint,
+}
+
+impl Job {
+    /// Returns the job of a request with this key, as [`scope`] gives it.
+    pub(crate) fn new(request: front::Request, terms: terms::Terms, key: String) -> Self {
+        let fingerprint = fingerprint(&request, &terms);
+        Self {
+            request,
+            terms,
+            key,
+            fingerprint,
+        }
+    }
+}
+
+/// Returns the key within its caller, so that two callers' equal keys differ.
+/// A minted key is unique by itself.
+pub(crate) fn scope(key: &str, terms: &terms::Terms) -> String {
+    if once::key::is_minted(key) {
+        return key.to_owned();
+    }
+    format!("{:08x}.{:016x}.{key}", terms.team, terms.caller)
+}
+
+fn fingerprint(request: &front::Request, terms: &terms::Terms) -> once::Fingerprint {
+    let mut hash = sha2::Sha256::new();
+    for part in [
+        terms.team.to_be_bytes().as_slice(),
+        &terms.caller.to_be_bytes(),
+        request.method.as_str().as_bytes(),
+        request.path.pool().as_bytes(),
+        request.path.at_endpoint().as_bytes(),
+        &request.body,
+    ] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.finalize().into()
+}
--- a/crates/host/src/keyed.rs
+++ b/crates/host/src/keyed.rs
@@ -4,30 +4,16 @@
 use std::sync::atomic;
 
 use answer::{Kind, Refusal};
-use bytes::Bytes;
-use sha2::Digest;
 use tokio::sync::watch;
 
 use crate::clock;
 use crate::flow;
 use crate::forward;
+use crate::job;
+use crate::kept;
 use crate::terms;
 use crate::view;
 
-/// The whole answer of a non-idempotent run.
-#[derive(Clone, Debug)]
-pub(crate) struct Kept {
-    pub(crate) status: http::StatusCode,
-    pub(crate) headers: http::HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-/// What a run and its repeats are answered.
-pub(crate) type Ended = Result<Kept, Refusal>;
-
-/// Header that marks the kept answer of an earlier run.
-const REPLAYED: &str = "idempotency-replayed";
-
 /// Runs non-idempotent requests with a key at most once.
 pub(crate) struct Keyed {
     flow: flow::Flow,
@@ -43,8 +29,8 @@
 }
 
 struct Inner {
-    ledger: once::Ledger<Kept>,
-    running: collections::HashMap<String, watch::Receiver<Option<Ended>>>,
+    ledger: once::Ledger<kept::Kept>,
+    running: collections::HashMap<String, watch::Receiver<Option<kept::Ended>>>,
 }
 
 /// Who may dispatch a key.
@@ -53,14 +39,6 @@
     There(core::net::SocketAddr),
 }
 
-/// A request with its key, as the host that may dispatch it sees it.
-struct Job {
-    request: front::Request,
-    terms: terms::Terms,
-    key: String,
-    fingerprint: once::Fingerprint,
-}
-
 impl Keyed {
     pub(crate) fn new(
         flow: flow::Flow,
@@ -128,7 +106,7 @@
 
     /// Waits until no run is in progress, up to `limit`.
     pub(crate) async fn drained(&self, limit: time::Duration) {
-        let running: Vec<watch::Receiver<Option<Ended>>> =
+        let running: Vec<watch::Receiver<Option<kept::Ended>>> =
             lock(&self.inner).running.values().cloned().collect();
         let ended = async {
             for receiver in running {
@@ -173,18 +151,9 @@
         key: &str,
     ) -> Result<front::Answer, Refusal> {
         let class = terms.class.to_string();
-        let scoped = scope(key, &terms);
+        let scoped = job::scope(key, &terms);
         let ended = match self.place(key, &scoped)? {
-            Place::Here => {
-                let fingerprint = fingerprint(&request, &terms);
-                let job = Job {
-                    request,
-                    terms,
-                    key: scoped,
-                    fingerprint,
-                };
-                self.run(job).await
-            }
+            Place::Here => self.run(job::Job::new(request, terms, scoped)).await,
             Place::There(address) => {
                 let run = forward::pack(&request, &terms, key);
                 forward::unpack(self.peers.run(address, run).await)
@@ -205,18 +174,9 @@
         let settings = lock(&self.settings).clone();
         let ended = match forward::receive(run, &settings) {
             Ok((request, terms, key)) => {
-                let scoped = scope(&key, &terms);
+                let scoped = job::scope(&key, &terms);
                 match self.place(&key, &scoped) {
-                    Ok(Place::Here) => {
-                        let fingerprint = fingerprint(&request, &terms);
-                        let job = Job {
-                            request,
-                            terms,
-                            key: scoped,
-                            fingerprint,
-                        };
-                        self.run(job).await
-                    }
+                    Ok(Place::Here) => self.run(job::Job::new(request, terms, scoped)).await,
                     // The two hosts have different owners in force for a
                     // moment; passing it on again could go round in circles.
                     Ok(Place::There(_)) => Err(Refusal::new(
@@ -269,7 +229,7 @@
     }
 
     /// Returns whether a key that is not in the ledger may run here now.
-    fn permit(&self, job: &Job) -> Result<(), Kind> {
+    fn permit(&self, job: &job::Job) -> Result<(), Kind> {
         let now = self.clock.now();
         let Some(key) = &job.request.key else {
             return Err(Kind::BadKey);
@@ -282,7 +242,7 @@
         lock(&self.owner).may_dispatch(now, &job.key, first, wall)
     }
 
-    async fn run(self: &sync::Arc<Self>, job: Job) -> Ended {
+    async fn run(self: &sync::Arc<Self>, job: job::Job) -> kept::Ended {
         let permit = self.permit(&job);
         let receiver = match self.admit(&job, permit) {
             Admission::Run(sender, receiver) => {
@@ -292,13 +252,13 @@
                 receiver
             }
             Admission::Wait(receiver) => receiver,
-            Admission::Kept(kept) => return Ok(replayed(kept)),
+            Admission::Kept(kept) => return Ok(kept.replayed()),
             Admission::Refuse(kind) => return Err(refusal(kind)),
         };
         wait(receiver).await
     }
 
-    fn admit(&self, job: &Job, permit: Result<(), Kind>) -> Admission {
+    fn admit(&self, job: &job::Job, permit: Result<(), Kind>) -> Admission {
         let request = once::Request {
             key: &job.key,
             fingerprint: job.fingerprint,
@@ -320,7 +280,11 @@
         }
     }
 
-    async fn execute(self: sync::Arc<Self>, job: Job, sender: watch::Sender<Option<Ended>>) {
+    async fn execute(
+        self: sync::Arc<Self>,
+        job: job::Job,
+        sender: watch::Sender<Option<kept::Ended>>,
+    ) {
         let started = atomic::AtomicBool::new(false);
         let gate = || self.gate(&job, &started);
         let outcome = self
@@ -328,16 +292,15 @@
             .serve(&job.request, &job.terms, flow::Delivery::Whole, &gate)
             .await;
         let outcome = match outcome {
-            Ok(answer) => keep(answer).await,
+            Ok(answer) => kept::read(answer).await,
             Err(refusal) => Err(refusal),
         };
         let ended = self.record(&job, outcome);
-        lock(&self.inner).running.remove(&job.key);
         sender.send_replace(Some(ended));
     }
 
     /// Checks the permit again and records that a byte may be sent from now on.
-    fn gate(&self, job: &Job, started: &atomic::AtomicBool) -> Result<(), Refusal> {
+    fn gate(&self, job: &job::Job, started: &atomic::AtomicBool) -> Result<(), Refusal> {
         if let Err(kind) = self.permit(job) {
             lock(&self.inner).ledger.refused(self.clock.now(), &job.key);
             log::warn!(target: "host", "request {} lost its permit before the dispatch: {kind}", job.request.id);
@@ -351,9 +314,12 @@
         Ok(())
     }
 
-    fn record(&self, job: &Job, outcome: Ended) -> Ended {
+    fn record(&self, job: &job::Job, outcome: kept::Ended) -> kept::Ended {
         let now = self.clock.now();
         let mut inner = lock(&self.inner);
+        // Under the lock of the ledger: a repeat that is admitted once the entry
+        // is gone has an entry of its own here.
+        inner.running.remove(&job.key);
         match outcome {
             Ok(kept) => {
                 inner.ledger.finished(now, &job.key, kept.clone());
@@ -373,13 +339,16 @@
 }
 
 enum Admission {
-    Run(watch::Sender<Option<Ended>>, watch::Receiver<Option<Ended>>),
-    Wait(watch::Receiver<Option<Ended>>),
-    Kept(Kept),
+    Run(
+        watch::Sender<Option<kept::Ended>>,
+        watch::Receiver<Option<kept::Ended>>,
+    ),
+    Wait(watch::Receiver<Option<kept::Ended>>),
+    Kept(kept::Kept),
     Refuse(Kind),
 }
 
-async fn wait(mut receiver: watch::Receiver<Option<Ended>>) -> Ended {
+async fn wait(mut receiver: watch::Receiver<Option<kept::Ended>>) -> kept::Ended {
     match receiver.wait_for(Option::is_some).await {
         Ok(ended) => ended
             .clone()
@@ -388,25 +357,6 @@
     }
 }
 
-async fn keep(answer: front::Answer) -> Ended {
-    use http_body_util::BodyExt;
-
-    match answer.body.collect().await {
-        Ok(body) => Ok(Kept {
-            status: answer.status,
-            headers: answer.headers,
-            body: body.to_bytes(),
-        }),
-        Err(cause) => Err(Refusal::new(Kind::EndpointFailed, cause.to_string())),
-    }
-}
-
-fn replayed(mut kept: Kept) -> Kept {
-    kept.headers
-        .insert(REPLAYED, http::HeaderValue::from_static("true"));
-    kept
-}
-
 fn refusal(kind: Kind) -> Refusal {
     let text = match kind {
         Kind::OutcomeUnknown => "an earlier attempt with this key may have run",
@@ -426,31 +376,6 @@
 /// Delay that a refusal without an estimate of its own advises.
 const RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
 
-/// Returns the key within its caller, so that two callers' equal keys differ.
-/// A minted key is unique by itself.
-fn scope(key: &str, terms: &terms::Terms) -> String {
-    if once::key::is_minted(key) {
-        return key.to_owned();
-    }
-    format!("{:08x}.{:016x}.{key}", terms.team, terms.caller)
-}
-
-fn fingerprint(request: &front::Request, terms: &terms::Terms) -> once::Fingerprint {
-    let mut hash = sha2::Sha256::new();
-    for part in [
-        terms.team.to_be_bytes().as_slice(),
-        &terms.caller.to_be_bytes(),
-        request.method.as_str().as_bytes(),
-        request.path.pool().as_bytes(),
-        request.path.at_endpoint().as_bytes(),
-        &request.body,
-    ] {
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    hash.finalize().into()
-}
-
 fn options(settings: &conf::settings::Once) -> once::Options {
     once::Options {
         owners: settings.owners.clone(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,6 +8,8 @@
 mod gossip;
 mod host;
 mod inbound;
+mod job;
+mod kept;
 mod keyed;
 mod layout;
 mod names;
