feat(testkit): let policies take turns and report late sending

The policies now take turns seed by seed, and sent_late_p99_ms says by how much the load generator was late.

--- a/crates/testkit/src/bin/measure.rs
+++ b/crates/testkit/src/bin/measure.rs
@@ -91,24 +91,28 @@
     };
     let single = arguments.seed..=arguments.seed;
     let seeds = arguments.seeds.clone().unwrap_or(single);
-    let mut summaries = Vec::new();
-    for &policy in policies(&arguments) {
-        let mut tables = Vec::new();
-        for seed in seeds.clone() {
+    let span = time::Duration::try_from_secs_f64(arguments.seconds)?;
+    let policies = policies(&arguments);
+    let mut summaries: Vec<_> = policies
+        .iter()
+        .map(|policy| measure::Summary {
+            policy: policy.name(),
+            seeds: Vec::new(),
+        })
+        .collect();
+    // The policies take turns, so that a change of the machine's load meets all of them.
+    for seed in seeds {
+        for (&policy, summary) in policies.iter().zip(&mut summaries) {
             let options = measure::Options {
                 shape: shape.clone(),
                 policy,
                 hosts: arguments.hosts,
                 scenario: arguments.scenario,
-                span: time::Duration::try_from_secs_f64(arguments.seconds)?,
+                span,
                 seed,
             };
-            tables.push(measure::trial(&options).await?);
+            summary.seeds.push(measure::trial(&options).await?);
         }
-        summaries.push(measure::Summary {
-            policy: policy.name(),
-            seeds: tables,
-        });
     }
     print(&arguments, &summaries)?;
     let faults = summaries
--- a/crates/testkit/src/load/run.rs
+++ b/crates/testkit/src/load/run.rs
@@ -36,6 +36,8 @@
     pub tag: String,
     /// Number of tokens that the whole answer has.
     pub expected: u32,
+    /// Time by which it was sent later than planned, because the machine was busy.
+    pub late: time::Duration,
     /// What it experienced.
     pub record: Record,
 }
@@ -53,17 +55,24 @@
     let mut clients = collections::HashMap::new();
     let start = Instant::now();
     let mut tasks = Vec::with_capacity(arrivals.len());
-    for (number, arrival) in arrivals.iter().enumerate() {
+    for (number, &arrival) in arrivals.iter().enumerate() {
         let flow = &flows[arrival.flow];
         let client = clients
             .entry((arrival.flow, arrival.caller))
-            .or_insert_with(|| connect(flow, arrival))
+            .or_insert_with(|| connect(flow, &arrival))
             .clone();
-        let call = call(flow, arrival, options, number);
-        let address = route(flow, arrival, number);
+        let call = call(flow, &arrival, options, number);
+        let address = route(flow, &arrival, number);
         let until = arrival.hangup.unwrap_or(options.patience);
         tokio::time::sleep_until(start + arrival.at).await;
-        tasks.push(tokio::spawn(one(call, client, address, *arrival, until)));
+        let due = start + arrival.at;
+        tasks.push(tokio::spawn(async move {
+            let late = due.elapsed();
+            Sample {
+                late,
+                ..one(call, client, address, arrival, until).await
+            }
+        }));
     }
     let mut samples = Vec::with_capacity(tasks.len());
     for task in tasks {
@@ -89,6 +98,7 @@
         arrival,
         tag: call.tag,
         expected: call.expected,
+        late: time::Duration::ZERO,
         record,
     }
 }
--- a/crates/testkit/src/measure/figures.rs
+++ b/crates/testkit/src/measure/figures.rs
@@ -26,6 +26,8 @@
 impl Figures<'_> {
     /// Adds all figures to the table.
     pub(crate) fn add(&self, cluster: &Cluster, table: &mut Table) {
+        let mut late: Vec<_> = self.samples.iter().map(|sample| sample.late).collect();
+        table.set_some("sent_late_p99_ms", percentile(&mut late, 0.99));
         for class in &self.shape.classes {
             self.class(class, table);
         }
