perf(host): copy only the homes that may be asked

Cause: each ask copied name and address of every live host, 340 at the planned size. Change: the first three are copied. Not measured apart.

--- a/crates/host/src/broker.rs
+++ b/crates/host/src/broker.rs
@@ -12,9 +12,6 @@
 use crate::terms;
 use crate::view;
 
-/// Homes of a shard that are asked one after the other.
-const HOMES_MAX: usize = 3;
-
 /// What an ask is about.
 pub(crate) struct Want<'a> {
     pub(crate) request: &'a front::Request,
@@ -66,7 +63,7 @@
         index: u32,
         start: time::Duration,
     ) -> Result<permit::Permit, Refusal> {
-        for home in self.view.homes(pool, index).into_iter().take(HOMES_MAX) {
+        for home in self.view.homes(pool, index) {
             if home.is_self {
                 return self.ask_here(want, pool, index, start).await;
             }
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -6,6 +6,9 @@
 
 use crate::clock;
 
+/// Homes of a shard that are asked one after the other.
+const HOMES_MAX: usize = 3;
+
 /// Hosts of each shard that learn of a request that was in flight at a crash:
 /// the home and the one that follows it.
 pub(crate) const NEAR_HOMES: usize = 2;
@@ -37,13 +40,14 @@
         }
     }
 
-    /// Lists the hosts that may be the home of a shard, the first one first.
+    /// Lists the first hosts that may be the home of a shard, in their order.
     pub(crate) fn homes(&self, pool: &str, shard: u32) -> Vec<Home> {
         let membership = self.lock();
         let own = membership.own().clone();
         let live = membership.live();
         fleet::rank::homes(pool, shard, &live, Some(&own.region))
             .into_iter()
+            .take(HOMES_MAX)
             .map(|entry| Home {
                 name: entry.name.clone(),
                 address: entry.peer,
