fix(fleet): greet hosts that join and spare hosts that are dead

A host whose death was noticed long ago stayed suspected where no second vote arrived any more. Change: all hosts together send about 4 digests per second to a dead or unknown address, about 64 hosts send one to a host that joins, and a silence of twice the gossip limit needs no second observer.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use rand::RngExt;
-use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
+use rand::seq::{IteratorRandom, SliceRandom};
 
 use crate::digest;
 use crate::entry;
@@ -24,8 +24,9 @@
 /// only delay the moment at which other hosts notice that it has stopped.
 const FRESH_PERIODS: f64 = 1.5;
 
-/// One in so many ticks contacts a dead host.
-const DEAD_CONTACT: u32 = 2;
+/// Digests that a host which is dead or not known receives per period from all
+/// hosts together; a large fleet must not flood one that returns.
+const CONTACTS: f64 = 4.0;
 
 type Out = (net::SocketAddr, digest::Digest);
 
@@ -35,9 +36,13 @@
         let targets = self.targets();
         let mut out: Vec<Out> = Vec::new();
         for target in &targets {
-            let entries = self.choose(now);
+            let entries = self.choose(now, true);
             out.push((*target, self.digest(entries)));
         }
+        for target in self.newcomers() {
+            let entries = self.choose(now, false);
+            out.push((target, self.digest(entries)));
+        }
         for target in self.heartbeats(now) {
             if !targets.contains(&target) {
                 out.push((target, self.digest(Vec::new())));
@@ -86,41 +91,44 @@
         targets
     }
 
-    /// Chooses an address whose host is not known, or now and then a dead host.
-    fn contact(&mut self) -> Option<net::SocketAddr> {
-        let known: collections::HashSet<net::SocketAddr> = self
-            .members
-            .values()
-            .filter(|member| member.dead.is_none())
-            .map(|member| member.entry.peer)
-            .chain([self.own.peer])
-            .collect();
-        let listed = self.listed.contacts();
-        let unknown: Vec<net::SocketAddr> = self
-            .options
-            .seeds
+    /// Returns the addresses of hosts to greet.
+    fn newcomers(&mut self) -> Vec<net::SocketAddr> {
+        let names = self.greetings.take();
+        names
             .iter()
-            .copied()
-            .chain(listed)
-            .filter(|address| !known.contains(address))
-            .collect();
+            .filter_map(|name| self.find(name))
+            .map(|entry| entry.peer)
+            .collect()
+    }
+
+    /// Chooses an address whose host is dead or not known, so that a starting
+    /// host and the two sides of a former partition find the others.
+    fn contact(&mut self) -> Option<net::SocketAddr> {
+        let known: collections::HashSet<net::SocketAddr> =
+            self.present().map(|entry| entry.peer).collect();
         let dead = self
             .members
             .values()
             .filter(|member| member.dead.is_some())
-            .map(|member| member.entry.peer)
-            .choose(&mut self.rng);
-        if dead.is_some() && self.rng.random_ratio(1, DEAD_CONTACT) {
-            return dead;
+            .map(|member| member.entry.peer);
+        let seeds = self.options.seeds.iter().copied();
+        let strange: collections::BTreeSet<net::SocketAddr> = seeds
+            .chain(self.listed.contacts())
+            .chain(dead)
+            .filter(|address| !known.contains(address))
+            .collect();
+        let share = CONTACTS * strange.len() as f64 / known.len() as f64;
+        if !self.rng.random_bool(share.min(1.0)) {
+            return None;
         }
-        unknown.choose(&mut self.rng).copied()
+        strange.into_iter().choose(&mut self.rng)
     }
 
     /// Chooses the entries of a digest beside the own one.
     ///
     /// News may take three quarters of the places. The rest goes to the hosts
-    /// whose counters advanced last.
-    fn choose(&mut self, now: time::Duration) -> Vec<entry::Entry> {
+    /// whose counters advanced last, or to any that live.
+    fn choose(&mut self, now: time::Duration, newest: bool) -> Vec<entry::Entry> {
         let places = self.options.entries_max.saturating_sub(1);
         let mut told: Vec<&member::Member> = self
             .members
@@ -135,7 +143,9 @@
                 .len()
                 .min((places * 3 / 4).max(places.saturating_sub(rest.len())));
             first.truncate(kept);
-            rest.sort_by_key(|member| member.silence(now));
+            if newest {
+                rest.sort_by_key(|member| member.silence(now));
+            }
             first.extend(rest);
             first.truncate(places);
             told = first;
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -87,10 +87,7 @@
     /// first; once two of them agree, the others follow. Where the monitors
     /// are lost as well, any two hosts judge after a longer silence.
     fn verdict(&self, now: time::Duration, member: &member::Member, fresh: usize) -> Verdict {
-        if self.is_confirmed(now, member) {
-            return Verdict::Bury;
-        }
-        if fresh == 0 && member.silence(now) >= self.alone_limit() {
+        if self.is_confirmed(now, member) || member.silence(now) >= self.alone_limit(fresh) {
             return Verdict::Bury;
         }
         if member.silence(now) >= self.gossip_limit() {
@@ -109,15 +106,18 @@
             && (silence >= self.gossip_limit() || self.is_monitor(member))
     }
 
-    /// Returns the silence after which this host needs no second observer,
-    /// because it hears of no host that could be one.
+    /// Returns the silence after which this host needs no second observer.
     ///
-    /// With one other host there is no second observer to wait for. With
-    /// several, a host that happened to receive nothing for a while must not
-    /// take all of them for dead.
-    fn alone_limit(&self) -> time::Duration {
-        let others = self.present().count() - 1;
-        if others <= 1 {
+    /// A host that hears of no other has nobody to wait for; but where several
+    /// are silent at once, it may only have received nothing for a while. A
+    /// host that hears of others would have received a newer counter from
+    /// them, so a silence far beyond that of gossip is enough: the others may
+    /// have seen the death too long ago to pass it on.
+    fn alone_limit(&self, fresh: usize) -> time::Duration {
+        if fresh > 0 {
+            return self.gossip_limit().saturating_mul(2);
+        }
+        if self.present().count() <= 2 {
             return self.options.suspect_after;
         }
         self.options.suspect_after.saturating_mul(2)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod discover;
 mod entry;
 mod gossip;
+mod greetings;
 mod judge;
 mod listed;
 mod listing;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -62,14 +62,15 @@
         }
     }
 
-    /// Takes a life sign if it is newer than the last one.
-    pub(crate) fn update(&mut self, now: time::Duration, entry: &entry::Entry) {
+    /// Takes a life sign if it is newer than the last one, and returns whether
+    /// the host has come back by it, from the dead or with a new lifetime.
+    pub(crate) fn update(&mut self, now: time::Duration, entry: &entry::Entry) -> bool {
         if entry.incarnation < self.entry.incarnation {
-            return;
+            return false;
         }
         if entry.incarnation > self.entry.incarnation {
             *self = Self::new(now, entry);
-            return;
+            return true;
         }
         if entry.phase == entry::Phase::Leaving && self.stated == entry::Phase::Up {
             self.stated = entry::Phase::Leaving;
@@ -77,15 +78,17 @@
             self.changed = now;
         }
         if entry.counter <= self.entry.counter {
-            return;
+            return false;
         }
         if entry.suspected {
             // The sender has waited for a newer counter in vain, so this one
             // is no sign that the host lives now.
             self.entry.counter = entry.counter;
-        } else {
-            self.advance(now, entry.counter);
+            return false;
         }
+        let was_dead = self.dead.is_some();
+        self.advance(now, entry.counter);
+        was_dead
     }
 
     /// Notes that a digest came from the host itself.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -7,6 +7,7 @@
 use crate::deck;
 use crate::digest;
 use crate::entry;
+use crate::greetings;
 use crate::listed;
 use crate::listing;
 use crate::member;
@@ -33,6 +34,7 @@
     pub(crate) listed: listing::Listing,
     pub(crate) monitors: collections::BTreeMap<net::SocketAddr, time::Duration>,
     pub(crate) doubters: collections::BTreeSet<net::SocketAddr>,
+    pub(crate) greetings: greetings::Greetings,
     pub(crate) near_deck: deck::Deck,
     pub(crate) far_deck: deck::Deck,
     pub(crate) rng: rand_pcg::Pcg64Mcg,
@@ -54,6 +56,7 @@
             listed: listing::Listing::default(),
             monitors: collections::BTreeMap::new(),
             doubters: collections::BTreeSet::new(),
+            greetings: greetings::Greetings::default(),
             near_deck: deck::Deck::default(),
             far_deck: deck::Deck::default(),
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
@@ -239,7 +242,7 @@
             return;
         }
         if let Some(member) = self.members.get_mut(&entry.name) {
-            member.update(now, entry);
+            let is_back = member.update(now, entry);
             if entry.suspected && entry.name != sender.name {
                 member.note_vote(now, &sender.name, entry);
             }
@@ -247,6 +250,9 @@
             if entry.suspected {
                 self.judge_vote(now, &entry.name);
             }
+            if is_back {
+                self.greet(&entry.name);
+            }
             return;
         }
         let is_stale = entry.suspected
@@ -260,6 +266,12 @@
         let mut member = member::Member::new(now, entry);
         mark(now, &mut self.listed, &mut member);
         self.members.insert(entry.name.clone(), member);
+        self.greet(&entry.name);
+    }
+
+    fn greet(&mut self, name: &str) {
+        let known = self.members.len();
+        self.greetings.note(&mut self.rng, name, known);
     }
 
     fn compare(&self, sender: &entry::Entry, digest: &digest::Digest) -> received::Received {
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -130,6 +130,29 @@
     assert!(took <= Duration::from_secs(15), "met after {took:?}");
 }
 
+/// Guards against a large fleet that floods an absent host, and against one
+/// that leaves a starting host with a part of the view.
+#[rstest::rstest]
+fn a_starting_host_soon_knows_a_large_fleet(#[values(1, 2)] seed: u64) {
+    let mut fleet = sim::Fleet::new(100, 11, 3, seed);
+    fleet.run_until(MINUTE, sim::Fleet::is_whole);
+    fleet.hosts[1].is_up = false;
+    fleet.run(Duration::from_secs(20));
+    fleet.arrived[1] = 0;
+    fleet.run(Duration::from_secs(20));
+    // About 4 per second are sent to a dead host, which is a seed here.
+    assert!(
+        (20..=160).contains(&fleet.arrived[1]),
+        "{} arrived",
+        fleet.arrived[1]
+    );
+    fleet.restart(1);
+    let took = fleet.run_until(MINUTE, |fleet| {
+        fleet.hosts[1].membership.live().len() >= 95 && fleet.all_hold(1, State::Live)
+    });
+    assert!(took <= Duration::from_secs(6), "known after {took:?}");
+}
+
 /// Guards against an old lifetime that is taken for the new one.
 #[rstest::rstest]
 fn a_new_lifetime_replaces_the_old(#[values(1, 2, 3)] seed: u64, #[values(0, 1, 20)] gap_s: u64) {
--- a/crates/fleet/tests/sim/mod.rs
+++ b/crates/fleet/tests/sim/mod.rs
@@ -33,6 +33,8 @@
     pub hosts: Vec<Host>,
     /// Share of datagrams that are lost.
     pub loss: f64,
+    /// Datagrams that arrived at the address of each host.
+    pub arrived: Vec<usize>,
     /// Hosts on the other side of a partition.
     pub split: BTreeSet<usize>,
     queue: BTreeMap<(Duration, u64), (usize, SocketAddr, Digest)>,
@@ -75,6 +77,7 @@
                 .collect(),
             hosts,
             loss: 0.0,
+            arrived: vec![0; count],
             split: BTreeSet::new(),
             queue: BTreeMap::new(),
             sent: 0,
@@ -193,6 +196,7 @@
             let Some(&to) = self.addresses.get(&target) else {
                 continue;
             };
+            self.arrived[to] += 1;
             if self.split.contains(&from) != self.split.contains(&to) || !self.hosts[to].is_up {
                 continue;
             }
