test(faults): check streams while hosts and engines fail

Every token of each answer is checked while hosts are killed and paused and engines crash, return and slow down: an answer is whole, or cut with an error event or a broken connection, and never wrong.

--- a/crates/carobbay/tests/faults/fleet.rs
+++ b/crates/carobbay/tests/faults/fleet.rs
@@ -163,6 +163,24 @@
         self.process(host).signal(name);
     }
 
+    /// Waits until a host that was told to leave has ended without a failure.
+    pub async fn ended(&mut self, host: usize) {
+        let process = self.hosts[host].as_mut().expect("the host runs");
+        loop {
+            if let Some(status) = process.child.try_wait().expect("a child can be waited for") {
+                assert!(status.success(), "host-{host} ended with {status}");
+                break;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        self.hosts[host] = None;
+    }
+
+    /// Returns what a host has logged in all its lifetimes.
+    pub fn log(&self, host: usize) -> String {
+        fs::read_to_string(self.log_path(host)).unwrap_or_default()
+    }
+
     fn process(&self, host: usize) -> &Process {
         self.hosts[host].as_ref().expect("the host runs")
     }
--- a/crates/carobbay/tests/faults/main.rs
+++ b/crates/carobbay/tests/faults/main.rs
@@ -2,5 +2,7 @@
 
 mod booking;
 mod fleet;
+mod model;
 mod net;
 mod once;
+mod streams;
--- /dev/null
+++ b/crates/carobbay/tests/faults/model.rs
@@ -0,0 +1,252 @@
+//! Streamed model requests with checks of whole answers.
+
+use core::time;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+
+use http_body_util::BodyExt as _;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::seq::IndexedRandom as _;
+use testkit::client;
+use testkit::engine;
+use testkit::text;
+
+use crate::fleet;
+
+/// Output tokens of every answer.
+pub const TOKENS: u32 = 24;
+
+/// Starts a stand-in engine that answers [`TOKENS`] tokens.
+pub fn engine(crash: Option<engine::Crash>) -> engine::Handle {
+    engine_with(TOKENS, crash)
+}
+
+/// Starts a stand-in engine that answers `tokens` tokens.
+pub fn engine_with(tokens: u32, crash: Option<engine::Crash>) -> engine::Handle {
+    let options = engine::Options {
+        model: "braille".to_owned(),
+        lengths: vec![engine::Length {
+            median: f64::from(tokens),
+            sigma: 0.0,
+            ..engine::Length::default()
+        }],
+        crash,
+        ..engine::Options::default()
+    };
+    engine::Engine::start(options).expect("the engine starts")
+}
+
+/// Returns the addresses of engines.
+pub fn addresses(engines: &[engine::Handle]) -> Vec<net::SocketAddr> {
+    engines.iter().map(engine::Handle::address).collect()
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// Every token came once and in order, with the final event.
+    Whole,
+    /// A right beginning came, then an error event.
+    Cut,
+    /// A right beginning came, or nothing, then the connection broke.
+    Broken,
+    /// Kind and run state of a refusal.
+    Refused(String, String),
+    /// A token was lost, doubled or foreign, or the answer ended too early
+    /// without saying so.
+    Wrong(String),
+}
+
+/// Sends a request and checks every token of its answer.
+pub async fn send(
+    client: &client::Client,
+    address: net::SocketAddr,
+    tag: &str,
+    prompt: &str,
+    stream: bool,
+) -> Ended {
+    let body = serde_json::json!({
+        "model": "braille", "stream": stream, "user": tag,
+        "messages": [{"role": "user", "content": prompt}],
+    });
+    let request = http::Request::post(format!("http://{address}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {}", fleet::KEY))
+        .header("content-type", "application/json")
+        .body(body.to_string().into())
+        .expect("the request is valid");
+    let Ok(response) = client.send(request).await else {
+        return Ended::Broken;
+    };
+    let is_success = response.status().is_success();
+    let mut text = String::new();
+    let mut is_broken = false;
+    let mut body = response.into_body();
+    while let Some(frame) = body.frame().await {
+        match frame.map(|frame| frame.into_data()) {
+            Ok(Ok(data)) => text.push_str(&String::from_utf8_lossy(&data)),
+            Ok(Err(_)) => {}
+            Err(_) => is_broken = true,
+        }
+    }
+    match (is_success, stream) {
+        (false, _) if is_broken => Ended::Broken,
+        (false, _) => refused(&text),
+        (true, true) => streamed(tag, &text, is_broken),
+        (true, false) if is_broken => Ended::Broken,
+        (true, false) => verdict(tag, &content(&text)),
+    }
+}
+
+fn refused(text: &str) -> Ended {
+    let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+    let field = |name: &str| value["error"][name].as_str().unwrap_or("").to_owned();
+    Ended::Refused(field("kind"), field("run_state"))
+}
+
+fn streamed(tag: &str, text: &str, is_broken: bool) -> Ended {
+    let events: Vec<&str> = text
+        .split_inclusive("\n\n")
+        .filter_map(|event| event.strip_suffix("\n\n")?.strip_prefix("data: "))
+        .collect();
+    let tokens: String = events.iter().map(|event| content(event)).collect();
+    let is_error = events.iter().any(|event| event.starts_with("{\"error\""));
+    if events.contains(&"[DONE]") {
+        return match verdict(tag, &tokens) {
+            Ended::Whole if is_error => Ended::Wrong("error and final event".to_owned()),
+            ended => ended,
+        };
+    }
+    let count = tokens.matches(' ').count();
+    let begin: String = (0..)
+        .take(count)
+        .map(|number| text::token(tag, number))
+        .collect();
+    if begin != tokens {
+        return Ended::Wrong(tokens);
+    }
+    match (is_error, is_broken) {
+        (true, _) => Ended::Cut,
+        (false, true) => Ended::Broken,
+        (false, false) => Ended::Wrong(format!("no end after {count} tokens")),
+    }
+}
+
+fn verdict(tag: &str, tokens: &str) -> Ended {
+    let mut check = text::Check::new(tag);
+    check.push(tokens);
+    match check.finish(TOKENS) {
+        text::Verdict::Whole => Ended::Whole,
+        verdict => Ended::Wrong(format!("{verdict:?}: {tokens}")),
+    }
+}
+
+fn content(text: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+    let choice = &value["choices"][0];
+    let contents = [&choice["delta"]["content"], &choice["message"]["content"]];
+    let mut contents = contents.into_iter().filter_map(serde_json::Value::as_str);
+    contents.next().unwrap_or_default().to_owned()
+}
+
+/// Returns a caller's client.
+pub fn client() -> client::Client {
+    client::Client::new(client::Version::Http1, None)
+}
+
+/// Requests that are sent one after the other by several callers.
+pub struct Load {
+    addresses: tokio::sync::watch::Sender<Vec<net::SocketAddr>>,
+    callers: Vec<tokio::task::JoinHandle<()>>,
+    records: sync::Arc<sync::Mutex<Vec<(String, Ended)>>>,
+    whole: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Load {
+    /// Starts callers that use hosts at these addresses.
+    pub fn start(seed: u64, callers: u64, addresses: Vec<net::SocketAddr>) -> Self {
+        let addresses = tokio::sync::watch::Sender::new(addresses);
+        let records = sync::Arc::new(sync::Mutex::new(Vec::new()));
+        let whole = sync::Arc::new(atomic::AtomicUsize::new(0));
+        let callers = (0..callers)
+            .map(|caller| {
+                let (known, records) = (addresses.subscribe(), records.clone());
+                let rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed * 1_000 + caller);
+                tokio::spawn(run(caller, rng, known, records, whole.clone()))
+            })
+            .collect();
+        Self {
+            addresses,
+            callers,
+            records,
+            whole,
+        }
+    }
+
+    /// Makes new requests use hosts at these addresses.
+    pub fn use_hosts(&self, addresses: Vec<net::SocketAddr>) {
+        self.addresses.send_replace(addresses);
+    }
+
+    /// Waits until this many further answers were whole.
+    pub async fn progress(&self, count: usize) {
+        let target = self.whole.load(atomic::Ordering::Relaxed) + count;
+        fleet::until("answers are whole", async || {
+            self.whole.load(atomic::Ordering::Relaxed) >= target
+        })
+        .await;
+    }
+
+    /// Stops sending, waits for the requests in flight and returns how each
+    /// request ended. No answer is wrong; a host that dies may cut it.
+    pub async fn end(self) -> Vec<(String, Ended)> {
+        drop(self.addresses);
+        for caller in self.callers {
+            caller.await.expect("the caller does not panic");
+        }
+        let records = self.records.lock().expect("no test panics").clone();
+        for (tag, outcome) in &records {
+            assert!(!matches!(outcome, Ended::Wrong(_)), "{tag}: {outcome:?}");
+        }
+        records
+    }
+}
+
+/// Asserts that every request ended with a whole answer.
+pub fn assert_whole(records: &[(String, Ended)]) {
+    let failed: Vec<_> = records
+        .iter()
+        .filter(|(_, outcome)| *outcome != Ended::Whole)
+        .collect();
+    let (count, first) = (records.len(), failed.first());
+    assert!(first.is_none(), "{} of {count}: {first:?}", failed.len());
+    assert!(count > 0, "no request was sent");
+}
+
+async fn run(
+    caller: u64,
+    mut rng: rand_pcg::Pcg64Mcg,
+    addresses: tokio::sync::watch::Receiver<Vec<net::SocketAddr>>,
+    records: sync::Arc<sync::Mutex<Vec<(String, Ended)>>>,
+    whole: sync::Arc<atomic::AtomicUsize>,
+) {
+    let client = client();
+    for number in 0.. {
+        if addresses.has_changed().is_err() {
+            return;
+        }
+        let known = addresses.borrow().clone();
+        let address = *known.choose(&mut rng).expect("there are hosts");
+        let tag = format!("m-{caller}-{number}");
+        let stream = rng.random_bool(0.7);
+        let outcome = send(&client, address, &tag, "ward three", stream).await;
+        let add = usize::from(outcome == Ended::Whole);
+        whole.fetch_add(add, atomic::Ordering::Relaxed);
+        let is_failed = add == 0;
+        records.lock().expect("no test panics").push((tag, outcome));
+        if is_failed {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+}
