test(faults): check endpoints and hosts that leave

A draining engine and an endpoint marked as leaving get no new work after four seconds from any host, and a rolling restart of all hosts under load fails no request of callers that use the hosts listed at the time.

--- /dev/null
+++ b/crates/carobbay/tests/faults/leaving.rs
@@ -0,0 +1,84 @@
+//! Endpoints and hosts leave without a failed request.
+
+use core::time;
+
+use crate::fleet;
+use crate::model;
+
+/// Time after which an endpoint that leaves gets no new work.
+const SETTLED: time::Duration = time::Duration::from_secs(4);
+
+/// Guards against new work for an engine that drains, from any host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_engine_gets_no_new_work() {
+    let engines: Vec<_> = (0..3).map(|_| model::engine(None)).collect();
+    let settings = fleet::settings(&model::addresses(&engines), "");
+    let fleet = fleet::Fleet::start(3, &settings).await;
+    let load = model::Load::start(2, 9, fleet.running_addresses());
+    load.progress(100).await;
+    assert!(engines[0].counters().executions > 0, "the engine is used");
+    engines[0].drain();
+    tokio::time::sleep(SETTLED).await;
+    let before = engines[0].counters();
+    load.progress(300).await;
+    let after = engines[0].counters();
+    assert_eq!(after.executions, before.executions);
+    assert_eq!(after.refused, before.refused, "the engine was asked");
+    model::assert_whole(&load.end().await);
+}
+
+/// Guards against new work for an endpoint that the settings mark as leaving,
+/// and against requests that fail when the settings are read again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_endpoint_marked_as_leaving_gets_no_new_work() {
+    let engines: Vec<_> = (0..3).map(|_| model::engine(None)).collect();
+    let addresses = model::addresses(&engines);
+    let fleet = fleet::Fleet::start(3, &fleet::settings(&addresses, "")).await;
+    let load = model::Load::start(3, 9, fleet.running_addresses());
+    load.progress(100).await;
+    assert!(engines[0].counters().executions > 0, "the engine is used");
+    let mut settings = fleet::settings(&[], "");
+    for (index, address) in addresses.iter().enumerate() {
+        let further = if index == 0 { "leaving = true\n" } else { "" };
+        settings.push_str(&fleet::endpoint(index, *address, further));
+    }
+    for host in fleet.running() {
+        fleet.configure(host, &settings);
+        fleet.signal(host, "HUP");
+    }
+    tokio::time::sleep(SETTLED).await;
+    let before = engines[0].counters().executions;
+    load.progress(300).await;
+    assert_eq!(engines[0].counters().executions, before);
+    model::assert_whole(&load.end().await);
+}
+
+/// Guards against requests that fail while all hosts are replaced, one after
+/// the other, for callers that use the hosts listed at the time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rolling_restart_fails_no_request() {
+    let engines: Vec<_> = (0..2).map(|_| model::engine(None)).collect();
+    let settings = fleet::settings(&model::addresses(&engines), "");
+    let mut fleet = fleet::Fleet::start(3, &settings).await;
+    let load = model::Load::start(4, 9, fleet.running_addresses());
+    for host in 0..3 {
+        load.progress(50).await;
+        let leaving = fleet.caller(host);
+        let witness = fleet.caller((host + 1) % 3);
+        fleet.signal(host, "TERM");
+        fleet::until("the host is no longer listed", async || {
+            let listed = fleet::listed(witness).await;
+            !listed.is_empty() && !listed.contains(&leaving)
+        })
+        .await;
+        load.use_hosts(fleet::listed(witness).await);
+        load.progress(50).await;
+        fleet.ended(host).await;
+        load.progress(50).await;
+        fleet.boot(host);
+        fleet.meet().await;
+        load.use_hosts(fleet::listed(witness).await);
+    }
+    load.progress(50).await;
+    model::assert_whole(&load.end().await);
+}
--- a/crates/carobbay/tests/faults/main.rs
+++ b/crates/carobbay/tests/faults/main.rs
@@ -2,6 +2,7 @@
 
 mod booking;
 mod fleet;
+mod leaving;
 mod model;
 mod net;
 mod once;
