--- a/crates/carobbay/tests/faults/main.rs
+++ b/crates/carobbay/tests/faults/main.rs
@@ -2,5 +2,8 @@
 
 mod booking;
 mod fleet;
+mod leaving;
+mod model;
 mod net;
 mod once;
+mod streams;
