feat(peer): count the bytes of datagrams and links

A host could not say how much it sends to other hosts, so that its control traffic could only be estimated from single messages. Datagrams and packed calls are counted in both directions, and a host gives the sum of its socket and links.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -35,6 +35,7 @@
     server: peer::Server,
     address: net::SocketAddr,
     parts: Parts,
+    socket: peer::Socket,
     tasks: tokio::task::JoinSet<()>,
     shutdown_max: time::Duration,
 }
@@ -86,7 +87,7 @@
         parts
             .view
             .with(|membership| membership.set_caller(front.address()));
-        let tasks = start_tasks(&parts, inbound, socket, &settings.fleet);
+        let tasks = start_tasks(&parts, inbound, socket.clone(), &settings.fleet);
         log::info!(
             target: "host",
             "host {} serves callers on {} and hosts on {address}",
@@ -98,6 +99,7 @@
             server,
             address,
             parts,
+            socket,
             tasks,
             shutdown_max: settings.limits.shutdown_max,
         })
@@ -134,6 +136,14 @@
         self.parts.keyed.holds_lease()
     }
 
+    /// Returns a counter of the transport, summed over datagrams and links of
+    /// both directions.
+    pub fn transport(&self, count: peer::Count) -> u64 {
+        let datagrams = self.socket.counters().get(count);
+        let out = self.parts.peers.counters().get(count);
+        datagrams + out + self.server.counters().get(count)
+    }
+
     /// Puts local settings in force.
     pub fn replace(&self, settings: sync::Arc<conf::Settings>) {
         self.parts.state.replace(settings.clone());
--- a/crates/peer/src/client/connection.rs
+++ b/crates/peer/src/client/connection.rs
@@ -50,7 +50,12 @@
         .await
         .map_err(|error| refused(shared, error))?;
 
-    let mut system = rpc::system(stream, rpc_twoparty_capnp::Side::Client, None);
+    let mut system = rpc::system(
+        stream,
+        rpc_twoparty_capnp::Side::Client,
+        None,
+        &shared.counters,
+    );
     let session: session::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
     let ended = task::spawn_local(system);
     let connection = Connection { session, ended };
--- a/crates/peer/src/counters.rs
+++ b/crates/peer/src/counters.rs
@@ -41,11 +41,19 @@
     DatagramMalformed,
     /// Datagrams dropped for an unknown key or a wrong HMAC.
     DatagramUnauthentic,
+    /// Bytes of datagrams sent, without IP and UDP headers.
+    DatagramBytesSent,
+    /// Bytes of datagrams received and accepted, without IP and UDP headers.
+    DatagramBytesReceived,
+    /// Packed bytes of calls sent on links, without handshakes and TCP headers.
+    LinkBytesSent,
+    /// Packed bytes of calls received on links, without handshakes and TCP headers.
+    LinkBytesReceived,
 }
 
 impl Count {
     /// Lists everything that is counted, in the order of the variants.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 23] = [
         Self::LinkOpened,
         Self::LinkEnded,
         Self::LinkSilent,
@@ -65,6 +73,10 @@
         Self::DatagramReceived,
         Self::DatagramMalformed,
         Self::DatagramUnauthentic,
+        Self::DatagramBytesSent,
+        Self::DatagramBytesReceived,
+        Self::LinkBytesSent,
+        Self::LinkBytesReceived,
     ];
 
     /// Returns the name used in metrics.
@@ -89,6 +101,10 @@
             Self::DatagramReceived => "datagram_received",
             Self::DatagramMalformed => "datagram_malformed",
             Self::DatagramUnauthentic => "datagram_unauthentic",
+            Self::DatagramBytesSent => "datagram_bytes_sent",
+            Self::DatagramBytesReceived => "datagram_bytes_received",
+            Self::LinkBytesSent => "link_bytes_sent",
+            Self::LinkBytesReceived => "link_bytes_received",
         }
     }
 }
@@ -100,7 +116,12 @@
 impl Counters {
     /// Adds one.
     pub(crate) fn add(&self, count: Count) {
-        self.0[count as usize].fetch_add(1, atomic::Ordering::Relaxed);
+        self.add_many(count, 1);
+    }
+
+    /// Adds `number`.
+    pub(crate) fn add_many(&self, count: Count, number: usize) {
+        self.0[count as usize].fetch_add(number as u64, atomic::Ordering::Relaxed);
     }
 
     /// Returns a counter.
--- a/crates/peer/src/packed.rs
+++ b/crates/peer/src/packed.rs
@@ -4,12 +4,16 @@
 
 use std::io;
 use std::pin;
+use std::sync;
 use std::task;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::counters;
+
 /// Unpacking reader.
 pub struct Reader<R> {
     inner: R,
+    counters: sync::Arc<counters::Counters>,
     unpacker: wire::pack::Unpacker,
     input: Box<[u8]>,
     /// Part of the input that is not unpacked yet.
@@ -18,10 +22,11 @@
 }
 
 impl<R> Reader<R> {
-    /// Returns a reader at the start of a packed stream.
-    pub fn new(inner: R) -> Self {
+    /// Returns a reader at the start of a packed stream that counts its bytes.
+    pub fn new(inner: R, counters: sync::Arc<counters::Counters>) -> Self {
         Self {
             inner,
+            counters,
             unpacker: wire::pack::Unpacker::default(),
             input: vec![0; INPUT].into(),
             start: 0,
@@ -51,6 +56,8 @@
             task::ready!(pin::Pin::new(&mut this.inner).poll_read(context, &mut input))?;
             this.start = 0;
             this.end = input.filled().len();
+            this.counters
+                .add_many(counters::Count::LinkBytesReceived, this.end);
             if this.end == 0 {
                 let ended = if this.unpacker.is_complete() {
                     Ok(())
@@ -66,6 +73,7 @@
 /// Packing writer. It packs whole words on flush or when much is written.
 pub struct Writer<W> {
     inner: W,
+    counters: sync::Arc<counters::Counters>,
     plain: Vec<u8>,
     packed: Vec<u8>,
     /// Part of the packed bytes that is written.
@@ -73,10 +81,11 @@
 }
 
 impl<W: AsyncWrite + Unpin> Writer<W> {
-    /// Returns a writer at the start of a packed stream.
-    pub fn new(inner: W) -> Self {
+    /// Returns a writer at the start of a packed stream that counts its bytes.
+    pub fn new(inner: W, counters: sync::Arc<counters::Counters>) -> Self {
         Self {
             inner,
+            counters,
             plain: Vec::new(),
             packed: Vec::new(),
             written: 0,
@@ -94,6 +103,8 @@
                 return task::Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
             }
             self.written += count;
+            self.counters
+                .add_many(counters::Count::LinkBytesSent, count);
         }
         self.written = 0;
         self.packed.clear();
--- a/crates/peer/src/server/accept.rs
+++ b/crates/peer/src/server/accept.rs
@@ -122,6 +122,7 @@
         stream,
         rpc_twoparty_capnp::Side::Server,
         Some(client.client),
+        &shared.counters,
     );
     let _closing = Closing(session.clone());
     let mut system = task::spawn_local(system);
--- a/crates/peer/src/socket.rs
+++ b/crates/peer/src/socket.rs
@@ -56,7 +56,9 @@
             .seal(&self.0.keys.current())
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
         self.0.socket.send_to(&sealed, to).await?;
-        self.0.counters.add(counters::Count::DatagramSent);
+        let counters = &self.0.counters;
+        counters.add(counters::Count::DatagramSent);
+        counters.add_many(counters::Count::DatagramBytesSent, sealed.len());
         Ok(())
     }
 
@@ -78,7 +80,9 @@
             };
             match wire::Packet::open(&buffer[..length], &self.0.keys.current()) {
                 Ok(packet) => {
-                    self.0.counters.add(counters::Count::DatagramReceived);
+                    let counters = &self.0.counters;
+                    counters.add(counters::Count::DatagramReceived);
+                    counters.add_many(counters::Count::DatagramBytesReceived, length);
                     return Ok((from, packet));
                 }
                 Err(error) => self.drop_datagram(from, error),
