feat(testkit): measure what a router host costs

capacity starts hosts, endpoints and callers, together or in processes of their own, and prints control bytes, processor time, memory, the cost of relayed streams and the time until a configuration change is in force.

--- /dev/null
+++ b/crates/testkit/src/bin/capacity.rs
@@ -0,0 +1,231 @@
+//! Measures what a router host costs.
+
+use core::time;
+use std::net;
+
+use clap::Parser as _;
+use testkit::capacity;
+
+/// Measures what a router host costs.
+#[derive(Debug, clap::Parser)]
+enum Arguments {
+    /// Control bytes, processor time and memory of several hosts.
+    Fleet {
+        /// Hosts.
+        #[arg(long, default_value_t = 3)]
+        hosts: usize,
+        /// Owners of callers' own keys.
+        #[arg(long, default_value_t = 0)]
+        owners: usize,
+        /// Requests per second over all hosts.
+        #[arg(long, default_value_t = 0)]
+        rate: u32,
+        /// Measured seconds.
+        #[arg(long, default_value_t = 10)]
+        seconds: u32,
+    },
+    /// Time until a configuration change is in force.
+    Change {
+        /// Hosts.
+        #[arg(long, default_value_t = 12)]
+        hosts: usize,
+        /// Changes.
+        #[arg(long, default_value_t = 8)]
+        changes: u64,
+    },
+    /// Endpoints that stream tokens; prints their addresses.
+    Source {
+        /// Endpoints.
+        #[arg(long, default_value_t = 1)]
+        count: usize,
+        /// Tokens of an answer.
+        #[arg(long)]
+        tokens: u32,
+        /// Milliseconds between two tokens; 0 for as fast as they are read.
+        #[arg(long, default_value_t = 0)]
+        gap: u64,
+        /// Seconds until the end.
+        #[arg(long, default_value_t = 40)]
+        seconds: u64,
+    },
+    /// A host alone; prints its address, then memory and processor time.
+    Host {
+        /// Addresses of the endpoints.
+        #[arg(long, value_delimiter = ',')]
+        sources: Vec<net::SocketAddr>,
+        /// First come first served, without adaptive limits.
+        #[arg(long)]
+        baseline: bool,
+        /// Keeps what a cut stream needs to go on elsewhere.
+        #[arg(long)]
+        resume: bool,
+        /// Worker threads.
+        #[arg(long, default_value_t = 2)]
+        threads: usize,
+        /// Seconds until the end.
+        #[arg(long, default_value_t = 40)]
+        seconds: u32,
+    },
+    /// Callers that open streams at once; prints what they got each second.
+    Streams {
+        /// Addresses that are called in turn.
+        #[arg(long, value_delimiter = ',')]
+        to: Vec<net::SocketAddr>,
+        /// Streams.
+        #[arg(long)]
+        count: usize,
+        /// Seconds until the end.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+    },
+    /// Times to the first event, through a host and direct in turn.
+    Probe {
+        /// Address of the host.
+        #[arg(long)]
+        to: net::SocketAddr,
+        /// Address of the endpoint.
+        #[arg(long)]
+        direct: net::SocketAddr,
+        /// Requests on each way.
+        #[arg(long, default_value_t = 1000)]
+        count: usize,
+    },
+}
+
+/// Streams opened at once before a pause, so that no accept queue overflows.
+const OPEN_AT_ONCE: usize = 50;
+const OPEN_PAUSE: time::Duration = time::Duration::from_millis(10);
+
+fn main() -> anyhow::Result<()> {
+    let arguments = Arguments::parse();
+    let threads = match arguments {
+        Arguments::Host { threads, .. } => threads,
+        _ => 4,
+    };
+    let load = runtime("stand-in", 2)?;
+    let router = runtime(capacity::fleet::ROUTER, threads)?;
+    router.block_on(run(arguments, load.handle()))?;
+    load.shutdown_background();
+    router.shutdown_background();
+    Ok(())
+}
+
+fn runtime(name: &str, threads: usize) -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()
+}
+
+async fn run(arguments: Arguments, load: &tokio::runtime::Handle) -> anyhow::Result<()> {
+    match arguments {
+        Arguments::Fleet {
+            hosts,
+            owners,
+            rate,
+            seconds,
+        } => {
+            let options = capacity::fleet::Options {
+                hosts,
+                owners,
+                rate,
+                seconds,
+            };
+            capacity::fleet::measure(options, load).await
+        }
+        Arguments::Change { hosts, changes } => capacity::change::measure(hosts, changes).await,
+        Arguments::Source {
+            count,
+            tokens,
+            gap,
+            seconds,
+        } => {
+            let gap = time::Duration::from_millis(gap);
+            let source = capacity::Source::start(count, tokens, gap).await?;
+            let addresses: Vec<_> = source.addresses().iter().map(ToString::to_string).collect();
+            println!("{}", addresses.join(","));
+            tokio::time::sleep(time::Duration::from_secs(seconds)).await;
+            Ok(())
+        }
+        Arguments::Host {
+            sources,
+            baseline,
+            resume,
+            seconds,
+            ..
+        } => {
+            let policy = if baseline {
+                host::Choice::Baseline
+            } else {
+                host::Choice::Current
+            };
+            let router = capacity::start(&sources, policy, resume).await?;
+            println!("{}", router.address());
+            router.print(seconds).await;
+            Ok(())
+        }
+        Arguments::Streams { to, count, seconds } => {
+            streams(&to, count, seconds).await;
+            Ok(())
+        }
+        Arguments::Probe { to, direct, count } => {
+            probe(to, direct, count).await;
+            Ok(())
+        }
+    }
+}
+
+async fn streams(to: &[net::SocketAddr], count: usize, seconds: u64) {
+    let callers = capacity::Callers::default();
+    let print = |second: u64, before: capacity::Report| {
+        let now = callers.report();
+        println!(
+            "second {second}: {} events/s, {} begun, {} whole, {} failed",
+            now.events - before.events,
+            now.begun,
+            now.whole,
+            now.failed
+        );
+        now
+    };
+    for number in 0..count {
+        let (callers, to) = (callers.clone(), to[number % to.len()]);
+        tokio::spawn(async move { callers.send(to, number).await });
+        if number % OPEN_AT_ONCE == OPEN_AT_ONCE - 1 {
+            tokio::time::sleep(OPEN_PAUSE).await;
+        }
+    }
+    let mut before = callers.report();
+    for second in 1..=seconds {
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        before = print(second, before);
+    }
+}
+
+/// Caller number of the probes, whose source address no stream uses.
+const PROBE: usize = 50_000;
+
+async fn probe(to: net::SocketAddr, direct: net::SocketAddr, count: usize) {
+    let callers = capacity::Callers::default();
+    let mut routed = Vec::new();
+    let mut straight = Vec::new();
+    for _ in 0..count {
+        routed.extend(callers.send(to, PROBE).await);
+        straight.extend(callers.send(direct, PROBE).await);
+    }
+    for (name, times) in [("routed", &mut routed), ("direct", &mut straight)] {
+        times.sort_unstable();
+        let at = |share: f64| {
+            let index = (times.len() as f64 * share) as usize;
+            times.get(index).map_or(0, time::Duration::as_micros)
+        };
+        println!(
+            "{name}: {} answers, p50 {} us, p99 {} us",
+            times.len(),
+            at(0.5),
+            at(0.99)
+        );
+    }
+    println!("failed: {}", callers.report().failed);
+}
--- /dev/null
+++ b/crates/testkit/src/capacity.rs
@@ -0,0 +1,15 @@
+//! What a router host costs: bytes, processor time and memory.
+
+mod callers;
+pub mod change;
+pub mod fleet;
+mod process;
+mod router;
+mod settings;
+mod source;
+
+pub use callers::{Callers, Report};
+pub use process::Process;
+pub use router::{Router, start};
+pub use settings::{endpoints, host_options};
+pub use source::Source;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for engines, services and the platform, and the load tool.
 
+pub mod capacity;
 pub mod client;
 pub mod engine;
 pub mod load;
