feat(host,admin): record requests and serve the administration API

Cause: a running host showed neither its requests nor its state, and nothing counted against the service levels. The API no longer lists limit, weight, ejection and latencies of endpoints, which the pool does not give. Conclusion: operators and reports can read each host on its own.

--- a/crates/admin/src/class.rs
+++ b/crates/admin/src/class.rs
@@ -11,7 +11,7 @@
     pub target_gap_ms: Option<u64>,
     /// Requests in the queues of this host's shards.
     pub queued: u64,
-    /// Requests granted by this host's shards and not ended.
+    /// Requests of this host's callers that hold a grant.
     pub in_flight: u64,
     /// Requests served since the start.
     pub served: u64,
@@ -24,6 +24,7 @@
     /// Rate at which the allowed share of missed targets is used up; 1 is
     /// sustainable.
     pub burn: Option<f64>,
-    /// Estimated wait of a new request in milliseconds.
+    /// Longest estimated wait of a new request in this host's shards in
+    /// milliseconds.
     pub wait_ms: u64,
 }
--- a/crates/admin/src/endpoint.rs
+++ b/crates/admin/src/endpoint.rs
@@ -28,18 +28,10 @@
     pub address: net::SocketAddr,
     /// Whether the endpoint takes no new work.
     pub draining: bool,
-    /// Whether the endpoint is ejected for slowness or failure.
-    pub ejected: bool,
     /// Requests that the home host gave it.
     pub in_flight: u32,
-    /// Upper bound of requests that the home host gives it now.
-    pub limit: u32,
-    /// Weight in the choice, 0 to 1.
-    pub weight: f64,
-    /// Recent time to the first token in milliseconds.
-    pub first_ms: Option<u64>,
-    /// Recent time between tokens in milliseconds.
-    pub gap_ms: Option<u64>,
+    /// Upper bound of concurrent requests in the settings.
+    pub slots: u32,
     /// Last load report.
     pub load: Option<Load>,
 }
--- a/crates/admin/src/host.rs
+++ b/crates/admin/src/host.rs
@@ -17,8 +17,8 @@
     pub caller: net::SocketAddr,
     /// `up`, `suspected`, `dead` or `leaving`.
     pub state: String,
-    /// Time since its heartbeat counter advanced in milliseconds.
-    pub heard_ms: u64,
-    /// Configuration revision in force there, as far as known.
+    /// Time since its last digest to the host that answers in milliseconds.
+    pub digest_ms: Option<u64>,
+    /// Configuration revision of that digest.
     pub revision: Option<u64>,
 }
--- a/crates/admin/src/request.rs
+++ b/crates/admin/src/request.rs
@@ -5,11 +5,12 @@
     pub id: String,
     /// Name of the class.
     pub class: String,
-    /// Name of the team; empty for anonymous callers.
+    /// Name of the team; `anonymous` for callers without a key.
     pub team: String,
     /// Pool of the request.
     pub pool: String,
-    /// `queued`, `dispatched`, `streaming`, `done` or the kind of its refusal.
+    /// `queued`, `dispatched`, `streaming`, `done`, `cut`, `cancelled` or the kind
+    /// of its refusal.
     pub state: String,
     /// Time since its arrival in milliseconds.
     pub age_ms: u64,
--- a/crates/admin/src/route.rs
+++ b/crates/admin/src/route.rs
@@ -28,6 +28,8 @@
     Requests,
     /// Decisions about one request.
     Explain,
+    /// Counts against the service levels, for merged reports.
+    Burn,
     /// Drains a host or an endpoint.
     Drain,
     /// Takes a host or an endpoint back into service.
@@ -38,7 +40,7 @@
 
 impl Route {
     /// Lists all routes.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Status,
         Self::Settings,
         Self::Hosts,
@@ -47,6 +49,7 @@
         Self::Teams,
         Self::Requests,
         Self::Explain,
+        Self::Burn,
         Self::Drain,
         Self::Undrain,
         Self::Openapi,
@@ -63,6 +66,7 @@
             Self::Teams => "/admin/v1/teams",
             Self::Requests => "/admin/v1/requests",
             Self::Explain => "/admin/v1/explain",
+            Self::Burn => "/admin/v1/burn",
             Self::Drain => "/admin/v1/drain",
             Self::Undrain => "/admin/v1/undrain",
             Self::Openapi => "/admin/v1/openapi.json",
--- a/crates/admin/src/router.rs
+++ b/crates/admin/src/router.rs
@@ -56,6 +56,7 @@
         }),
         route::Route::Requests => routing::get(requests),
         route::Route::Explain => routing::get(explain),
+        route::Route::Burn => routing::get(|state: State| async move { json(&state.burn()) }),
         route::Route::Drain => routing::post(drain),
         route::Route::Undrain => routing::post(undrain),
         route::Route::Openapi => {
--- a/crates/admin/src/source.rs
+++ b/crates/admin/src/source.rs
@@ -44,6 +44,9 @@
     /// Returns the decisions about a request, while they are kept.
     fn explain(&self, request: &str) -> Option<explanation::Explanation>;
 
+    /// Returns what this host counted against the service levels.
+    fn burn(&self) -> burn::Snapshot;
+
     /// Takes no new work for a host or an endpoint.
     ///
     /// # Errors
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -28,6 +28,8 @@
     pub revision: u64,
     /// SHA-256 of the configuration in hexadecimal digits.
     pub content: String,
+    /// Time since the configuration came into force in milliseconds.
+    pub revision_age_ms: u64,
     /// Last revision that did not pass the check.
     pub refused: Option<Refused>,
     /// Time since the platform last answered in milliseconds.
--- /dev/null
+++ b/crates/host/src/console/printed.rs
@@ -0,0 +1,48 @@
+use core::time;
+
+/// The settings in force as they were printed, without secrets.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Printed {
+    pub(crate) entries: Vec<admin::Entry>,
+    /// SHA-256 of the files.
+    pub(crate) content: [u8; 32],
+    /// When they came into force, since the start of the process.
+    pub(crate) at: time::Duration,
+}
+
+impl Printed {
+    /// Reads the values and their places back from the printed settings.
+    pub(crate) fn new(outcome: &conf::Outcome, at: time::Duration) -> Self {
+        let text = conf::print(outcome);
+        let mut section = "";
+        let mut entries = Vec::new();
+        for line in text.lines() {
+            match line
+                .strip_prefix('[')
+                .and_then(|rest| rest.strip_suffix(']'))
+            {
+                Some(name) => section = name,
+                None => entries.extend(entry(section, line)),
+            }
+        }
+        Self {
+            entries,
+            content: outcome.digest,
+            at,
+        }
+    }
+}
+
+fn entry(section: &str, line: &str) -> Option<admin::Entry> {
+    let (pair, place) = line.rsplit_once(" ; ")?;
+    let (key, value) = pair.split_once('=')?;
+    let origin = place.rsplit_once(':');
+    let origin = origin.and_then(|(file, line)| Some((file, line.parse().ok()?)));
+    Some(admin::Entry {
+        section: section.to_owned(),
+        key: key.trim().to_owned(),
+        value: value.trim().to_owned(),
+        file: origin.map(|(file, _)| file.to_owned()),
+        line: origin.map(|(_, line)| line),
+    })
+}
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -104,6 +104,7 @@
                 Ok(permit) => permit,
                 Err(refusal) => return Err(truthful(refusal, &progress)),
             };
+            let permit = permit.traced(&terms.trace);
             progress.queued += permit.queued();
             if permit.grant().dispatch_by < self.clock.now() {
                 permit.finish(pool::Result::Unused);
@@ -131,13 +132,9 @@
             if !failure.retry || !safe || last {
                 return Err(truthful(failure.refusal, &progress));
             }
-            log::info!(
-                target: "host",
-                "request {} attempt {} at {endpoint} failed: {}",
-                request.id,
-                progress.attempt,
-                failure.refusal.message
-            );
+            terms
+                .trace
+                .retried(&request.id, &endpoint, &failure.refusal);
             progress.attempt += 1;
             progress.avoid = Some(endpoint);
             progress.last = Some(failure.refusal);
@@ -167,6 +164,7 @@
             avoid: Some(avoid),
         };
         let permit = self.broker.ask(&want).await?;
+        let permit = permit.traced(&resume.terms.trace);
         let built = outbound::build(&request, permit.grant(), resume.terms.tier)
             .map_err(|cause| Refusal::new(Kind::Internal, cause.to_string()))?;
         let (permit, head, body) = self
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 
 use crate::keyed;
+use crate::record;
 use crate::terms;
 
 /// Packs a request for the host that may dispatch it.
@@ -60,6 +61,7 @@
         caller: run.caller,
         deadline: time::Duration::from_millis(run.budget_ms),
         idempotent: false,
+        trace: record::Trace::default(),
     };
     let request = front::Request {
         id: format!("{:016x}", rand::random::<u64>()),
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -7,6 +7,7 @@
 
 use crate::broker;
 use crate::clock;
+use crate::console;
 use crate::flow;
 use crate::follow;
 use crate::gossip;
@@ -14,6 +15,7 @@
 use crate::keyed;
 use crate::options;
 use crate::poll;
+use crate::record;
 use crate::service;
 use crate::spread;
 use crate::state;
@@ -34,6 +36,7 @@
     front: front::Server,
     server: peer::Server,
     address: net::SocketAddr,
+    admin: Option<net::SocketAddr>,
     parts: Parts,
     tasks: tokio::task::JoinSet<()>,
     shutdown_max: time::Duration,
@@ -85,7 +88,12 @@
         parts
             .view
             .with(|membership| membership.set_caller(front.address()));
-        let tasks = start_tasks(&parts, inbound, socket, &settings.fleet);
+        let listener = bind_admin(&options).await?;
+        let admin = listener.as_ref().map(console::Listener::address);
+        let mut tasks = start_tasks(&parts, inbound, socket, &settings.fleet);
+        if let Some(listener) = listener {
+            tasks.spawn(listener.serve(sync::Arc::new(parts.console())));
+        }
         log::info!(
             target: "host",
             "host {} serves callers on {} and hosts on {address}",
@@ -96,6 +104,7 @@
             front,
             server,
             address,
+            admin,
             parts,
             tasks,
             shutdown_max: settings.limits.shutdown_max,
@@ -112,6 +121,22 @@
         self.address
     }
 
+    /// Returns the address of the administration API, if it is served.
+    pub const fn admin_addr(&self) -> Option<net::SocketAddr> {
+        self.admin
+    }
+
+    /// Returns what this host counted against the service levels.
+    pub fn burn(&self) -> burn::Snapshot {
+        self.parts.state.records().snapshot()
+    }
+
+    /// Keeps the files and lines that the settings in force come from, for the
+    /// administration API.
+    pub fn note_sources(&self, outcome: &conf::Outcome) {
+        self.parts.state.note_sources(outcome);
+    }
+
     /// Returns the configuration revision in force; 0 for local settings.
     pub fn revision(&self) -> u64 {
         self.parts.spread.revision()
@@ -160,6 +185,35 @@
     }
 }
 
+impl Parts {
+    fn console(&self) -> console::Console {
+        console::Console {
+            clock: self.clock,
+            state: self.state.clone(),
+            view: self.view.clone(),
+            keyed: self.keyed.clone(),
+            spread: self.spread.clone(),
+            peers: self.peers.clone(),
+        }
+    }
+}
+
+async fn bind_admin(options: &options::Options) -> anyhow::Result<Option<console::Listener>> {
+    let Some(address) = options.admin_listen else {
+        return Ok(None);
+    };
+    let tls = tls(&options.settings);
+    let listener = console::Listener::bind(address, tls)
+        .await
+        .with_context(|| format!("cannot bind {address} for administration"))?;
+    Ok(Some(listener))
+}
+
+fn tls(settings: &conf::Settings) -> Option<front::tls::Options> {
+    let tls = settings.tls.as_ref()?;
+    Some(front::tls::Options::new(&tls.certificate, &tls.key))
+}
+
 fn parts(
     options: &options::Options,
     identity: &peer::Identity,
@@ -236,11 +290,7 @@
         body_max: limits.body_max,
         header_max: limits.header_max,
         idle_timeout: limits.idle_timeout,
-        tls: options
-            .settings
-            .tls
-            .as_ref()
-            .map(|tls| front::tls::Options::new(&tls.certificate, &tls.key)),
+        tls: tls(&options.settings),
         ..front::Options::default()
     };
     front::Server::start(options.listen, limits, sync::Arc::new(service))
@@ -256,6 +306,11 @@
 ) -> tokio::task::JoinSet<()> {
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(poll::tick(parts.state.clone()));
+    tasks.spawn(record::pulse(
+        parts.state.clone(),
+        parts.view.clone(),
+        parts.spread.clone(),
+    ));
     tasks.spawn(poll::loads(
         parts.state.clone(),
         parts.view.clone(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod broker;
 mod clock;
+mod console;
 mod flow;
 mod follow;
 mod forward;
@@ -15,6 +16,7 @@
 mod outbound;
 mod permit;
 mod poll;
+mod record;
 mod relay;
 mod service;
 mod shard;
--- a/crates/host/src/permit.rs
+++ b/crates/host/src/permit.rs
@@ -2,6 +2,7 @@
 use std::net;
 use std::sync;
 
+use crate::record;
 use crate::shard;
 
 /// Where the home of a shard is.
@@ -29,6 +30,7 @@
     queued: time::Duration,
     tokens: u32,
     open: bool,
+    trace: record::Trace,
 }
 
 impl Permit {
@@ -65,9 +67,21 @@
             queued,
             tokens: 0,
             open: true,
+            trace: record::Trace::default(),
         }
     }
 
+    /// Notes the grant, and from now on what becomes of it, in a trace.
+    pub(crate) fn traced(mut self, trace: &record::Trace) -> Self {
+        let home = match &self.home {
+            Home::Local { .. } => "this host".to_owned(),
+            Home::Remote { address, .. } => format!("the home at {address}"),
+        };
+        trace.granted(&self.grant.name, &home, self.queued);
+        self.trace = trace.clone();
+        self
+    }
+
     /// Returns where the request runs.
     pub(crate) const fn grant(&self) -> &shard::Grant {
         &self.grant
@@ -79,12 +93,14 @@
     }
 
     /// Notes the number of tokens generated so far.
-    pub(crate) const fn set_tokens(&mut self, tokens: u32) {
+    pub(crate) fn set_tokens(&mut self, tokens: u32) {
         self.tokens = tokens;
+        self.trace.tokens(tokens);
     }
 
     /// Notes the first output.
     pub(crate) fn first(&self) {
+        self.trace.first();
         match &self.home {
             Home::Local { shard, id } => shard.first(*id),
             Home::Remote {
@@ -105,6 +121,7 @@
         if !core::mem::take(&mut self.open) {
             return;
         }
+        self.trace.ended(result);
         let tokens = self.tokens;
         match &self.home {
             Home::Local { shard, id } => shard.done(*id, pool::Finish { result, tokens }),
--- /dev/null
+++ b/crates/host/src/record/count.rs
@@ -0,0 +1,105 @@
+use core::time;
+use std::collections;
+
+use crate::record::end;
+use crate::record::entry;
+use crate::record::tally;
+
+/// Books of a host, each under its own lock with the teams that fall into it.
+pub(super) const COUNTS: usize = 8;
+/// Upper bound of the series of a host.
+const SERIES_MAX: usize = 4_096;
+/// Upper bound of the teams of one book that are counted.
+const TEAMS_MAX: usize = SERIES_MAX / COUNTS;
+
+/// Counts the requests of some of the teams.
+pub(super) struct Count {
+    names: Vec<String>,
+    book: burn::Book,
+    classes: collections::HashMap<String, tally::Tally>,
+    teams: collections::HashMap<u32, tally::Tally>,
+}
+
+impl Count {
+    pub(super) fn new(settings: &conf::Settings, now: time::Duration) -> Self {
+        let options = burn::Options {
+            classes: classes(settings),
+            series_max: SERIES_MAX / COUNTS,
+        };
+        Self {
+            names: settings.classes.keys().cloned().collect(),
+            book: burn::Book::new(options, now),
+            classes: collections::HashMap::new(),
+            teams: collections::HashMap::new(),
+        }
+    }
+
+    pub(super) fn replace(&mut self, settings: &conf::Settings, now: time::Duration) {
+        self.names = settings.classes.keys().cloned().collect();
+        self.book.set_classes(classes(settings), now);
+        self.classes
+            .retain(|name, _| settings.classes.contains_key(name));
+    }
+
+    pub(super) fn add(&mut self, entry: &entry::Entry, now: time::Duration) {
+        let Ok(class) = self
+            .names
+            .binary_search_by(|name| (**name).cmp(&entry.class))
+        else {
+            // The class was removed while the request ran.
+            return;
+        };
+        if let Some(verdict) = entry.verdict(now) {
+            let event = burn::Event {
+                class: class as u16,
+                team_key: entry.team_key,
+                team: &entry.team,
+                verdict,
+                first: entry.first,
+            };
+            self.book.add(now, &event);
+        }
+        let tally = tally(entry);
+        let class = self.classes.entry(entry.class.to_string());
+        class.or_default().add(&tally);
+        if self.teams.len() < TEAMS_MAX || self.teams.contains_key(&entry.team_key) {
+            self.teams.entry(entry.team_key).or_default().add(&tally);
+        }
+    }
+
+    pub(super) fn snapshot(&self, now: time::Duration) -> burn::Snapshot {
+        self.book.snapshot(now)
+    }
+
+    pub(super) fn class(&self, name: &str) -> tally::Tally {
+        self.classes.get(name).copied().unwrap_or_default()
+    }
+
+    pub(super) fn team(&self, key: u32) -> tally::Tally {
+        self.teams.get(&key).copied().unwrap_or_default()
+    }
+}
+
+fn tally(entry: &entry::Entry) -> tally::Tally {
+    let mut tally = tally::Tally {
+        tokens: entry.tokens.into(),
+        ..tally::Tally::default()
+    };
+    match entry.end {
+        Some(end::End::Done) => tally.served = 1,
+        Some(end::End::Refused(answer::Kind::Shed)) => tally.shed = 1,
+        Some(end::End::Refused(_)) => tally.refused = 1,
+        _ => {}
+    }
+    tally
+}
+
+fn classes(settings: &conf::Settings) -> Vec<burn::Class> {
+    let classes = settings.classes.iter();
+    classes
+        .map(|(name, class)| burn::Class {
+            name: name.clone(),
+            attainment: class.attainment,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/host/src/record/entry.rs
@@ -0,0 +1,143 @@
+use core::time;
+use std::sync;
+
+use crate::record::end;
+use crate::record::gaps;
+use crate::record::step;
+
+/// Decisions kept per request; the first ones are kept.
+const STEPS_MAX: usize = 24;
+
+/// One request of a caller of this host.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) id: String,
+    pub(crate) pool: String,
+    pub(crate) class: sync::Arc<str>,
+    pub(crate) team: sync::Arc<str>,
+    pub(crate) team_key: u32,
+    pub(crate) target_first: time::Duration,
+    pub(crate) target_gap: Option<time::Duration>,
+    /// Arrival since the start of the process.
+    pub(crate) start: time::Duration,
+    /// Time spent waiting for grants.
+    pub(crate) queued: time::Duration,
+    pub(crate) attempt: u16,
+    /// Whether the last grant ended without a whole answer.
+    pub(crate) failed: bool,
+    /// Endpoint of the last grant.
+    pub(crate) endpoint: Option<String>,
+    /// Whether a grant is in use.
+    pub(crate) running: bool,
+    /// Time from the arrival to the first output.
+    pub(crate) first: Option<time::Duration>,
+    pub(crate) tokens: u32,
+    /// Tokens of earlier grants.
+    pub(crate) earlier: u32,
+    pub(crate) gaps: gaps::Gaps,
+    pub(crate) end: Option<end::End>,
+    pub(crate) steps: Vec<step::Step>,
+}
+
+impl Entry {
+    /// Returns the record of a request that has just arrived.
+    pub(crate) fn new(
+        id: String,
+        pool: String,
+        resolved: &class::Outcome,
+        now: time::Duration,
+    ) -> Self {
+        let mut entry = Self {
+            id,
+            pool,
+            class: resolved.class.clone(),
+            team: resolved.team.clone(),
+            team_key: resolved.team_key,
+            target_first: resolved.target_first,
+            target_gap: resolved.target_gap,
+            start: now,
+            queued: time::Duration::ZERO,
+            attempt: 0,
+            failed: false,
+            endpoint: None,
+            running: false,
+            first: None,
+            tokens: 0,
+            earlier: 0,
+            gaps: gaps::Gaps::default(),
+            end: None,
+            steps: Vec::new(),
+        };
+        let detail = format!(
+            "class {} of tier {} for team {}, deadline in {} ms",
+            resolved.class,
+            resolved.tier,
+            resolved.team,
+            resolved.deadline.as_millis()
+        );
+        entry.note(now, "queued", detail);
+        entry
+    }
+
+    /// Keeps a decision.
+    pub(crate) fn note(&mut self, now: time::Duration, event: &'static str, detail: String) {
+        if self.steps.len() < STEPS_MAX {
+            let at = now.saturating_sub(self.start);
+            self.steps.push(step::Step { at, event, detail });
+        }
+    }
+
+    /// Returns where the request stands.
+    pub(crate) fn state(&self) -> &'static str {
+        match (self.end, self.running, self.first) {
+            (Some(end), ..) => end.name(),
+            (None, false, _) => "queued",
+            (None, true, None) => "dispatched",
+            (None, true, Some(_)) => "streaming",
+        }
+    }
+
+    /// Returns whether the request met its targets; `None` if it does not
+    /// count, because its caller gave a bad request or left early.
+    pub(crate) fn verdict(&self, now: time::Duration) -> Option<burn::Verdict> {
+        let age = now.saturating_sub(self.start);
+        match self.end? {
+            end::End::Refused(kind) => refused(kind),
+            end::End::Cancelled if self.first.is_none() && age <= self.target_first => None,
+            end => {
+                let sample = burn::Sample {
+                    first: self.first.unwrap_or(age),
+                    queue: self.waited(age),
+                    gap: self.gaps.figure(),
+                    retried: self.attempt > 0,
+                    complete: end != end::End::Cut,
+                    target_first: self.target_first,
+                    target_gap: self.target_gap,
+                };
+                Some(sample.verdict())
+            }
+        }
+    }
+
+    /// Returns the time without a grant of a request of this age.
+    fn waited(&self, age: time::Duration) -> time::Duration {
+        match self.endpoint {
+            Some(_) => self.queued,
+            None => age,
+        }
+    }
+}
+
+fn refused(kind: answer::Kind) -> Option<burn::Verdict> {
+    use answer::Kind;
+
+    match kind {
+        Kind::BadRequest | Kind::BadKey | Kind::KeyReused => None,
+        Kind::EndpointConnect
+        | Kind::EndpointFailed
+        | Kind::EndpointInvalid
+        | Kind::EndpointTimeout => Some(burn::Verdict::Bad(burn::Cause::Endpoint)),
+        Kind::RetryBudget => Some(burn::Verdict::Bad(burn::Cause::Retry)),
+        _ => Some(burn::Verdict::Bad(burn::Cause::Refusal)),
+    }
+}
--- /dev/null
+++ b/crates/host/src/record/records.rs
@@ -0,0 +1,170 @@
+use core::hash::BuildHasher;
+use core::time;
+use std::collections;
+use std::sync;
+
+use crate::clock;
+use crate::record::count;
+use crate::record::end;
+use crate::record::entry;
+use crate::record::metrics;
+use crate::record::shard;
+use crate::record::tally;
+use crate::record::trace;
+
+/// Shards of the recent requests, each under its own lock. With the bound of
+/// each shard they keep 1,024 ended requests.
+const SHARDS: usize = 16;
+
+/// Recent requests and counts of this host, in bounded memory.
+pub(crate) struct Records {
+    clock: clock::Clock,
+    hasher: collections::hash_map::RandomState,
+    shards: [sync::Mutex<shard::Shard>; SHARDS],
+    counts: [sync::Mutex<count::Count>; count::COUNTS],
+    metrics: arc_swap::ArcSwap<metrics::Metrics>,
+}
+
+impl Records {
+    pub(crate) fn new(settings: &conf::Settings, clock: clock::Clock) -> Self {
+        let now = clock.now();
+        Self {
+            clock,
+            hasher: collections::hash_map::RandomState::new(),
+            shards: core::array::from_fn(|_| sync::Mutex::default()),
+            counts: core::array::from_fn(|_| sync::Mutex::new(count::Count::new(settings, now))),
+            metrics: arc_swap::ArcSwap::from_pointee(open_metrics(settings)),
+        }
+    }
+
+    /// Takes over settings.
+    pub(crate) fn replace(&self, settings: &conf::Settings) {
+        let now = self.clock.now();
+        for count in &self.counts {
+            lock(count).replace(settings, now);
+        }
+        if self.metrics.load().statsd() != settings.metrics.statsd {
+            self.metrics.store(sync::Arc::new(open_metrics(settings)));
+        }
+    }
+
+    /// Starts the record of a request.
+    pub(crate) fn open(
+        self: &sync::Arc<Self>,
+        request: &front::Request,
+        resolved: &class::Outcome,
+    ) -> trace::Trace {
+        let pool = request.path.pool().to_owned();
+        let entry = entry::Entry::new(request.id.clone(), pool, resolved, self.clock.now());
+        let cell = sync::Arc::new(sync::Mutex::new(entry));
+        let shard = self.shard(&request.id);
+        lock(shard).open(request.id.clone(), cell.clone());
+        trace::Trace::new(self.clone(), cell)
+    }
+
+    /// Counts a request that was refused before it had a class.
+    pub(crate) fn unclassified(&self, refusal: &answer::Refusal) {
+        self.metrics.load().refused("none", refusal.kind);
+    }
+
+    /// Returns the requests, the open ones first and then the latest.
+    pub(crate) fn list(&self, limit: usize) -> Vec<entry::Entry> {
+        let mut all = Vec::new();
+        for shard in &self.shards {
+            lock(shard).list(&mut all);
+        }
+        all.sort_by_key(|entry| (entry.end.is_some(), core::cmp::Reverse(entry.start)));
+        all.truncate(limit);
+        all
+    }
+
+    /// Returns the number of open requests.
+    pub(crate) fn count_open(&self) -> usize {
+        let shards = self.shards.iter();
+        shards.map(|shard| lock(shard).count_open()).sum()
+    }
+
+    /// Returns a request that is kept.
+    pub(crate) fn find(&self, id: &str) -> Option<entry::Entry> {
+        lock(self.shard(id)).find(id)
+    }
+
+    /// Returns what this host counted against the service levels.
+    pub(crate) fn snapshot(&self) -> burn::Snapshot {
+        let now = self.clock.now();
+        let mut all = burn::Snapshot::default();
+        for count in &self.counts {
+            all.merge(&lock(count).snapshot(now));
+        }
+        all.hosts = 1;
+        all
+    }
+
+    /// Returns the requests of a class since the start.
+    pub(crate) fn class(&self, name: &str) -> tally::Tally {
+        let mut sum = tally::Tally::default();
+        for count in &self.counts {
+            sum.add(&lock(count).class(name));
+        }
+        sum
+    }
+
+    /// Returns the requests of a team since the start.
+    pub(crate) fn team(&self, key: u32) -> tally::Tally {
+        lock(self.count(key)).team(key)
+    }
+
+    /// Sends what is true of the host now to the metrics.
+    pub(crate) fn pulse(&self, asks: u64, peers: u64, revision: u64) {
+        self.metrics.load().pulse(asks, peers, revision);
+    }
+
+    /// Returns the time since the start of the process.
+    pub(crate) fn now(&self) -> time::Duration {
+        self.clock.now()
+    }
+
+    pub(super) fn close(&self, cell: &sync::Mutex<entry::Entry>) {
+        let now = self.clock.now();
+        let mut entry = lock(cell).clone();
+        entry.running = false;
+        // A request without an end was dropped while it waited for a grant.
+        let dropped = match entry.first {
+            None => end::End::Cancelled,
+            Some(_) => end::End::Cut,
+        };
+        let end = *entry.end.get_or_insert(dropped);
+        log::debug!(
+            target: "host",
+            request = entry.id.as_str(),
+            class = &*entry.class,
+            endpoint = entry.endpoint.as_deref().unwrap_or("");
+            "request ended: {}",
+            end.name()
+        );
+        lock(self.count(entry.team_key)).add(&entry, now);
+        self.metrics.load().ended(&entry);
+        lock(self.shard(&entry.id)).close(entry);
+    }
+
+    fn shard(&self, id: &str) -> &sync::Mutex<shard::Shard> {
+        &self.shards[self.hasher.hash_one(id) as usize % SHARDS]
+    }
+
+    fn count(&self, team: u32) -> &sync::Mutex<count::Count> {
+        &self.counts[team as usize % count::COUNTS]
+    }
+}
+
+fn open_metrics(settings: &conf::Settings) -> metrics::Metrics {
+    let statsd = settings.metrics.statsd;
+    metrics::Metrics::new(statsd).unwrap_or_else(|cause| {
+        log::error!(target: "host", "metrics are not sent: {cause:#}");
+        metrics::Metrics::new(None).expect("a sink without a socket cannot fail")
+    })
+}
+
+/// Locks a part; one that a panic left is still made of whole values.
+pub(super) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/host/src/record/trace.rs
@@ -0,0 +1,152 @@
+use core::fmt;
+use core::time;
+use std::sync;
+
+use crate::record::end;
+use crate::record::entry;
+use crate::record::records;
+
+/// Notes what happens to one request. The request ends when the last copy is
+/// dropped; a trace by default notes nothing.
+#[derive(Clone, Default)]
+pub(crate) struct Trace(Option<sync::Arc<Open>>);
+
+/// A request that has not ended.
+struct Open {
+    records: sync::Arc<records::Records>,
+    entry: sync::Arc<sync::Mutex<entry::Entry>>,
+}
+
+impl Trace {
+    pub(super) fn new(
+        records: sync::Arc<records::Records>,
+        entry: sync::Arc<sync::Mutex<entry::Entry>>,
+    ) -> Self {
+        Self(Some(sync::Arc::new(Open { records, entry })))
+    }
+
+    /// Notes a grant after a wait.
+    pub(crate) fn granted(&self, endpoint: &str, home: &str, queued: time::Duration) {
+        self.with(|entry, now| {
+            entry.queued += queued;
+            entry.attempt += u16::from(core::mem::take(&mut entry.failed));
+            entry.earlier = entry.tokens;
+            entry.endpoint = Some(endpoint.to_owned());
+            entry.running = true;
+            entry.end = None;
+            let wait = queued.as_millis();
+            let detail = format!("endpoint {endpoint} by {home} after {wait} ms in the queue");
+            entry.note(now, "granted", detail);
+        });
+    }
+
+    /// Notes the first output.
+    pub(crate) fn first(&self) {
+        self.with(|entry, now| {
+            if entry.first.is_some() {
+                // A stream that goes on at another endpoint had its first output.
+                return;
+            }
+            let first = now.saturating_sub(entry.start);
+            entry.first = Some(first);
+            entry.gaps.note(now, 0, entry.target_gap);
+            entry.note(
+                now,
+                "first",
+                format!("first output after {} ms", first.as_millis()),
+            );
+        });
+    }
+
+    /// Notes the number of tokens so far.
+    pub(crate) fn tokens(&self, tokens: u32) {
+        self.with(|entry, now| {
+            entry.tokens = entry.earlier + tokens;
+            if entry.first.is_some() {
+                entry.gaps.note(now, entry.tokens, entry.target_gap);
+            }
+        });
+    }
+
+    /// Notes the end of a grant.
+    pub(crate) fn ended(&self, result: pool::Result) {
+        self.with(|entry, now| {
+            entry.running = false;
+            entry.failed = matches!(
+                result,
+                pool::Result::Refused | pool::Result::Unreachable | pool::Result::Failed
+            );
+            entry.end = match result {
+                pool::Result::Complete => Some(end::End::Done),
+                pool::Result::Cancelled => Some(end::End::Cancelled),
+                _ if entry.failed && entry.first.is_some() => Some(end::End::Cut),
+                _ => None,
+            };
+            let tokens = entry.tokens;
+            entry.note(now, "ended", format!("{result:?} after {tokens} tokens"));
+        });
+    }
+
+    /// Notes that an attempt failed and another one follows.
+    pub(crate) fn retried(&self, request: &str, endpoint: &str, refusal: &answer::Refusal) {
+        log::info!(
+            target: "host",
+            request,
+            endpoint;
+            "request {request} failed at {endpoint}: {}",
+            refusal.message
+        );
+        self.with(|entry, now| {
+            let detail = format!("{}: {}", refusal.kind, refusal.message);
+            entry.note(now, "retried", detail);
+        });
+    }
+
+    /// Notes what the caller gets. The answer of a stream goes on after this.
+    pub(crate) fn outcome<T>(&self, outcome: &Result<T, answer::Refusal>) {
+        self.with(|entry, now| match outcome {
+            Ok(_) if entry.running => {}
+            Ok(_) => {
+                // A kept answer, and one that another host gave, have no grant
+                // here.
+                let first = now.saturating_sub(entry.start);
+                entry.first.get_or_insert(first);
+                entry.end.get_or_insert(end::End::Done);
+            }
+            Err(refusal) => {
+                entry.running = false;
+                entry.end = Some(end::End::Refused(refusal.kind));
+                let detail = match refusal.retry_after {
+                    None => format!("{}: {}", refusal.kind, refusal.message),
+                    Some(after) => format!(
+                        "{}: {}; retry after {} ms",
+                        refusal.kind,
+                        refusal.message,
+                        after.as_millis()
+                    ),
+                };
+                entry.note(now, "refused", detail);
+            }
+        });
+    }
+
+    fn with(&self, change: impl FnOnce(&mut entry::Entry, time::Duration)) {
+        let Some(open) = &self.0 else {
+            return;
+        };
+        let now = open.records.now();
+        change(&mut records::lock(&open.entry), now);
+    }
+}
+
+impl fmt::Debug for Trace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Trace").field(&self.0.is_some()).finish()
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.records.close(&self.entry);
+    }
+}
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -171,6 +171,8 @@
         };
         log::info!(
             target: "host",
+            request = self.request.as_str(),
+            endpoint = self.source.permit.grant().name.as_str();
             "request {} goes on after {} tokens: {cause}",
             self.request,
             self.transcript.tokens()
@@ -190,7 +192,13 @@
 
     fn fail(mut self, cause: &str) -> Bytes {
         let tokens = self.tally.tokens();
-        log::warn!(target: "host", "request {} cut after {tokens} tokens: {cause}", self.request);
+        log::warn!(
+            target: "host",
+            request = self.request.as_str(),
+            endpoint = self.source.permit.grant().name.as_str();
+            "request {} cut after {tokens} tokens: {cause}",
+            self.request
+        );
         self.source.permit.end(pool::Result::Failed);
         let entry = answer::Kind::EndpointFailed.entry();
         let event = serde_json::json!({
--- a/crates/host/src/service.rs
+++ b/crates/host/src/service.rs
@@ -29,9 +29,13 @@
                 idempotent: request.idempotent,
                 deadline: request.deadline,
             };
-            let resolved = force.classes.resolve(&query)?;
-            let terms = terms::Terms::from(&resolved);
-            match request.key.clone() {
+            let resolved = force.classes.resolve(&query);
+            let records = self.state.records();
+            let resolved = resolved.inspect_err(|refusal| records.unclassified(refusal))?;
+            let mut terms = terms::Terms::from(&resolved);
+            let trace = records.open(&request, &resolved);
+            terms.trace = trace.clone();
+            let outcome = match request.key.clone() {
                 Some(key) if !terms.idempotent => self.keyed.serve(request, terms, &key).await,
                 _ => {
                     let streamed = flow::Delivery::Streamed;
@@ -39,7 +43,9 @@
                         .serve(&request, &terms, streamed, &|| Ok(()))
                         .await
                 }
-            }
+            };
+            trace.outcome(&outcome);
+            outcome
         })
     }
 
--- a/crates/host/src/shard.rs
+++ b/crates/host/src/shard.rs
@@ -34,10 +34,25 @@
     pub(crate) address: net::SocketAddr,
 }
 
+/// What a shard knows of its queue and its endpoints.
+pub(crate) struct Inspection {
+    pub(crate) stats: pool::Stats,
+    /// Endpoints by their identity.
+    pub(crate) endpoints: collections::HashMap<String, Seen>,
+}
+
+/// What a shard knows of one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Seen {
+    pub(crate) in_flight: u32,
+    pub(crate) load: Option<pool::Load>,
+}
+
 struct Inner {
     policy: Box<dyn pool::Policy>,
     members: collections::HashMap<pool::EndpointId, Member>,
     waiting: collections::HashMap<pool::AskId, oneshot::Sender<Verdict>>,
+    loads: collections::HashMap<pool::EndpointId, pool::Load>,
     next: u64,
     actions: Vec<Action>,
 }
@@ -55,6 +70,7 @@
             policy,
             members: collections::HashMap::new(),
             waiting: collections::HashMap::new(),
+            loads: collections::HashMap::new(),
             next: 0,
             actions: Vec::new(),
         };
@@ -77,6 +93,8 @@
             .into_iter()
             .map(|member| (member.endpoint.id, member))
             .collect();
+        let Inner { loads, members, .. } = &mut *inner;
+        loads.retain(|id, _| members.contains_key(id));
         self.apply(&mut inner, |policy, out| policy.endpoints(now, &set, out));
     }
 
@@ -129,6 +147,7 @@
     pub(crate) fn report(&self, id: pool::EndpointId, load: pool::Load) {
         let now = self.clock.now();
         let mut inner = self.lock();
+        inner.loads.insert(id, load);
         self.apply(&mut inner, |policy, out| policy.report(now, id, load, out));
     }
 
@@ -147,6 +166,29 @@
         !inner.waiting.is_empty() || stats.in_flight.iter().any(|(_, count)| *count > 0)
     }
 
+    /// Returns the number of asks since the shard was created here.
+    pub(crate) fn asks(&self) -> u64 {
+        self.lock().next
+    }
+
+    /// Returns what is known of the queue and the endpoints.
+    pub(crate) fn inspect(&self) -> Inspection {
+        let now = self.clock.now();
+        let inner = self.lock();
+        let stats = inner.policy.stats(now);
+        let in_flight: collections::HashMap<u32, u32> = stats.in_flight.iter().copied().collect();
+        let seen = |member: &Member| {
+            let id = member.endpoint.id;
+            let seen = Seen {
+                in_flight: in_flight.get(&id.0).copied().unwrap_or(0),
+                load: inner.loads.get(&id).copied(),
+            };
+            (member.name.clone(), seen)
+        };
+        let endpoints = inner.members.values().map(seen).collect();
+        Inspection { stats, endpoints }
+    }
+
     /// Lists the endpoints of the shard.
     pub(crate) fn members(&self) -> Vec<Member> {
         self.lock().members.values().cloned().collect()
--- a/crates/host/src/spread.rs
+++ b/crates/host/src/spread.rs
@@ -1,3 +1,4 @@
+use core::time;
 use std::collections;
 use std::sync;
 
@@ -24,6 +25,8 @@
     version: fleet::Version,
     texts: Texts,
     watch: fleet::Watch,
+    /// Last answer of the platform since the start of the process.
+    platform_at: Option<time::Duration>,
 }
 
 impl Spread {
@@ -38,6 +41,7 @@
             version: fleet::Version::default(),
             texts: Texts::new(),
             watch: fleet::Watch::new(seed),
+            platform_at: None,
         };
         Self {
             state,
@@ -130,6 +134,7 @@
         inner.texts = texts;
         inner.watch.configured();
         if let Ok(outcome) = checked {
+            self.state.note_sources(&outcome);
             let mut settings = outcome.settings;
             settings.host = self.own.clone();
             let settings = sync::Arc::new(settings);
@@ -163,7 +168,9 @@
     /// Notes an answer of the platform.
     pub(crate) fn answered(&self) {
         let now = self.clock.now();
-        self.lock().watch.answered(now);
+        let mut inner = self.lock();
+        inner.watch.answered(now);
+        inner.platform_at = Some(now);
     }
 
     /// Notes a failed call to the platform.
@@ -172,6 +179,21 @@
         self.lock().watch.failed(now);
     }
 
+    /// Returns when the platform last answered.
+    pub(crate) fn platform_at(&self) -> Option<time::Duration> {
+        self.lock().platform_at
+    }
+
+    /// Returns the highest revision that was refused.
+    pub(crate) fn refused(&self) -> Option<fleet::Refused> {
+        self.lock().version.refused().last()
+    }
+
+    /// Returns the revision in force with the digest of its content; 0 for none.
+    pub(crate) fn in_force(&self) -> (u64, [u8; 32]) {
+        self.lock().version.in_force().unwrap_or_default()
+    }
+
     /// Returns the revision in force; 0 for none.
     pub(crate) fn revision(&self) -> u64 {
         self.lock().version.in_force().unwrap_or_default().0
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -2,9 +2,11 @@
 use std::sync;
 
 use crate::clock;
+use crate::console;
 use crate::layout;
 use crate::names;
 use crate::options;
+use crate::record;
 use crate::shard;
 
 /// The settings in force with what is derived from them.
@@ -31,6 +33,9 @@
     force: arc_swap::ArcSwap<Force>,
     numbers: sync::Mutex<Numbers>,
     shards: sync::Mutex<collections::HashMap<Key, sync::Arc<shard::Shard>>>,
+    records: sync::Arc<record::Records>,
+    printed: arc_swap::ArcSwap<console::Printed>,
+    drained: sync::Mutex<collections::HashSet<String>>,
 }
 
 impl State {
@@ -39,7 +44,11 @@
         policy: options::Choice,
         clock: clock::Clock,
     ) -> Self {
+        let records = sync::Arc::new(record::Records::new(&settings, clock));
         let state = Self {
+            records,
+            printed: arc_swap::ArcSwap::default(),
+            drained: sync::Mutex::default(),
             clock,
             policy,
             force: arc_swap::ArcSwap::from_pointee(derive(settings.clone())),
@@ -55,9 +64,43 @@
         self.force.load_full()
     }
 
+    /// Returns what is remembered of requests.
+    pub(crate) const fn records(&self) -> &sync::Arc<record::Records> {
+        &self.records
+    }
+
+    /// Returns the settings in force as text.
+    pub(crate) fn printed(&self) -> sync::Arc<console::Printed> {
+        self.printed.load_full()
+    }
+
+    /// Keeps the text of the settings that are in force from now on.
+    pub(crate) fn note_sources(&self, outcome: &conf::Outcome) {
+        let printed = console::Printed::new(outcome, self.clock.now());
+        self.printed.store(sync::Arc::new(printed));
+    }
+
+    /// Returns whether an operator drained the endpoint at this host.
+    pub(crate) fn is_drained(&self, endpoint: &str) -> bool {
+        lock(&self.drained).contains(endpoint)
+    }
+
+    /// Drains an endpoint at this host's shards or takes it back.
+    pub(crate) fn set_drained(&self, endpoint: &str, drained: bool) {
+        if drained {
+            lock(&self.drained).insert(endpoint.to_owned());
+        } else {
+            lock(&self.drained).remove(endpoint);
+        }
+        for (key, shard) in self.shards() {
+            self.configure(&key, &shard);
+        }
+    }
+
     /// Puts settings in force and passes them to every shard.
     pub(crate) fn replace(&self, settings: sync::Arc<conf::Settings>) {
         self.note_classes(&settings);
+        self.records.replace(&settings);
         self.force.store(sync::Arc::new(derive(settings)));
         for (key, shard) in self.shards() {
             self.configure(&key, &shard);
@@ -165,7 +208,7 @@
             // its observations and its load do not carry over.
             let identity = format!("{name}@{}", endpoint.address);
             let id = pool::EndpointId(numbers.endpoints.number(&identity));
-            let phase = if endpoint.leaving {
+            let phase = if endpoint.leaving || self.is_drained(name) {
                 pool::Phase::Leaving
             } else {
                 pool::Phase::Up
--- a/crates/host/src/terms.rs
+++ b/crates/host/src/terms.rs
@@ -1,6 +1,8 @@
 use core::time;
 use std::sync;
 
+use crate::record;
+
 /// How a request is to be served, from its class and its headers.
 #[derive(Clone, Debug)]
 pub(crate) struct Terms {
@@ -11,6 +13,7 @@
     /// Time left from now.
     pub(crate) deadline: time::Duration,
     pub(crate) idempotent: bool,
+    pub(crate) trace: record::Trace,
 }
 
 impl From<&class::Outcome> for Terms {
@@ -22,6 +25,7 @@
             caller: outcome.caller,
             deadline: outcome.deadline,
             idempotent: outcome.idempotent,
+            trace: record::Trace::default(),
         }
     }
 }
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -1,4 +1,5 @@
 use core::time;
+use std::collections;
 use std::net;
 use std::sync;
 
@@ -22,6 +23,8 @@
     clock: clock::Clock,
     membership: sync::Mutex<fleet::Membership>,
     leaving: watch::Sender<bool>,
+    /// When the last digest of each host came, and its revision.
+    digests: sync::Mutex<collections::HashMap<String, (time::Duration, u64)>>,
 }
 
 impl View {
@@ -30,6 +33,7 @@
             clock,
             membership: sync::Mutex::new(membership),
             leaving: watch::Sender::new(false),
+            digests: sync::Mutex::default(),
         }
     }
 
@@ -90,7 +94,25 @@
     /// Takes a digest of another host.
     pub(crate) fn receive(&self, digest: &fleet::Digest) -> fleet::Received {
         let now = self.clock.now();
-        self.lock().receive(now, digest)
+        let mut membership = self.lock();
+        let received = membership.receive(now, digest);
+        if let Some(sender) = digest.entries.first() {
+            let mut digests = self.digests();
+            digests.insert(sender.name.clone(), (now, digest.revision));
+            digests.retain(|name, _| membership.find(name).is_some());
+        }
+        received
+    }
+
+    /// Returns when the last digest of a host came, and its revision then.
+    pub(crate) fn last_digest(&self, name: &str) -> Option<(time::Duration, u64)> {
+        self.digests().get(name).copied()
+    }
+
+    fn digests(&self) -> sync::MutexGuard<'_, collections::HashMap<String, (time::Duration, u64)>> {
+        self.digests
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     /// Takes the platform's list of hosts.
