--- a/crates/carobbay/tests/faults/fleet.rs
+++ b/crates/carobbay/tests/faults/fleet.rs
@@ -176,11 +176,6 @@
         self.hosts[host] = None;
     }
 
-    /// Returns what a host has logged in all its lifetimes.
-    pub fn log(&self, host: usize) -> String {
-        fs::read_to_string(self.log_path(host)).unwrap_or_default()
-    }
-
     fn process(&self, host: usize) -> &Process {
         self.hosts[host].as_ref().expect("the host runs")
     }
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -175,6 +175,8 @@
         };
         log::info!(
             target: "host",
+            request = resume.request.id.as_str(),
+            endpoint = self.source.permit.grant().name.as_str();
             "request {} goes on after {} tokens: {cause}",
             resume.request.id,
             self.transcript.tokens()
@@ -193,7 +195,13 @@
 
     fn fail(mut self, cause: &str) -> Bytes {
         let tokens = self.tally.tokens();
-        log::warn!(target: "host", "request {} cut after {tokens} tokens: {cause}", self.resume.request.id);
+        log::warn!(
+            target: "host",
+            request = self.resume.request.id.as_str(),
+            endpoint = self.source.permit.grant().name.as_str();
+            "request {} cut after {tokens} tokens: {cause}",
+            self.resume.request.id
+        );
         self.source.permit.end(pool::Result::Failed);
         let entry = answer::Kind::EndpointFailed.entry();
         let event = serde_json::json!({
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -38,6 +38,11 @@
 
 /// Returns the settings for engines at these addresses, with further lines.
 pub fn settings(engines: &[net::SocketAddr], further: &str) -> sync::Arc<conf::Settings> {
+    sync::Arc::new(outcome(engines, further).settings)
+}
+
+/// Returns the settings with the lines that they come from.
+pub fn outcome(engines: &[net::SocketAddr], further: &str) -> conf::Outcome {
     let mut text = CLASSES.to_owned();
     let hash: String = sha2::Sha256::digest(KEY)
         .iter()
@@ -57,9 +62,7 @@
         conf::File::new("10-test.ini", text),
         conf::File::new("20-further.ini", further),
     ];
-    let outcome = conf::load(&files);
-    let outcome = outcome.unwrap_or_else(|problems| panic!("{problems:?}"));
-    sync::Arc::new(outcome.settings)
+    conf::load(&files).unwrap_or_else(|problems| panic!("{problems:?}"))
 }
 
 /// Starts one host in front of engines at these addresses.
