feat(host): rotate the shared keys without a restart

Cause: new settings replaced the keys that sign minted keys only; links and datagrams kept the keys of the start, and a different content under the revision in force was dropped without a word. Change: new settings replace the keyring; such a content is reported.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -252,7 +252,7 @@
     let view = sync::Arc::new(view::View::new(clock, membership));
     let state = state::State::new(settings.clone(), options.policy, clock);
     let state = sync::Arc::new(state);
-    let peers = peer::Client::start(peer::client::Options::new(identity.clone(), keys))?;
+    let peers = peer::Client::start(peer::client::Options::new(identity.clone(), keys.clone()))?;
     let flow = flow::Flow {
         broker: broker::Broker {
             state: state.clone(),
@@ -268,6 +268,7 @@
         flow.clone(),
         view.clone(),
         peers.clone(),
+        keys,
         identity,
         settings.clone(),
     );
--- a/crates/host/src/keyed.rs
+++ b/crates/host/src/keyed.rs
@@ -19,6 +19,7 @@
     flow: flow::Flow,
     view: sync::Arc<view::View>,
     peers: peer::Client,
+    keys: peer::Keys,
     clock: clock::Clock,
     name: String,
     incarnation: u64,
@@ -44,6 +45,7 @@
         flow: flow::Flow,
         view: sync::Arc<view::View>,
         peers: peer::Client,
+        keys: peer::Keys,
         identity: &peer::Identity,
         settings: sync::Arc<conf::Settings>,
     ) -> Self {
@@ -58,6 +60,7 @@
             flow,
             view,
             peers,
+            keys,
             serial: atomic::AtomicU64::new(0),
             owner: sync::Mutex::new(once::Owner::new(name.as_str(), incarnation, options)),
             name,
@@ -72,9 +75,21 @@
         if !lock(&self.owner).reconfigure(options(&settings.once)) {
             log::error!(target: "host", "owners changed without a higher epoch; the change is ignored");
         }
+        self.rotate(&settings.fleet.peer_keys);
         *lock(&self.settings) = settings;
     }
 
+    /// Takes over the shared keys, which sign minted keys, links and datagrams.
+    fn rotate(&self, keys: &[String]) {
+        if keys.is_empty() {
+            return;
+        }
+        match wire::Keyring::new(keys) {
+            Ok(keyring) => self.keys.replace(keyring),
+            Err(cause) => log::error!(target: "host", "peer keys are not taken over: {cause}"),
+        }
+    }
+
     /// Returns the datagrams that renew this owner's lease.
     pub(crate) fn claims(&self) -> Vec<(String, once::Claim)> {
         lock(&self.owner).claims(self.clock.now())
--- a/crates/host/src/spread.rs
+++ b/crates/host/src/spread.rs
@@ -110,11 +110,9 @@
         let content = content(&texts);
         {
             let inner = self.lock();
-            if inner
-                .version
-                .in_force()
-                .is_some_and(|(known, _)| known >= revision)
-            {
+            let known = inner.version.in_force();
+            // Another content under the same revision goes on, to be reported.
+            if known.is_some_and(|known| known.0 > revision || known == (revision, content)) {
                 return;
             }
         }
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -16,6 +16,9 @@
 /// Bearer key of the team in the settings.
 pub const KEY: &str = "wards-key";
 
+/// Shared key of the hosts of a test.
+pub const PEER_KEY: &str = "test-key-test-key-test-key-test-key";
+
 const CLASSES: &str = "
 [limits]
 body_max = 64KiB
@@ -80,7 +83,9 @@
     let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
     let mut settings = conf::Settings::clone(&settings(engines, further));
     settings.fleet.seeds = seeds.to_vec();
-    settings.fleet.peer_keys = vec!["test-key-test-key-test-key-test-key".to_owned()];
+    if settings.fleet.peer_keys.is_empty() {
+        settings.fleet.peer_keys = vec![PEER_KEY.to_owned()];
+    }
     settings.limits.shutdown_max = time::Duration::from_secs(4);
     let options = host::Options {
         settings: sync::Arc::new(settings),
--- a/crates/host/tests/fleet.rs
+++ b/crates/host/tests/fleet.rs
@@ -182,3 +182,27 @@
     assert!(record.outcome.is_whole(), "{:?}", record.outcome);
     common::shutdown(hosts).await;
 }
+
+/// Guards against a rotation of the shared keys that needs a restart.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_host_with_the_new_shared_key_joins_after_the_rotation() {
+    const NEXT: &str = "next-key-next-key-next-key-next-key";
+    let engine = common::engine(8, None);
+    let addresses = [engine.address()];
+    let mut hosts = common::fleet(2, &addresses, "").await;
+    let both = format!("[fleet]\npeer_keys = {NEXT}, {}\n", common::PEER_KEY);
+    for host in &hosts {
+        host.replace(common::settings(&addresses, &both));
+    }
+    let seeds: Vec<_> = hosts.iter().map(host::Host::peer_addr).collect();
+    let only = format!("[fleet]\npeer_keys = {NEXT}\n");
+    hosts.push(common::member("host-3", &addresses, &seeds, &only).await);
+    common::meet(&hosts).await;
+    let client = common::client();
+    for (number, host) in hosts.iter().enumerate() {
+        let call = common::call(&format!("r{number}"), 8);
+        let record = call.send(&client, host.caller_addr()).await;
+        assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+    }
+    common::shutdown(hosts).await;
+}
