--- a/crates/conf/src/schema/shared.rs
+++ b/crates/conf/src/schema/shared.rs
@@ -18,7 +18,7 @@
         Key::optional(
             "owners",
             Kind::Names,
-            "Names of the hosts that own callers' own keys; at most 15.",
+            "Names of the hosts that own callers' own keys; at most 15. Each needs the acknowledgement of more than half of the others, so that of two or three owners none may fail, and of four one may.",
         ),
         Key::optional(
             "previous_owners",
