fix(fleet): answer a doubting host beside the regular heartbeat

Cause: the answer to a probe was merged with the heartbeat that the same host gets anyway, so it did not help when that one was lost. Change: the answer is a datagram of its own, and probes are sent half a period earlier.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -48,6 +48,10 @@
                 out.push((target, self.digest(Vec::new())));
             }
         }
+        // These are sent beside the digests above, of which some were lost.
+        for target in std::mem::take(&mut self.doubters) {
+            out.push((target, self.digest(Vec::new())));
+        }
         for (target, entries) in self.alarms() {
             out.push((target, self.digest(entries)));
         }
@@ -165,8 +169,7 @@
         member.confirmed && member.silence(now) < self.options.period.mul_f64(FRESH_PERIODS)
     }
 
-    /// Returns the addresses of the own monitors and of hosts that suspect
-    /// this one.
+    /// Returns the addresses of the own monitors.
     fn heartbeats(&mut self, now: time::Duration) -> Vec<net::SocketAddr> {
         let chosen: Vec<net::SocketAddr> = self
             .monitors_of(&self.own)
@@ -178,9 +181,7 @@
         }
         self.monitors
             .retain(|_, at| now.saturating_sub(*at) < LINGER);
-        let mut targets = std::mem::take(&mut self.doubters);
-        targets.extend(self.monitors.keys().copied());
-        targets.into_iter().collect()
+        self.monitors.keys().copied().collect()
     }
 
     /// Returns the questions to hosts that are about to be suspected here, or
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -10,6 +10,10 @@
 /// of this process has expired before the first suspicion.
 const VOTE_AGE: time::Duration = time::Duration::from_secs(3);
 
+/// Periods before a suspicion at which a host is asked for a heartbeat: late
+/// enough that one heartbeat is missing, early enough for an answer.
+const PROBE_PERIODS: f64 = 1.5;
+
 /// Heartbeats in a row after which a host counts as sending them here.
 const STREAK: u32 = 3;
 
@@ -101,7 +105,8 @@
 
     /// Returns whether the host is or will soon be suspected here.
     pub(crate) fn is_doubtful(&self, now: time::Duration, member: &member::Member) -> bool {
-        let silence = member.silence(now).saturating_add(self.options.period);
+        let margin = self.options.period.mul_f64(PROBE_PERIODS);
+        let silence = member.silence(now).saturating_add(margin);
         silence >= self.options.suspect_after
             && (silence >= self.gossip_limit() || self.is_monitor(member))
     }
