fix(gossip): fetch the configuration from the sender's peer address

A host fetched a newer configuration from the source address of the digest. It now uses the peer address in the digest, and only digests that membership accepts cause a fetch. The forwarding fake sends datagrams from an address that is not the sender's.

--- a/crates/carobbay/tests/faults/net.rs
+++ b/crates/carobbay/tests/faults/net.rs
@@ -49,11 +49,9 @@
             .iter()
             .map(|(listener, _)| listener.local_addr().expect("the listener is bound"))
             .collect();
-        let (listeners, sockets): (Vec<_>, Vec<_>) = pairs.into_iter().unzip();
-        let sockets = sync::Arc::new(sockets);
         let mut tasks = Vec::new();
-        for (host, listener) in listeners.into_iter().enumerate() {
-            tasks.push(tokio::spawn(datagrams(map.clone(), sockets.clone(), host)));
+        for (host, (listener, socket)) in pairs.into_iter().enumerate() {
+            tasks.push(tokio::spawn(datagrams(map.clone(), socket, host)));
             tasks.push(tokio::spawn(accept(map.clone(), listener, host)));
         }
         Self {
@@ -108,26 +106,24 @@
     panic!("no port is free for TCP and UDP");
 }
 
-/// Forwards the datagrams to a host; they come from the sender's address here.
-async fn datagrams(
-    map: sync::Arc<watch::Sender<Map>>,
-    sockets: sync::Arc<Vec<UdpSocket>>,
-    to: usize,
-) {
+/// Forwards the datagrams to a host. They leave from an address that is not the
+/// sender's, as behind address translation.
+async fn datagrams(map: sync::Arc<watch::Sender<Map>>, socket: UdpSocket, to: usize) {
+    let out = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
     let mut buffer = [0; 2048];
     loop {
-        let Ok((length, source)) = sockets[to].recv_from(&mut buffer).await else {
+        let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
         let target = {
             let map = map.borrow();
             let from = map.host_at(source);
             let from = from.filter(|from| map.connects(*from, to));
-            from.zip(map.real.get(&to).copied())
+            from.and(map.real.get(&to).copied())
         };
-        if let Some((from, real)) = target {
+        if let Some(real) = target {
             // A lost datagram is as good as one to a dead host.
-            drop(sockets[from].send_to(&buffer[..length], real).await);
+            drop(out.send_to(&buffer[..length], real).await);
         }
     }
 }
--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -56,7 +56,7 @@
     pub(crate) async fn receive(self) {
         loop {
             match self.socket.receive().await {
-                Ok((from, wire::Packet::Digest(digest))) => self.take(from, &digest),
+                Ok((_, wire::Packet::Digest(digest))) => self.take(&digest),
                 Ok((_, wire::Packet::Claim(claim))) => self.keyed.receive(&claim),
                 Err(cause) => {
                     log::warn!(target: "host", "datagrams cannot be received: {cause}");
@@ -66,14 +66,16 @@
         }
     }
 
-    fn take(&self, from: net::SocketAddr, digest: &fleet::Digest) {
-        self.view.receive(digest);
+    fn take(&self, digest: &fleet::Digest) {
+        let received = self.view.receive(digest);
         let own = self.spread.revision();
         if digest.revision >= own && own > 0 {
             self.spread.heard();
         }
-        if digest.revision > own {
-            self.fetch(from);
+        // A datagram may come from another address than the one at which its
+        // sender accepts connections.
+        if let Some(notice) = received.newer {
+            self.fetch(notice.peer);
         }
     }
 
