test(testkit): let the platform stand-in replay an old revision

A stale platform answered a watch for a later revision with 304, so no reader was ever offered a lower one. set_replaying() offers it at once. No effect on tests that do not call it.

--- a/crates/testkit/src/platform/handle.rs
+++ b/crates/testkit/src/platform/handle.rs
@@ -91,6 +91,12 @@
         self.view(reader, |view| view.newest = newest);
     }
 
+    /// Sets whether a reader gets the newest revision that it sees even if it
+    /// asks for a later one, as from a cache that went back.
+    pub fn set_replaying(&self, reader: &str, replaying: bool) {
+        self.view(reader, |view| view.replaying = replaying);
+    }
+
     /// Returns the counts since the start.
     pub fn figures(&self) -> Figures {
         lock(&self.shared.state).figures
@@ -156,7 +162,7 @@
             return core::future::pending().await;
         }
         if let Some((revision, files)) = newest
-            && query.after.is_none_or(|after| revision > after)
+            && (view.replaying || query.after.is_none_or(|after| revision > after))
         {
             return axum::Json(json!({"revision": revision, "files": *files})).into_response();
         }
--- a/crates/testkit/src/platform/state.rs
+++ b/crates/testkit/src/platform/state.rs
@@ -32,6 +32,8 @@
     pub(crate) down: bool,
     /// Newest revision that the reader sees.
     pub(crate) newest: Option<u64>,
+    /// Whether the reader gets it even if it asks for a later one.
+    pub(crate) replaying: bool,
 }
 
 #[derive(Default)]
