test(faults): check that revisions reach all hosts and never revert

Four hosts follow a stand-in platform that is down, replays an old revision, publishes a bad one, and is stale for one side of a split; a host restarts while the platform is down or stale. Each host's pools show the revision in force; its log shows that revisions only grew.

Failing with the mechanism off (by hand): - gossip.rs never fetches: 'host-0 has revision 2: not within a minute' - spread.rs takes a bad revision: 'host-0: [1, 2, 3, 4]' - spread.rs and version.rs take lower revisions: 'host-1: [1, 2, 3, 1, 3, 1, 3, ..]'

--- a/crates/carobbay/tests/faults/main.rs
+++ b/crates/carobbay/tests/faults/main.rs
@@ -1,6 +1,7 @@
 //! Invariants under failure, with router hosts as processes on loopback.
 
 mod booking;
+mod configuration;
 mod fleet;
 mod leaving;
 mod model;
