test(faults): check a request that crashes engines

A marked prompt is sent 20 times through four hosts and crashes the engine before its first token or after three. At most two engines are lost, and innocent requests end whole, or cut with an error event.

--- a/crates/carobbay/tests/faults/main.rs
+++ b/crates/carobbay/tests/faults/main.rs
@@ -2,6 +2,7 @@
 
 mod booking;
 mod configuration;
+mod crashes;
 mod fleet;
 mod leaving;
 mod model;
