--- a/crates/carobbay/tests/faults/leaving.rs
+++ b/crates/carobbay/tests/faults/leaving.rs
@@ -1,7 +1,11 @@
 //! Endpoints and hosts leave without a failed request.
 
 use core::time;
+use std::net;
 
+use tokio::sync::watch;
+
+use crate::booking;
 use crate::fleet;
 use crate::model;
 
@@ -58,9 +62,15 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_rolling_restart_fails_no_request() {
     let engines: Vec<_> = (0..2).map(|_| model::engine(None)).collect();
-    let settings = fleet::settings(&model::addresses(&engines), "");
+    let service = booking::service(time::Duration::from_millis(50));
+    let mut settings = booking::settings(&service, 3);
+    for (index, address) in model::addresses(&engines).into_iter().enumerate() {
+        settings.push_str(&fleet::endpoint(index, address, ""));
+    }
     let mut fleet = fleet::Fleet::start(3, &settings).await;
     let load = model::Load::start(4, 9, fleet.running_addresses());
+    let (known, stopped) = watch::channel(fleet.running_addresses());
+    let bookings = tokio::spawn(book(stopped));
     for host in 0..3 {
         load.progress(50).await;
         let leaving = fleet.caller(host);
@@ -71,14 +81,43 @@
             !listed.is_empty() && !listed.contains(&leaving)
         })
         .await;
-        load.use_hosts(fleet::listed(witness).await);
+        let listed = fleet::listed(witness).await;
+        known.send_replace(listed.clone());
+        load.use_hosts(listed);
         load.progress(50).await;
         fleet.ended(host).await;
         load.progress(50).await;
         fleet.boot(host);
         fleet.meet().await;
-        load.use_hosts(fleet::listed(witness).await);
+        let listed = fleet::listed(witness).await;
+        known.send_replace(listed.clone());
+        load.use_hosts(listed);
     }
     load.progress(50).await;
     model::assert_whole(&load.end().await);
+    drop(known);
+    let answers = bookings.await.expect("the caller does not panic");
+    let count = answers.check(&service);
+    println!("{count} bookings answered");
+}
+
+/// Books with minted keys at listed hosts until the sender of the list is gone;
+/// each key is sent to another host than the one that minted it.
+async fn book(listed: watch::Receiver<Vec<net::SocketAddr>>) -> booking::Answers {
+    let answers = booking::Answers::default();
+    for number in 0.. {
+        if listed.has_changed().is_err() {
+            break;
+        }
+        let hosts = listed.borrow().clone();
+        let keys = booking::minted_keys(hosts[number % hosts.len()]).await;
+        let key = keys.first().expect("a listed host mints keys");
+        let tag = format!("rolling-{number}");
+        let call = booking::booking(&tag, Some(key));
+        let address = hosts[(number + 1) % hosts.len()];
+        let outcome = booking::attempt(&call, address, booking::PATIENCE).await;
+        assert!(outcome.is_whole(), "{tag}: {outcome:?}");
+        answers.note(&tag, outcome);
+    }
+    answers
 }
--- a/crates/carobbay/tests/faults/main.rs
+++ b/crates/carobbay/tests/faults/main.rs
@@ -8,4 +8,5 @@
 mod model;
 mod net;
 mod once;
+mod pairs;
 mod streams;
--- a/crates/carobbay/tests/faults/once.rs
+++ b/crates/carobbay/tests/faults/once.rs
@@ -256,7 +256,7 @@
 
 /// Books until the sender of the addresses is gone; most bookings are sent
 /// again to other hosts at once. Returns what is to be sent again at the end.
-async fn book(
+pub async fn book(
     caller: u64,
     seed: u64,
     addresses: tokio::sync::watch::Receiver<Vec<net::SocketAddr>>,
@@ -301,7 +301,7 @@
 }
 
 /// Sends all bookings again to every host.
-async fn send_to_all(fleet: &fleet::Fleet, calls: &[load::Call], answers: &booking::Answers) {
+pub async fn send_to_all(fleet: &fleet::Fleet, calls: &[load::Call], answers: &booking::Answers) {
     for address in fleet.running_addresses() {
         let sends = calls.iter().map(async |call| {
             let outcome = booking::attempt(call, address, booking::PATIENCE).await;
