--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -1,5 +1,6 @@
 //! Tests of the membership in simulated time.
 
+mod sample;
 mod sim;
 
 use core::time::Duration;
@@ -97,6 +98,38 @@
     assert!(took <= Duration::from_secs(15), "met after {took:?}");
 }
 
+/// Guards against a fleet that does not fit into a digest and so takes hosts
+/// for dead of which it hears seldom, or notices deaths late.
+#[rstest::rstest]
+fn large_fleets_tell_silence_from_death(#[values(1, 2)] seed: u64) {
+    let mut fleet = sim::Fleet::new(60, 11, 3, seed);
+    let took = fleet.run_until(MINUTE, sim::Fleet::is_whole);
+    assert!(took < MINUTE, "the fleet met in {took:?}");
+    fleet.loss = 0.1;
+    for _ in 0..60 {
+        fleet.run(Duration::from_secs(1));
+        assert_eq!(fleet.false_deaths(), 0, "at {:?}", fleet.now);
+    }
+    fleet.loss = 0.0;
+    fleet.hosts[7].is_up = false;
+    let took = fleet.run_until(MINUTE, |fleet| fleet.all_hold(7, State::Dead));
+    assert!(took <= Duration::from_secs(8), "dead after {took:?}");
+    fleet.split = (0..60).filter(|host| host % 11 % 3 == 0).collect();
+    let split = fleet.split.clone();
+    let took = fleet.run_until(MINUTE, |fleet| {
+        let pairs = fleet
+            .running()
+            .flat_map(|a| fleet.running().map(move |b| (a, b)));
+        pairs
+            .filter(|(a, b)| split.contains(a) != split.contains(b))
+            .all(|(a, b)| fleet.holds_dead(a, b))
+    });
+    assert!(took < MINUTE, "each side saw the other dead in {took:?}");
+    fleet.split.clear();
+    let took = fleet.run_until(MINUTE, sim::Fleet::is_whole);
+    assert!(took <= Duration::from_secs(15), "met after {took:?}");
+}
+
 /// Guards against an old lifetime that is taken for the new one.
 #[rstest::rstest]
 fn a_new_lifetime_replaces_the_old(#[values(1, 2, 3)] seed: u64, #[values(0, 1, 20)] gap_s: u64) {
@@ -168,7 +201,7 @@
     let mut fleet = twelve(1);
     let listed = fleet::Listed {
         name: "host-005".to_owned(),
-        peer: sim::entry(5, 4, 1).peer,
+        peer: sample::entry(5, 4, 1).peer,
         phase: Phase::Leaving,
     };
     let now = fleet.now;
@@ -184,16 +217,16 @@
     fleet.hosts[0].membership.platform(fleet.now, &[]);
     assert_eq!(fleet.state(0, 5), State::Live);
 
-    let mut lone = fleet::Membership::new(sim::entry(20, 4, 1), fleet::Options::default(), 1);
+    let mut lone = fleet::Membership::new(sample::entry(20, 4, 1), fleet::Options::default(), 1);
     let up = fleet::Listed {
         name: "host-006".to_owned(),
-        peer: sim::entry(6, 4, 1).peer,
+        peer: sample::entry(6, 4, 1).peer,
         phase: Phase::Up,
     };
     lone.platform(Duration::ZERO, &[up]);
     let out = lone.tick(Duration::ZERO);
     assert_eq!(out.len(), 1);
-    assert_eq!(out[0].0, sim::entry(6, 4, 1).peer);
+    assert_eq!(out[0].0, sample::entry(6, 4, 1).peer);
 }
 
 /// Guards against a host that cannot be declared dead where only two are known.
@@ -242,7 +275,7 @@
     let received = fleet.hosts[1].membership.receive(now, &digest);
     let notice = received.newer.expect("7 is higher than 0");
     assert_eq!((notice.revision, notice.name.as_str()), (7, "host-000"));
-    assert_eq!(notice.peer, sim::entry(0, 4, 1).peer);
+    assert_eq!(notice.peer, sample::entry(0, 4, 1).peer);
     fleet.hosts[1].membership.set_version(7, [8; 32]);
     let received = fleet.hosts[1].membership.receive(now, &digest);
     assert!(received.newer.is_none() && received.conflict.is_some());
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -15,6 +15,11 @@
 /// Headers of HTTP/2 stream 1 that a continuation must follow.
 const UNFINISHED: &[u8] = b"\x00\x00\x01\x01\x00\x00\x00\x00\x01\x82";
 
+/// Headers of HTTP/2 stream 3 that a continuation must follow.
+const UNFINISHED_SECOND: &[u8] = b"\x00\x00\x01\x01\x00\x00\x00\x00\x03\x82";
+/// `GET /v1/models` on HTTP/2 stream 1.
+const REQUEST: &[u8] = b"\x00\x00\x11\x01\x05\x00\x00\x00\x01\x82\x86\x04\x0a/v1/models\x01\x01x";
+
 async fn read_answer(stream: &mut tokio::net::TcpStream) {
     let mut answer = Vec::new();
     while !answer.ends_with(b"}") {
@@ -88,9 +93,35 @@
     server.shutdown().await;
 }
 
+/// Guards against a caller that keeps its request unfinished by sending one
+/// byte of the body now and then.
+#[tokio::test]
+async fn a_trickled_body_is_refused() {
+    let options = front::Options {
+        idle_timeout: time::Duration::from_secs(60),
+        body_timeout: time::Duration::from_millis(200),
+        ..common::options()
+    };
+    let server = common::start(options, sync::Arc::default()).await;
+    let (reader, mut writer) = common::connect(&server).await.into_split();
+    let head = b"POST /services/a/b HTTP/1.1\r\nconnection: close\r\ncontent-length: 900\r\n\r\n";
+    writer.write_all(head).await.expect("the listener reads");
+    let sending = tokio::spawn(async move {
+        while writer.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    });
+    let answer = common::rest(reader).await;
+    assert!(answer.contains(r#""kind":"caller_timeout""#), "{answer}");
+    sending.await.expect("no panic");
+    server.shutdown().await;
+}
+
 fn keeps_briefly() -> front::Options {
     front::Options {
         keep_alive: time::Duration::from_millis(100),
+        close_grace: time::Duration::from_millis(100),
+        write_timeout: time::Duration::from_millis(100),
         ..common::options()
     }
 }
@@ -120,6 +151,22 @@
     server.shutdown().await;
 }
 
+/// Guards against an HTTP/2 caller that is served once and then holds its
+/// connection with a head that it never finishes, while it answers no ping.
+#[tokio::test]
+async fn an_unfinished_later_head_closes_the_connection() {
+    let server = common::start(keeps_briefly(), sync::Arc::default()).await;
+    let mut stream = common::connect(&server).await;
+    let bytes = [PREFACE, REQUEST].concat();
+    stream.write_all(&bytes).await.expect("the listener reads");
+    read_answer(&mut stream).await;
+    drop(stream.write_all(UNFINISHED_SECOND).await);
+    common::rest(stream).await;
+    common::until(&server, 0, |counters| counters.open).await;
+    assert_eq!(server.counters().idle_closed, 1);
+    server.shutdown().await;
+}
+
 /// Guards against a long answer that is cut by the limits for idle callers.
 #[rstest]
 #[case::http1(false)]
@@ -147,6 +194,56 @@
     server.shutdown().await;
 }
 
+/// Guards against a caller that does not read, and with it an endpoint that
+/// waits in the middle of an answer for ever.
+#[rstest]
+#[case::http1(b"GET /services/a/large HTTP/1.1\r\nhost: x\r\n\r\n")]
+#[case::pipelined(
+    b"GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\nGET /services/a/large HTTP/1.1\r\nhost: x\r\n\r\n"
+)]
+#[tokio::test]
+async fn an_answer_that_is_not_read_is_cut(#[case] request: &[u8]) {
+    let server = common::start(keeps_briefly(), sync::Arc::default()).await;
+    let mut stream = common::connect(&server).await;
+    stream.write_all(request).await.expect("the listener reads");
+    common::until(&server, 1, |counters| counters.stalled).await;
+    common::until(&server, 0, |counters| counters.open).await;
+    server.shutdown().await;
+}
+
+/// Guards against an HTTP/2 caller that stops one answer for ever, and against
+/// a remedy that cuts the other answers of its connection.
+#[tokio::test]
+async fn a_stopped_stream_is_given_up_alone() {
+    let options = front::Options {
+        write_timeout: time::Duration::from_millis(100),
+        ..common::options()
+    };
+    let server = common::start(options, sync::Arc::default()).await;
+    let mut sender = common::http2(common::connect(&server).await).await;
+    let request = http::Request::get("http://x/services/a/large");
+    let request = request.body(http_body_util::Full::default());
+    let stopped = sender.send_request(request.expect("valid")).await;
+    let stopped = stopped.expect("an answer").into_body();
+    common::until(&server, 1, |counters| counters.stalled).await;
+    let other = http::Request::get("http://x/services/a/b");
+    let answer = common::send(sender.clone(), other, "").await;
+    assert_eq!(answer, (200, "ok".to_owned()));
+    let rest = http_body_util::BodyExt::collect(stopped).await;
+    assert!(rest.is_err());
+    server.shutdown().await;
+}
+
+/// Guards against a large answer that is cut although its caller reads it.
+#[tokio::test]
+async fn an_answer_that_is_read_is_whole() {
+    let server = common::start(common::options(), sync::Arc::default()).await;
+    let request = b"GET /services/a/large HTTP/1.1\r\nconnection: close\r\n\r\n";
+    let answer = common::exchange(common::connect(&server).await, request).await;
+    assert!(answer.len() > common::LARGE_BYTES, "{}", answer.len());
+    server.shutdown().await;
+}
+
 /// Guards against one HTTP/2 connection that brings more requests at once than
 /// many connections of HTTP/1.1.
 #[tokio::test]
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -127,6 +127,9 @@
                 Err(failure) => failure,
             };
             progress.may_have_run |= failure.refusal.run() != Run::NotRun;
+            if failure.refusal.kind == Kind::EndpointFailed {
+                self.broker.blame(request, &endpoint);
+            }
             let safe = terms.idempotent || !progress.may_have_run;
             let last = progress.attempt + 1 >= ATTEMPTS_MAX;
             if !failure.retry || !safe || last {
@@ -179,15 +182,16 @@
         begin(permit, body).await.map_err(|failure| failure.refusal)
     }
 
-    fn resumption(&self, attempt: &Attempt<'_>) -> Option<relay::Resume> {
+    fn resumption(&self, attempt: &Attempt<'_>) -> relay::Resume {
         let force = self.broker.state.force();
-        let pool = force.settings.pools.get(attempt.request.path.pool())?;
-        (pool.resume && attempt.terms.idempotent).then(|| relay::Resume {
+        let pool = force.settings.pools.get(attempt.request.path.pool());
+        relay::Resume {
             flow: self.clone(),
             request: attempt.request.clone(),
             terms: attempt.terms.clone(),
             attempt: attempt.number,
-        })
+            allowed: attempt.terms.idempotent && pool.is_some_and(|pool| pool.resume),
+        }
     }
 
     async fn attempt(
@@ -231,7 +235,7 @@
         let body = match attempt.delivery {
             Delivery::Streamed if stream => {
                 let source = begin(permit, body).await?;
-                relay::events(source, request.id.clone(), self.resumption(&attempt))
+                relay::events(source, self.resumption(&attempt))
             }
             _ => whole(permit, body, stream).await?,
         };
@@ -246,6 +250,22 @@
 }
 
 impl Flow {
+    /// Returns whether an engine refused the fencing number.
+    ///
+    /// A service's own 409 is an answer for the caller.
+    fn is_fenced(&self, head: &http::response::Parts, permit: &permit::Permit) -> bool {
+        if head.status != http::StatusCode::CONFLICT {
+            return false;
+        }
+        let force = self.broker.state.force();
+        let name = permit.grant().name.split('@').next().unwrap_or_default();
+        force.settings.endpoints.get(name).is_some_and(|endpoint| {
+            let pool = force.settings.pools.get(&endpoint.pool);
+            endpoint.fencing == conf::settings::Fencing::Checked
+                && pool.is_some_and(|pool| pool.kind == conf::settings::Kind::Model)
+        })
+    }
+
     /// Sends a request and returns the head of an answer that is not a refusal
     /// or failure of the endpoint.
     async fn send(
@@ -267,7 +287,8 @@
             }
         };
         let (head, body) = response.into_parts();
-        let permit = check_status(head.status, permit)?;
+        let fenced = self.is_fenced(&head, &permit);
+        let permit = check_status(head.status, fenced, permit)?;
         Ok((permit, head, body))
     }
 }
@@ -330,9 +351,15 @@
 /// Returns the permit if the status is one that the caller gets.
 fn check_status(
     status: http::StatusCode,
+    fenced: bool,
     permit: permit::Permit,
 ) -> Result<permit::Permit, Failure> {
     match status {
+        _ if fenced => {
+            permit.finish(pool::Result::Refused);
+            let text = "the endpoint takes orders of a later home";
+            Err(failure(Refusal::new(Kind::EndpointConnect, text), true))
+        }
         http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE => {
             permit.finish(pool::Result::Refused);
             let text = format!("the endpoint refused with {status}");
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -7,6 +7,13 @@
 
 use crate::clock;
 
+/// Homes of a shard that are asked one after the other.
+const HOMES_MAX: usize = 3;
+
+/// Hosts of each shard that learn of a request that was in flight at a crash:
+/// the home and the one that follows it.
+pub(crate) const NEAR_HOMES: usize = 2;
+
 /// How long a caller keeps the list of hosts.
 pub(crate) const LIST_TTL: time::Duration = time::Duration::from_secs(5);
 
@@ -37,13 +44,14 @@
         }
     }
 
-    /// Lists the hosts that may be the home of a shard, the first one first.
+    /// Lists the first hosts that may be the home of a shard, in their order.
     pub(crate) fn homes(&self, pool: &str, shard: u32) -> Vec<Home> {
         let membership = self.lock();
         let own = membership.own().clone();
         let live = membership.live();
         fleet::rank::homes(pool, shard, &live, Some(&own.region))
             .into_iter()
+            .take(HOMES_MAX)
             .map(|entry| Home {
                 name: entry.name.clone(),
                 address: entry.peer,
@@ -74,6 +82,14 @@
             .is_some_and(|home| home.is_self)
     }
 
+    /// Returns whether this host is the home of a shard or follows it.
+    pub(crate) fn is_near_home(&self, pool: &str, shard: u32) -> bool {
+        self.homes(pool, shard)
+            .iter()
+            .take(NEAR_HOMES)
+            .any(|home| home.is_self)
+    }
+
     /// Returns whether another live host is known.
     pub(crate) fn has_peers(&self) -> bool {
         self.lock().live().len() > 1
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -43,7 +43,7 @@
 
 /// Returns the settings with the lines that they come from.
 pub fn outcome(engines: &[net::SocketAddr], further: &str) -> conf::Outcome {
-    let mut text = format!("{CLASSES}{further}");
+    let mut text = CLASSES.to_owned();
     let hash: String = sha2::Sha256::digest(KEY)
         .iter()
         .map(|byte| format!("{byte:02x}"))
@@ -55,9 +55,14 @@
             "[endpoint engine-{index}]\npool = braille\naddress = {address}"
         )
         .expect("a string takes all");
-        writeln!(text, "data_centre = a\nslots = 4").expect("a string takes all");
+        writeln!(text, "data_centre = a\nslots = 4\nfencing = checked")
+            .expect("a string takes all");
     }
-    let outcome = conf::load(&[conf::File::new("10-test.ini", text)]);
+    let files = [
+        conf::File::new("10-test.ini", text),
+        conf::File::new("20-further.ini", further),
+    ];
+    let outcome = conf::load(&files);
     outcome.unwrap_or_else(|problems| panic!("{problems:?}"))
 }
 
@@ -85,6 +90,7 @@
         region: "north".to_owned(),
         listen: any,
         peer_listen: any,
+        peer_advertise: None,
         admin_listen: None,
         policy: host::Choice::Current,
     };
@@ -166,11 +172,16 @@
     value["keys"][0].as_str().expect("a key").to_owned()
 }
 
+/// Returns the time in Unix milliseconds.
+pub fn wall_ms() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .expect("the clock is past 1970")
+        .as_millis()
+}
+
 /// Returns a booking with an idempotency key whose first attempt is now.
 pub fn booking(tag: &str, key: &str) -> load::Call {
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .expect("the clock is past 1970");
     load::Call {
         path: "/services/order-desk/book".to_owned(),
         tag: tag.to_owned(),
@@ -178,7 +189,7 @@
         key: Some(KEY.to_owned()),
         headers: vec![
             ("idempotency-key".to_owned(), key.to_owned()),
-            ("request-time".to_owned(), now.as_millis().to_string()),
+            ("request-time".to_owned(), wall_ms().to_string()),
         ],
         ..load::Call::default()
     }
@@ -186,7 +197,12 @@
 
 /// Starts a stand-in engine that answers `tokens` tokens.
 pub fn engine(tokens: u32, crash: Option<engine::Crash>) -> engine::Handle {
-    let options = engine::Options {
+    engine::Engine::start(engine_options(tokens, crash)).expect("the engine starts")
+}
+
+/// Returns the properties of a stand-in engine that answers `tokens` tokens.
+pub fn engine_options(tokens: u32, crash: Option<engine::Crash>) -> engine::Options {
+    engine::Options {
         model: "braille".to_owned(),
         lengths: vec![engine::Length {
             median: f64::from(tokens),
@@ -195,8 +211,7 @@
         }],
         crash,
         ..engine::Options::default()
-    };
-    engine::Engine::start(options).expect("the engine starts")
+    }
 }
 
 /// Returns a streamed request.
--- a/crates/host/tests/console.rs
+++ b/crates/host/tests/console.rs
@@ -28,6 +28,7 @@
         region: "r".to_owned(),
         listen: local,
         peer_listen: local,
+        peer_advertise: None,
         admin_listen: Some(local),
         policy: host::Choice::Current,
     };
--- a/crates/testkit/src/bin/measure.rs
+++ b/crates/testkit/src/bin/measure.rs
@@ -91,24 +91,28 @@
     };
     let single = arguments.seed..=arguments.seed;
     let seeds = arguments.seeds.clone().unwrap_or(single);
-    let mut summaries = Vec::new();
-    for &policy in policies(&arguments) {
-        let mut tables = Vec::new();
-        for seed in seeds.clone() {
+    let span = time::Duration::try_from_secs_f64(arguments.seconds)?;
+    let policies = policies(&arguments);
+    let mut summaries: Vec<_> = policies
+        .iter()
+        .map(|policy| measure::Summary {
+            policy: policy.name(),
+            seeds: Vec::new(),
+        })
+        .collect();
+    // The policies take turns, so that a change of the machine's load meets all of them.
+    for seed in seeds {
+        for (&policy, summary) in policies.iter().zip(&mut summaries) {
             let options = measure::Options {
                 shape: shape.clone(),
                 policy,
                 hosts: arguments.hosts,
                 scenario: arguments.scenario,
-                span: time::Duration::try_from_secs_f64(arguments.seconds)?,
+                span,
                 seed,
             };
-            tables.push(measure::trial(&options).await?);
+            summary.seeds.push(measure::trial(&options).await?);
         }
-        summaries.push(measure::Summary {
-            policy: policy.name(),
-            seeds: tables,
-        });
     }
     print(&arguments, &summaries)?;
     let faults = summaries
@@ -123,7 +127,7 @@
 
 fn print(arguments: &Arguments, summaries: &[measure::Summary]) -> anyhow::Result<()> {
     if arguments.format == Format::Json {
-        println!("{}", serde_json::to_string_pretty(summaries)?);
+        println!("{:#}", json(arguments, summaries));
         return Ok(());
     }
     let Arguments {
@@ -163,6 +167,29 @@
     Ok(())
 }
 
+fn json(arguments: &Arguments, summaries: &[measure::Summary]) -> serde_json::Value {
+    let medians = |name: &str| {
+        let rows = summaries.iter().map(|summary| summary.row(name));
+        rows.map(|row| row.map(|row| row.median))
+            .collect::<Vec<_>>()
+    };
+    let ratios = names(summaries).into_iter().filter_map(|name| {
+        let [Some(first), Some(second)] = medians(name)[..] else {
+            return None;
+        };
+        (second != 0.0).then(|| (name.to_owned(), (first / second).into()))
+    });
+    serde_json::json!({
+        "shape": format!("{:?}", arguments.shape),
+        "scenario": format!("{:?}", arguments.scenario),
+        "seconds": arguments.seconds,
+        "hosts": arguments.hosts,
+        "scale": measure::SCALE,
+        "policies": summaries,
+        "ratios": ratios.collect::<serde_json::Map<_, _>>(),
+    })
+}
+
 /// Returns the names of all figures in the order of their first mention.
 fn names(summaries: &[measure::Summary]) -> Vec<&str> {
     let mut names = Vec::new();
--- a/crates/testkit/src/measure/figures.rs
+++ b/crates/testkit/src/measure/figures.rs
@@ -26,6 +26,8 @@
 impl Figures<'_> {
     /// Adds all figures to the table.
     pub(crate) fn add(&self, cluster: &Cluster, table: &mut Table) {
+        let mut late: Vec<_> = self.samples.iter().map(|sample| sample.late).collect();
+        table.set_some("sent_late_p99_ms", percentile(&mut late, 0.99));
         for class in &self.shape.classes {
             self.class(class, table);
         }
@@ -182,6 +184,11 @@
         });
         table.set("unanswered", overdue.count() as f64);
         table.set("broken", broken);
+        for sample in self.samples {
+            if let Outcome::Broken(reason) = &sample.record.outcome {
+                table.count(format!("broken.{reason}"));
+            }
+        }
         table.set("damaged", damaged);
         let services = cluster.services.iter().map(|(_, service)| service);
         let mut effects = collections::HashMap::<String, u32>::new();
