--- a/crates/carobbay/src/check.rs
+++ b/crates/carobbay/src/check.rs
@@ -11,15 +11,15 @@
     match load(&options.folder)? {
         Ok(outcome) => {
             if options.print {
-                print!("{}", conf::print(&outcome));
+                out!("{}", conf::print(&outcome).trim_end());
             } else {
-                println!("{}: no problems", options.folder.display());
+                out!("{}: no problems", options.folder.display());
             }
             Ok(process::ExitCode::SUCCESS)
         }
         Err(problems) => {
             for problem in &problems {
-                println!("{problem}");
+                out!("{problem}");
             }
             eprintln!(
                 "carobbay: {} problems in {}",
--- a/crates/carobbay/src/logging.rs
+++ b/crates/carobbay/src/logging.rs
@@ -1,5 +1,7 @@
 use std::time;
 
+use log::kv;
+
 /// Starts logging to standard error.
 ///
 /// # Errors
@@ -14,17 +16,13 @@
         .level_for("front", level)
         .level_for("peer", level)
         .level_for("admin", level)
+        .level_for("tls", level)
         .level_for("carobbay", level)
         .format(move |out, message, record| {
             let time = humantime::format_rfc3339_millis(time::SystemTime::now());
             let (part, level) = (record.target(), record.level());
             if json {
-                let line = serde_json::json!({
-                    "time": time.to_string(),
-                    "level": level.as_str(),
-                    "part": part,
-                    "message": message.to_string(),
-                });
+                let line = line(&time.to_string(), record, &message.to_string());
                 out.finish(format_args!("{line}"));
             } else {
                 out.finish(format_args!("{time} {level:<5} {part}: {message}"));
@@ -34,3 +32,32 @@
         .apply()?;
     Ok(())
 }
+
+/// Returns a JSON line with the fields of the record, such as `request`.
+fn line(time: &str, record: &log::Record<'_>, message: &str) -> serde_json::Value {
+    let mut fields = Fields(serde_json::Map::new());
+    // Collecting into a map does not fail.
+    drop(record.key_values().visit(&mut fields));
+    let own = [
+        ("time", time),
+        ("level", record.level().as_str()),
+        ("part", record.target()),
+        ("message", message),
+    ];
+    for (name, value) in own {
+        fields.0.insert(name.to_owned(), value.into());
+    }
+    serde_json::Value::Object(fields.0)
+}
+
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl<'a> kv::VisitSource<'a> for Fields {
+    fn visit_pair(&mut self, key: kv::Key<'a>, value: kv::Value<'a>) -> Result<(), kv::Error> {
+        let value = value.to_string();
+        if !value.is_empty() {
+            self.0.insert(key.to_string(), value.into());
+        }
+        Ok(())
+    }
+}
--- a/crates/carobbay/src/main.rs
+++ b/crates/carobbay/src/main.rs
@@ -5,16 +5,35 @@
 use clap::CommandFactory;
 use clap::Parser;
 
+/// Prints a line on standard output. A reader that closed it, such as `head`,
+/// wants no more lines, which is no failure.
+macro_rules! out {
+    ($($part:tt)*) => {{
+        use std::io::Write;
+        drop(writeln!(std::io::stdout(), $($part)*));
+    }};
+}
+
+mod api;
 mod check;
 mod cli;
+mod demo;
+mod explain;
 mod logging;
+mod progress;
+mod report;
 mod serve;
+mod status;
 
 fn main() -> process::ExitCode {
     let arguments = cli::Arguments::parse();
     let outcome = match arguments.command {
-        cli::Command::Serve(options) => serve::run(options),
+        cli::Command::Serve(options) => serve::run(*options),
         cli::Command::Check(options) => check::run(&options),
+        cli::Command::Status(options) => status::run(&options),
+        cli::Command::Explain(options) => explain::run(&options),
+        cli::Command::Report(options) => report::run(&options),
+        cli::Command::Demo => demo::run(),
         cli::Command::Completions { shell } => {
             let mut command = cli::Arguments::command();
             clap_complete::generate(shell, &mut command, "carobbay", &mut std::io::stdout());
--- /dev/null
+++ b/crates/carobbay/tests/commands.rs
@@ -0,0 +1,234 @@
+//! Tests of the commands of the built program.
+
+use std::fs;
+use std::io;
+use std::io::BufRead;
+use std::path;
+use std::process;
+
+use rstest::rstest;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_carobbay");
+
+fn example(name: &str) -> path::PathBuf {
+    path::Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
+
+/// Runs the program and returns its exit code with both outputs.
+fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let output = process::Command::new(BINARY)
+        .args(arguments)
+        .output()
+        .expect("the program starts");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (
+        output.status.code(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+/// Returns a new folder for a test, with one file of settings.
+fn folder(name: &str, text: &str) -> path::PathBuf {
+    let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&folder).expect("the folder can be made");
+    fs::write(folder.join("10.ini"), text).expect("the file can be written");
+    folder
+}
+
+/// Guards against examples that the program refuses.
+#[rstest]
+#[case("kalahari")]
+#[case("ganci-alpini")]
+fn the_examples_have_no_problems(#[case] name: &str) {
+    let folder = example(name);
+    let (code, out, _) = run(&["check", &folder.display().to_string()]);
+    assert_eq!(code, Some(0), "{out}");
+}
+
+/// Guards against problems without their place, and against a wrong exit code.
+#[test]
+fn problems_have_their_place() {
+    let folder = folder("bad", "[class a]\nteir = 1\n");
+    let folder = folder.display().to_string();
+    for command in [vec!["check", &folder], vec!["serve", "--settings", &folder]] {
+        let (code, out, error) = run(&command);
+        assert_eq!(code, Some(3));
+        let all = out + &error;
+        assert!(all.contains("10.ini:2") && all.contains("tier"), "{all}");
+    }
+}
+
+/// Guards against an explanation without the settings that decide.
+#[test]
+fn explain_names_the_deciding_settings() {
+    let folder = example("kalahari").display().to_string();
+    let key = "kalahari-label-printers";
+    let arguments = ["explain", "--settings", &folder, "--key", key];
+    let (code, out, _) = run(&[&arguments[..], &["--model", "proofing"]].concat());
+    assert_eq!(code, Some(0));
+    for part in [
+        "label-printers",
+        "door-label",
+        "30-teams.ini:",
+        "proofing-a-1",
+    ] {
+        assert!(out.contains(part), "{part}: {out}");
+    }
+    let (code, out, _) = run(&[&arguments[..], &["--model", "none"]].concat());
+    assert_eq!(code, Some(1));
+    assert!(out.contains("unknown_model"), "{out}");
+}
+
+/// Guards against scripts without the commands, and help without exit codes.
+#[test]
+fn completions_and_help_name_every_command() {
+    let (code, out, _) = run(&["completions", "bash"]);
+    assert_eq!(code, Some(0));
+    let commands = [
+        "serve",
+        "check",
+        "status",
+        "explain",
+        "report",
+        "demo",
+        "completions",
+    ];
+    for command in commands {
+        assert!(out.contains(command), "{command}");
+        let (code, help, _) = run(&[command, "--help"]);
+        assert_eq!(code, Some(0));
+        assert!(
+            help.contains("Example") && help.contains("Exit codes"),
+            "{help}"
+        );
+    }
+    assert_eq!(run(&["status", "--nothing"]).0, Some(2));
+}
+
+/// A running host.
+struct Served {
+    child: process::Child,
+    admin: String,
+    // The process must find a reader at the other end of its output.
+    _out: io::Lines<io::BufReader<process::ChildStdout>>,
+    log: io::Lines<io::BufReader<process::ChildStderr>>,
+}
+
+impl Served {
+    fn start(folder: &path::Path) -> Self {
+        let local = "127.0.0.1:0";
+        let mut child = process::Command::new(BINARY)
+            .args(["serve", "--settings"])
+            .arg(folder)
+            .args(["--name", "h", "--data-centre", "d", "--region", "r"])
+            .args(["--listen", local, "--admin-listen", local])
+            .stdout(process::Stdio::piped())
+            .stderr(process::Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let out = child.stdout.take().expect("an output");
+        let mut out = io::BufReader::new(out).lines();
+        let log = child.stderr.take().expect("a log");
+        let line = out.next().expect("a line").expect("text");
+        let admin = line.split("admin=").nth(1).expect("an address").to_owned();
+        Self {
+            child,
+            admin,
+            _out: out,
+            log: io::BufReader::new(log).lines(),
+        }
+    }
+
+    /// Waits for a line of the log.
+    fn logged(&mut self, part: &str) {
+        let found = self.log.any(|line| line.expect("text").contains(part));
+        assert!(found, "the log lacks {part}");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = process::Command::new("kill").args([name, &id]).status();
+        assert!(status.expect("the signal is sent").success());
+    }
+
+    fn digest(&self) -> String {
+        let admin = ["--admin", &self.admin, "--key", "operate"];
+        let (code, out, error) = run(&[&["status", "--format", "json"], &admin[..]].concat());
+        assert_eq!(code, Some(0), "{error}");
+        let status: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+        status[0]["status"]["content"]
+            .as_str()
+            .expect("a digest")
+            .to_owned()
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        // A test that failed leaves the process running.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+fn settings(tier: &str) -> String {
+    let hash = "2c29d39181de8f853de5e48ba983a5c88612b9dbaa5ab32c7748800a0840aeb8";
+    format!(
+        "[class a]\ntier = {tier}\ntarget_first = 1s\ndeadline = 10s\n\
+         [anonymous]\nclass = a\n[admin]\noperate_key_hash = {hash}\n"
+    )
+}
+
+/// Guards against a bad file that changes a running host, a good one that does
+/// not, and a host that SIGTERM does not end.
+#[test]
+fn a_host_reads_good_settings_again_and_keeps_them_over_bad_ones() {
+    let folder = folder("served", &settings("1"));
+    let mut served = Served::start(&folder);
+    let first = served.digest();
+    fs::write(folder.join("10.ini"), settings("9999")).expect("the file can be written");
+    served.signal("-HUP");
+    served.logged("settings refused");
+    let (code, out, _) = run(&["status", "--admin", &served.admin, "--key", "operate"]);
+    assert_eq!(code, Some(0));
+    assert!(out.contains("local settings in force"), "{out}");
+    assert_eq!(served.digest(), first);
+    fs::write(folder.join("10.ini"), settings("2")).expect("the file can be written");
+    served.signal("-HUP");
+    served.logged("are in force");
+    assert_ne!(served.digest(), first);
+    let (code, out, _) = run(&["report", "--admin", &served.admin, "--key", "operate"]);
+    assert_eq!(code, Some(0), "{out}");
+    let (code, _, error) = run(&["status", "--admin", &served.admin, "--key", "wrong"]);
+    assert_eq!(code, Some(1), "{error}");
+    served.signal("-TERM");
+    let status = served.child.wait().expect("the process ends");
+    assert_eq!(status.code(), Some(0));
+}
+
+/// Guards against a page that lacks a kind of refusal, or states another status
+/// or run state than the program.
+#[test]
+fn the_page_of_errors_names_every_kind() {
+    let page = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operate/errors.md");
+    let page = fs::read_to_string(page).expect("the page can be read");
+    for kind in answer::Kind::ALL {
+        let entry = kind.entry();
+        let start = format!(
+            "| `{}` | {} | `{}` | {} |",
+            entry.name,
+            entry.status,
+            entry.run.name(),
+            match entry.advice {
+                answer::Advice::Never => "never",
+                answer::Advice::After => "after",
+                answer::Advice::Elsewhere => "elsewhere",
+            }
+        );
+        let found = page.lines().any(|line| line.starts_with(&start));
+        assert!(found, "the page lacks a line that starts with {start}");
+    }
+}
--- a/crates/host/src/layout.rs
+++ b/crates/host/src/layout.rs
@@ -16,3 +16,9 @@
     }
     layout
 }
+
+/// Returns the names of the endpoints in each shard of a pool; empty for a pool
+/// that is not configured.
+pub fn of(settings: &conf::Settings, pool: &str) -> Vec<Vec<String>> {
+    shards(settings).remove(pool).unwrap_or_default()
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -29,4 +29,5 @@
 mod view;
 
 pub use host::Host;
+pub use layout::of as shards;
 pub use options::{Choice, Options};
