--- a/crates/carobbay/src/cli.rs
+++ b/crates/carobbay/src/cli.rs
@@ -64,9 +64,10 @@
     --key-file read.key --format svg --output burn.svg"))]
     Report(Report),
     /// Runs two hosts with stand-in endpoints under a mixed load for some seconds.
-    #[command(after_help = help!("Example:
-  carobbay demo"))]
-    Demo,
+    #[command(after_help = help!("Examples:
+  carobbay demo
+  carobbay demo --stay --listen 127.0.0.1:8080 --admin-listen 127.0.0.1:8090"))]
+    Demo(Demo),
     /// Prints a completion script for a shell.
     #[command(after_help = help!("Example:
   carobbay completions bash > /etc/bash_completion.d/carobbay"))]
@@ -189,6 +190,20 @@
     pub(crate) address: net::IpAddr,
 }
 
+/// Arguments of `demo`.
+#[derive(clap::Args, Debug)]
+pub(crate) struct Demo {
+    /// Sends no load; runs until SIGINT or SIGTERM, to be tried by hand.
+    #[arg(long)]
+    pub(crate) stay: bool,
+    /// Address for callers of the first host.
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:0")]
+    pub(crate) listen: net::SocketAddr,
+    /// Address of the administration API of the first host; the key is `demo`.
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:0")]
+    pub(crate) admin_listen: net::SocketAddr,
+}
+
 /// Arguments of `report`.
 #[derive(clap::Args, Debug)]
 pub(crate) struct Report {
--- a/crates/carobbay/src/demo.rs
+++ b/crates/carobbay/src/demo.rs
@@ -5,9 +5,12 @@
 use std::sync;
 
 use anyhow::Context;
+use sha2::Digest;
 use testkit::load;
 use testkit::measure;
+use tokio::signal::unix;
 
+use crate::cli;
 use crate::progress;
 
 /// Time during which requests arrive.
@@ -26,23 +29,53 @@
 const HOSTS: usize = 2;
 /// Answers that are printed.
 const SHOWN: usize = 5;
+/// Bearer key of the administration API.
+const ADMIN_KEY: &str = "demo";
 /// Seed of the arrivals.
 const SEED: u64 = 1;
 
 /// Runs hosts and stand-in endpoints on loopback under a mixed load.
-pub(crate) fn run() -> anyhow::Result<process::ExitCode> {
+pub(crate) fn run(options: &cli::Demo) -> anyhow::Result<process::ExitCode> {
     let runtime = tokio::runtime::Runtime::new().context("cannot start the runtime")?;
-    runtime.block_on(progress::show("requests arrive for some seconds", demo()))?;
+    runtime.block_on(demo(options))?;
     Ok(process::ExitCode::SUCCESS)
 }
 
-async fn demo() -> anyhow::Result<()> {
+async fn demo(options: &cli::Demo) -> anyhow::Result<()> {
     let mut shape = measure::Shape::kalahari();
     shape.engines = ENGINES;
     let cluster = measure::Cluster::start(&shape)?;
-    let hosts = start(&shape, &cluster).await?;
-    let addresses: Vec<net::SocketAddr> = hosts.iter().map(host::Host::caller_addr).collect();
+    let hosts = start(options, &shape, &cluster).await?;
     println!("{HOSTS} hosts and {ENGINES} stand-in engines on loopback");
+    if options.stay {
+        return stay(&shape, &hosts).await;
+    }
+    progress::show("requests arrive for some seconds", load(&shape, &hosts)).await;
+    // Nobody calls any more, so the process ends without the graceful shutdown.
+    Ok(())
+}
+
+/// Waits until the process is told to stop.
+async fn stay(shape: &measure::Shape, hosts: &[host::Host]) -> anyhow::Result<()> {
+    for host in hosts {
+        let admin = host.admin_addr().context("no administration API")?;
+        println!("callers={} admin={admin}", host.caller_addr());
+    }
+    println!("model {}, administration key {ADMIN_KEY}", shape.model);
+    for team in &shape.teams {
+        println!("team {} has the key {}", team.name, team.key());
+    }
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+async fn load(shape: &measure::Shape, hosts: &[host::Host]) {
+    let addresses: Vec<net::SocketAddr> = hosts.iter().map(host::Host::caller_addr).collect();
     let met = async {
         while !hosts.iter().all(host::Host::holds_lease) {
             tokio::time::sleep(LOOK).await;
@@ -65,16 +98,15 @@
     .await;
     answers(&flows, &samples);
     let mut merged = burn::Snapshot::default();
-    for host in &hosts {
+    for host in hosts {
         merged.merge(&host.burn());
     }
     classes(&flows, &samples);
     println!("{}", burn::Report::new(&merged).text().trim_end());
-    // Nobody calls any more, so the process ends without the graceful shutdown.
-    Ok(())
 }
 
 async fn start(
+    arguments: &cli::Demo,
     shape: &measure::Shape,
     cluster: &measure::Cluster,
 ) -> anyhow::Result<Vec<host::Host>> {
@@ -88,15 +120,20 @@
         // learns it from the digests of the second one.
         settings.once.owners = (0..HOSTS).map(|number| format!("host-{number}")).collect();
         settings.once.lease = LEASE;
+        settings.admin.operate_key_hashes = vec![sha2::Sha256::digest(ADMIN_KEY).into()];
+        let (listen, admin_listen) = match number {
+            0 => (arguments.listen, arguments.admin_listen),
+            _ => (local, local),
+        };
         let options = host::Options {
             settings: sync::Arc::new(settings),
             name: name.clone(),
             data_centre: shape.data_centres[number % shape.data_centres.len()].into(),
             region: shape.name.into(),
-            listen: local,
+            listen,
             peer_listen: local,
             peer_advertise: None,
-            admin_listen: None,
+            admin_listen: Some(admin_listen),
             policy: host::Choice::Current,
         };
         let host = host::Host::start(options).await?;
--- a/crates/carobbay/src/main.rs
+++ b/crates/carobbay/src/main.rs
@@ -33,7 +33,7 @@
         cli::Command::Status(options) => status::run(&options),
         cli::Command::Explain(options) => explain::run(&options),
         cli::Command::Report(options) => report::run(&options),
-        cli::Command::Demo => demo::run(),
+        cli::Command::Demo(options) => demo::run(&options),
         cli::Command::Completions { shell } => {
             let mut command = cli::Arguments::command();
             clap_complete::generate(shell, &mut command, "carobbay", &mut std::io::stdout());
