--- a/crates/pool/tests/sim/engine.rs
+++ b/crates/pool/tests/sim/engine.rs
@@ -65,7 +65,11 @@
 
     /// Ends a request; returns the next one of the engine's own queue.
     pub fn finish(&mut self, id: AskId) -> Option<(AskId, u32)> {
+        let waiting = self.waiting.len();
         self.waiting.retain(|&(waiting, _)| waiting != id);
+        if self.waiting.len() < waiting {
+            return None;
+        }
         let next = self.waiting.pop_front();
         if next.is_none() {
             self.running = self.running.saturating_sub(1);
