--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -45,7 +45,7 @@
             body_timeout: time::Duration::from_secs(60),
             tls: None,
             connections_max: 20_000,
-            address_connections_max: 512,
+            address_connections_max: 4_096,
             keep_alive: time::Duration::from_secs(75),
             write_timeout: time::Duration::from_secs(30),
             close_grace: time::Duration::from_secs(30),
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -114,6 +114,7 @@
                 .unwrap_or(http::StatusCode::BAD_GATEWAY),
             headers: unpack_headers(answer.headers),
             body: Bytes::from(answer.body),
+            queued: time::Duration::ZERO,
         }),
         Ok(wire::Outcome::Refusal(refusal)) => Err(Refusal {
             // A kind of a newer version says nothing certain about the run.
--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -67,7 +67,8 @@
             });
         }
         for (shard, id) in gone {
-            release(&shard, id, pool::Result::Cancelled, 0);
+            // The ask may still be queued here.
+            shard.abandon(id, pool::Result::Cancelled);
         }
     }
 
@@ -184,7 +185,7 @@
 
     fn cancel(&self, from: &peer::Origin, id: u64) {
         if let Some(held) = self.held.take(from, id) {
-            held.shard.abandon(held.id);
+            held.shard.abandon(held.id, pool::Result::Unused);
         }
     }
 
--- a/crates/host/src/kept.rs
+++ b/crates/host/src/kept.rs
@@ -1,3 +1,5 @@
+use core::time;
+
 use answer::{Kind, Refusal};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -11,6 +13,8 @@
     pub(crate) status: http::StatusCode,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: Bytes,
+    /// Time that the run spent queued, where this host knows it.
+    pub(crate) queued: time::Duration,
 }
 
 /// What a run and its repeats are answered.
@@ -27,6 +31,7 @@
             status: answer.status,
             headers: answer.headers,
             body: body.to_bytes(),
+            queued: answer.queued,
         }),
         Err(cause) => Err(Refusal::new(Kind::EndpointFailed, cause.to_string())),
     }
--- a/crates/host/src/keyed.rs
+++ b/crates/host/src/keyed.rs
@@ -180,7 +180,7 @@
             headers: kept.headers,
             body: front::Body::from(kept.body),
             class,
-            queued: time::Duration::ZERO,
+            queued: kept.queued,
         })
     }
 
--- a/crates/host/src/shard.rs
+++ b/crates/host/src/shard.rs
@@ -149,7 +149,9 @@
     }
 
     /// Gives up an ask, queued or granted.
-    pub(crate) fn abandon(&self, id: pool::AskId) {
+    ///
+    /// `result` is the end of an ask that was granted.
+    pub(crate) fn abandon(&self, id: pool::AskId, result: pool::Result) {
         let now = self.clock.now();
         let mut inner = self.lock();
         if inner.waiting.remove(&id).is_some() {
@@ -157,10 +159,7 @@
             return;
         }
         // The grant may have been on its way when its asker left.
-        let finish = pool::Finish {
-            result: pool::Result::Unused,
-            tokens: 0,
-        };
+        let finish = pool::Finish { result, tokens: 0 };
         self.apply(&mut inner, |policy, out| policy.done(now, id, finish, out));
     }
 
@@ -357,7 +356,7 @@
 impl Drop for Withdraw {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
-            self.shard.abandon(id);
+            self.shard.abandon(id, pool::Result::Unused);
         }
     }
 }
--- a/crates/pool/tests/contract.rs
+++ b/crates/pool/tests/contract.rs
@@ -251,3 +251,27 @@
     shard.tick(60 * SECOND, &mut out);
     assert_eq!(refused(&mut out), [(2, answer::Kind::Expired)]);
 }
+
+/// Guards against calls of a plain service, which have no tokens, that are
+/// refused for a guessed length right after the start.
+#[test]
+fn a_service_without_tokens_is_not_overloaded_by_a_guess() {
+    let mut shard = shard();
+    let mut out = Vec::new();
+    shard.ask(SECOND, ask(1), &mut out);
+    assert_eq!(granted(&mut out), [1]);
+    let at = SECOND + Duration::from_millis(70);
+    let finish = pool::Finish {
+        result: pool::Result::Complete,
+        tokens: 0,
+    };
+    shard.done(at, AskId(1), finish, &mut out);
+    for id in 2..6 {
+        let ask = Ask {
+            deadline: at + 3 * SECOND,
+            ..ask(id)
+        };
+        shard.ask(at, ask, &mut out);
+    }
+    assert_eq!(refused(&mut out), []);
+}
--- a/crates/route/src/length.rs
+++ b/crates/route/src/length.rs
@@ -42,7 +42,9 @@
 
     /// Returns the expected output length in tokens.
     pub fn mean(&self, max_tokens: Option<u32>) -> f64 {
-        let known = if self.seen < SEEN_MIN {
+        // One observation is a better guess than the default, which refused
+        // calls of plain services that have no tokens at all.
+        let known = if self.seen == 0 {
             MEAN_DEFAULT
         } else {
             self.mean
@@ -101,7 +103,7 @@
 /// Completions before the distribution is trusted.
 const SEEN_MIN: u32 = 8;
 
-/// Expected length in tokens before that.
+/// Expected length in tokens before the first completion.
 const MEAN_DEFAULT: f64 = 256.0;
 
 /// Quantile that decides whether a class is long.
