--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -10,6 +10,10 @@
 /// of this process has expired before the first suspicion.
 const VOTE_AGE: time::Duration = time::Duration::from_secs(3);
 
+/// Periods before a suspicion at which a host is asked for a heartbeat: late
+/// enough that one heartbeat is missing, early enough for an answer.
+const PROBE_PERIODS: f64 = 1.5;
+
 /// Heartbeats in a row after which a host counts as sending them here.
 const STREAK: u32 = 3;
 
@@ -87,10 +91,7 @@
     /// first; once two of them agree, the others follow. Where the monitors
     /// are lost as well, any two hosts judge after a longer silence.
     fn verdict(&self, now: time::Duration, member: &member::Member, fresh: usize) -> Verdict {
-        if self.is_confirmed(now, member) {
-            return Verdict::Bury;
-        }
-        if fresh == 0 && member.silence(now) >= self.alone_limit() {
+        if self.is_confirmed(now, member) || member.silence(now) >= self.alone_limit(fresh) {
             return Verdict::Bury;
         }
         if member.silence(now) >= self.gossip_limit() {
@@ -104,20 +105,24 @@
 
     /// Returns whether the host is or will soon be suspected here.
     pub(crate) fn is_doubtful(&self, now: time::Duration, member: &member::Member) -> bool {
-        let silence = member.silence(now).saturating_add(self.options.period);
+        let margin = self.options.period.mul_f64(PROBE_PERIODS);
+        let silence = member.silence(now).saturating_add(margin);
         silence >= self.options.suspect_after
             && (silence >= self.gossip_limit() || self.is_monitor(member))
     }
 
-    /// Returns the silence after which this host needs no second observer,
-    /// because it hears of no host that could be one.
+    /// Returns the silence after which this host needs no second observer.
     ///
-    /// With one other host there is no second observer to wait for. With
-    /// several, a host that happened to receive nothing for a while must not
-    /// take all of them for dead.
-    fn alone_limit(&self) -> time::Duration {
-        let others = self.present().count() - 1;
-        if others <= 1 {
+    /// A host that hears of no other has nobody to wait for; but where several
+    /// are silent at once, it may only have received nothing for a while. A
+    /// host that hears of others would have received a newer counter from
+    /// them, so a silence far beyond that of gossip is enough: the others may
+    /// have seen the death too long ago to pass it on.
+    fn alone_limit(&self, fresh: usize) -> time::Duration {
+        if fresh > 0 {
+            return self.gossip_limit().saturating_mul(2);
+        }
+        if self.present().count() <= 2 {
             return self.options.suspect_after;
         }
         self.options.suspect_after.saturating_mul(2)
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -38,6 +38,7 @@
     address: net::SocketAddr,
     admin: Option<net::SocketAddr>,
     parts: Parts,
+    socket: peer::Socket,
     tasks: tokio::task::JoinSet<()>,
     shutdown_max: time::Duration,
 }
@@ -91,7 +92,7 @@
             .with(|membership| membership.set_caller(front.address()));
         let listener = bind_admin(&options).await?;
         let admin = listener.as_ref().map(console::Listener::address);
-        let mut tasks = start_tasks(&parts, inbound, socket, &settings.fleet);
+        let mut tasks = start_tasks(&parts, inbound, socket.clone(), &settings.fleet);
         if let Some(listener) = listener {
             tasks.spawn(listener.serve(sync::Arc::new(parts.console())));
         }
@@ -107,6 +108,7 @@
             address,
             admin,
             parts,
+            socket,
             tasks,
             shutdown_max: settings.limits.shutdown_max,
         })
@@ -159,6 +161,14 @@
         self.parts.keyed.holds_lease()
     }
 
+    /// Returns a counter of the transport, summed over datagrams and links of
+    /// both directions.
+    pub fn transport(&self, count: peer::Count) -> u64 {
+        let datagrams = self.socket.counters().get(count);
+        let out = self.parts.peers.counters().get(count);
+        datagrams + out + self.server.counters().get(count)
+    }
+
     /// Puts local settings in force.
     pub fn replace(&self, settings: sync::Arc<conf::Settings>) {
         self.parts.state.replace(settings.clone());
@@ -242,7 +252,7 @@
     let view = sync::Arc::new(view::View::new(clock, membership));
     let state = state::State::new(settings.clone(), options.policy, clock);
     let state = sync::Arc::new(state);
-    let peers = peer::Client::start(peer::client::Options::new(identity.clone(), keys))?;
+    let peers = peer::Client::start(peer::client::Options::new(identity.clone(), keys.clone()))?;
     let flow = flow::Flow {
         broker: broker::Broker {
             state: state.clone(),
@@ -258,6 +268,7 @@
         flow.clone(),
         view.clone(),
         peers.clone(),
+        keys,
         identity,
         settings.clone(),
     );
