--- a/crates/carobbay/tests/faults/fleet.rs
+++ b/crates/carobbay/tests/faults/fleet.rs
@@ -184,6 +184,11 @@
         self.folder.join(format!("host-{host}"))
     }
 
+    /// Returns what a host has logged in all its lifetimes.
+    pub fn log(&self, host: usize) -> String {
+        fs::read_to_string(self.log_path(host)).unwrap_or_default()
+    }
+
     fn log_path(&self, host: usize) -> path::PathBuf {
         self.folder.join(format!("host-{host}.log"))
     }
