--- a/crates/carobbay/tests/commands.rs
+++ b/crates/carobbay/tests/commands.rs
@@ -7,6 +7,7 @@
 use std::process;
 
 use rstest::rstest;
+use testkit::platform;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_carobbay");
 
@@ -119,10 +120,14 @@
 
 impl Served {
     fn start(folder: &path::Path) -> Self {
+        Self::with(&["--settings", &folder.display().to_string()])
+    }
+
+    fn with(arguments: &[&str]) -> Self {
         let local = "127.0.0.1:0";
         let mut child = process::Command::new(BINARY)
-            .args(["serve", "--settings"])
-            .arg(folder)
+            .arg("serve")
+            .args(arguments)
             .args(["--name", "h", "--data-centre", "d", "--region", "r"])
             .args(["--listen", local, "--admin-listen", local])
             .stdout(process::Stdio::piped())
@@ -209,6 +214,38 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// Guards against a host without a folder that gets no configuration, hides
+/// why it refuses one, or takes a refused one over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_takes_its_configuration_from_the_platform() {
+    let platform = platform::Platform::start(platform::Options::default());
+    let publish = |revision, text: String| {
+        platform.set_config(revision, [("10.ini".to_owned(), text)].into());
+    };
+    publish(4, settings("1"));
+    let address = platform.address("host").expect("a port").to_string();
+    let mut served = Served::with(&["--platform", &address]);
+    served.logged("revision 4 is in force");
+    publish(5, settings("9999"));
+    served.logged("revision 5 is not taken over");
+    let (code, out, error) = run(&["status", "--admin", &served.admin, "--key", "operate"]);
+    assert_eq!(code, Some(0), "{error}");
+    for part in ["revision 4 in force", "revision 5 was refused: 10.ini:2"] {
+        assert!(out.contains(part), "{part}: {out}");
+    }
+    let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("burn.svg");
+    let file = file.display().to_string();
+    let admin = ["--admin", &served.admin, "--key", "operate"];
+    let picture = ["--format", "svg", "--output", &file];
+    let (code, _, error) = run(&[&["report"], &admin[..], &picture[..]].concat());
+    assert_eq!(code, Some(0), "{error}");
+    let text = fs::read_to_string(&file).expect("the picture can be read");
+    assert!(text.starts_with("<svg"), "{text}");
+    let (code, _, error) = run(&[&["explain", "--request", "none"], &admin[..]].concat());
+    assert_eq!(code, Some(1), "{error}");
+    assert!(error.contains("no decisions"), "{error}");
+}
+
 /// Guards against a page that lacks a kind of refusal, or states another status
 /// or run state than the program.
 #[test]
--- a/crates/host/src/record/trace.rs
+++ b/crates/host/src/record/trace.rs
@@ -89,9 +89,11 @@
 
     /// Notes that an attempt failed and another one follows.
     pub(crate) fn retried(&self, request: &str, endpoint: &str, refusal: &answer::Refusal) {
+        let class = self.class();
         log::info!(
             target: "host",
             request,
+            class = class.as_deref().unwrap_or(""),
             endpoint;
             "request {request} failed at {endpoint}: {}",
             refusal.message
@@ -130,6 +132,12 @@
         });
     }
 
+    /// Returns the class of the request, unless nothing is noted.
+    fn class(&self) -> Option<sync::Arc<str>> {
+        let open = self.0.as_ref()?;
+        Some(records::lock(&open.entry).class.clone())
+    }
+
     fn with(&self, change: impl FnOnce(&mut entry::Entry, time::Duration)) {
         let Some(open) = &self.0 else {
             return;
