--- a/crates/carobbay/src/api.rs
+++ b/crates/carobbay/src/api.rs
@@ -5,29 +5,32 @@
 use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper_util::client::legacy;
+use hyper::client::conn::http1;
 use hyper_util::rt;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_rustls::rustls::pki_types;
 
 use crate::cli;
 use crate::progress;
+use crate::tls;
 
 /// Longest wait for one answer of a host.
 const TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Upper bound of an answer in bytes.
 const ANSWER_MAX: usize = 64 * 1024 * 1024;
 
-type Client = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>;
-
 /// Reads the administration APIs of hosts.
 pub(crate) struct Api {
-    client: Client,
+    tls: Option<tokio_rustls::TlsConnector>,
+    server_name: Option<String>,
     key: String,
 }
 
 impl Api {
     fn new(hosts: &cli::Hosts) -> anyhow::Result<Self> {
         Ok(Self {
-            client: legacy::Client::builder(rt::TokioExecutor::new()).build_http(),
+            tls: hosts.ca_file.as_deref().map(tls::connector).transpose()?,
+            server_name: hosts.server_name.clone(),
             key: key(hosts)?.unwrap_or_default(),
         })
     }
@@ -42,15 +45,19 @@
         address: net::SocketAddr,
         path: &str,
     ) -> anyhow::Result<T> {
-        let request = http::Request::get(format!("http://{address}/admin/v1/{path}"))
+        let request = http::Request::get(format!("/admin/v1/{path}"))
+            .header("host", address.to_string())
             .header("authorization", format!("Bearer {}", self.key))
             .body(http_body_util::Full::default())?;
         let exchange = async {
-            let response = self.client.request(request).await?;
-            let status = response.status();
-            let body = http_body_util::Limited::new(response.into_body(), ANSWER_MAX);
-            let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
-            Ok::<_, anyhow::Error>((status, body.to_bytes()))
+            let stream = tokio::net::TcpStream::connect(address).await?;
+            let Some(tls) = &self.tls else {
+                return send(stream, request).await;
+            };
+            let name = self.server_name.clone();
+            let name = name.unwrap_or_else(|| address.ip().to_string());
+            let name = pki_types::ServerName::try_from(name)?;
+            send(tls.connect(name, stream).await?, request).await
         };
         let (status, body) = tokio::time::timeout(TIMEOUT, exchange)
             .await
@@ -64,6 +71,24 @@
     }
 }
 
+/// Sends a request on a new connection and returns the whole answer.
+async fn send<I>(
+    stream: I,
+    request: http::Request<http_body_util::Full<Bytes>>,
+) -> anyhow::Result<(http::StatusCode, Bytes)>
+where
+    I: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
+    // A failure of the connection shows in the answer, too.
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await?;
+    let status = response.status();
+    let body = http_body_util::Limited::new(response.into_body(), ANSWER_MAX);
+    let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
+    Ok((status, body.to_bytes()))
+}
+
 /// Returns the bearer key that the arguments give.
 ///
 /// # Errors
--- a/crates/carobbay/src/cli.rs
+++ b/crates/carobbay/src/cli.rs
@@ -146,6 +146,12 @@
     /// File with the bearer key.
     #[arg(long, value_name = "FILE")]
     pub(crate) key_file: Option<path::PathBuf>,
+    /// PEM file with the certificates to trust; the hosts are asked over TLS.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) ca_file: Option<path::PathBuf>,
+    /// Name in the hosts' certificates, if it is not their address.
+    #[arg(long, value_name = "NAME", requires = "ca_file")]
+    pub(crate) server_name: Option<String>,
 }
 
 /// Arguments of `status`.
--- a/crates/carobbay/src/main.rs
+++ b/crates/carobbay/src/main.rs
@@ -24,6 +24,7 @@
 mod report;
 mod serve;
 mod status;
+mod tls;
 
 fn main() -> process::ExitCode {
     let arguments = cli::Arguments::parse();
--- a/crates/carobbay/tests/commands.rs
+++ b/crates/carobbay/tests/commands.rs
@@ -246,6 +246,34 @@
     assert!(error.contains("no decisions"), "{error}");
 }
 
+/// Guards against commands that cannot read an API behind TLS, or that trust
+/// any certificate.
+#[test]
+fn status_is_read_over_tls() {
+    let issued = rcgen::generate_simple_self_signed(["router.test".to_owned()]).expect("issues");
+    let folder = folder("tls", &settings("1"));
+    let (certificate, key) = (folder.join("cert.pem"), folder.join("key.pem"));
+    fs::write(&certificate, issued.cert.pem()).expect("the file can be written");
+    fs::write(&key, issued.signing_key.serialize_pem()).expect("the file can be written");
+    let text = format!(
+        "[tls]\ncertificate = {}\nkey = {}\n",
+        certificate.display(),
+        key.display()
+    );
+    fs::write(folder.join("20.ini"), text).expect("the file can be written");
+    let served = Served::start(&folder);
+    let certificate = certificate.display().to_string();
+    let admin = ["--admin", &served.admin, "--key", "operate"];
+    let trusted = ["--ca-file", &certificate, "--server-name", "router.test"];
+    let (code, out, error) = run(&[&["status"], &admin[..], &trusted[..]].concat());
+    assert_eq!(code, Some(0), "{out}{error}");
+    // The certificate has another name than the address.
+    let (code, ..) = run(&[&["status"], &admin[..], &trusted[..2]].concat());
+    assert_eq!(code, Some(1));
+    let (code, ..) = run(&[&["status"], &admin[..]].concat());
+    assert_eq!(code, Some(1));
+}
+
 /// Guards against a page that lacks a kind of refusal, or states another status
 /// or run state than the program.
 #[test]
