--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -5,7 +5,7 @@
     pub section: String,
     /// Key.
     pub key: String,
-    /// Value. The source gives secrets as `(hidden)`.
+    /// Value. The source gives secrets as `(masked)`.
     pub value: String,
     /// File that set it; `None` for a default.
     pub file: Option<String>,
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -106,7 +106,7 @@
             entries: vec![admin::Entry {
                 section: "fleet".into(),
                 key: "peer_keys".into(),
-                value: "(hidden)".into(),
+                value: "(masked)".into(),
                 file: Some("10.ini".into()),
                 line: Some(4),
             }],
