--- a/crates/carobbay/tests/commands.rs
+++ b/crates/carobbay/tests/commands.rs
@@ -7,6 +7,7 @@
 use std::process;
 
 use rstest::rstest;
+use testkit::platform;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_carobbay");
 
@@ -119,10 +120,14 @@
 
 impl Served {
     fn start(folder: &path::Path) -> Self {
+        Self::with(&["--settings", &folder.display().to_string()])
+    }
+
+    fn with(arguments: &[&str]) -> Self {
         let local = "127.0.0.1:0";
         let mut child = process::Command::new(BINARY)
-            .args(["serve", "--settings"])
-            .arg(folder)
+            .arg("serve")
+            .args(arguments)
             .args(["--name", "h", "--data-centre", "d", "--region", "r"])
             .args(["--listen", local, "--admin-listen", local])
             .stdout(process::Stdio::piped())
@@ -209,6 +214,66 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// Guards against a host without a folder that gets no configuration, hides
+/// why it refuses one, or takes a refused one over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_takes_its_configuration_from_the_platform() {
+    let platform = platform::Platform::start(platform::Options::default());
+    let publish = |revision, text: String| {
+        platform.set_config(revision, [("10.ini".to_owned(), text)].into());
+    };
+    publish(4, settings("1"));
+    let address = platform.address("host").expect("a port").to_string();
+    let mut served = Served::with(&["--platform", &address]);
+    served.logged("revision 4 is in force");
+    publish(5, settings("9999"));
+    served.logged("revision 5 is not taken over");
+    let (code, out, error) = run(&["status", "--admin", &served.admin, "--key", "operate"]);
+    assert_eq!(code, Some(0), "{error}");
+    for part in ["revision 4 in force", "revision 5 was refused: 10.ini:2"] {
+        assert!(out.contains(part), "{part}: {out}");
+    }
+    let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("burn.svg");
+    let file = file.display().to_string();
+    let admin = ["--admin", &served.admin, "--key", "operate"];
+    let picture = ["--format", "svg", "--output", &file];
+    let (code, _, error) = run(&[&["report"], &admin[..], &picture[..]].concat());
+    assert_eq!(code, Some(0), "{error}");
+    let text = fs::read_to_string(&file).expect("the picture can be read");
+    assert!(text.starts_with("<svg"), "{text}");
+    let (code, _, error) = run(&[&["explain", "--request", "none"], &admin[..]].concat());
+    assert_eq!(code, Some(1), "{error}");
+    assert!(error.contains("no decisions"), "{error}");
+}
+
+/// Guards against commands that cannot read an API behind TLS, or that trust
+/// any certificate.
+#[test]
+fn status_is_read_over_tls() {
+    let issued = rcgen::generate_simple_self_signed(["router.test".to_owned()]).expect("issues");
+    let folder = folder("tls", &settings("1"));
+    let (certificate, key) = (folder.join("cert.pem"), folder.join("key.pem"));
+    fs::write(&certificate, issued.cert.pem()).expect("the file can be written");
+    fs::write(&key, issued.signing_key.serialize_pem()).expect("the file can be written");
+    let text = format!(
+        "[tls]\ncertificate = {}\nkey = {}\n",
+        certificate.display(),
+        key.display()
+    );
+    fs::write(folder.join("20.ini"), text).expect("the file can be written");
+    let served = Served::start(&folder);
+    let certificate = certificate.display().to_string();
+    let admin = ["--admin", &served.admin, "--key", "operate"];
+    let trusted = ["--ca-file", &certificate, "--server-name", "router.test"];
+    let (code, out, error) = run(&[&["status"], &admin[..], &trusted[..]].concat());
+    assert_eq!(code, Some(0), "{out}{error}");
+    // The certificate has another name than the address.
+    let (code, ..) = run(&[&["status"], &admin[..], &trusted[..2]].concat());
+    assert_eq!(code, Some(1));
+    let (code, ..) = run(&[&["status"], &admin[..]].concat());
+    assert_eq!(code, Some(1));
+}
+
 /// Guards against a page that lacks a kind of refusal, or states another status
 /// or run state than the program.
 #[test]
