fix(host): say that a host without configuration cannot serve yet

Cause: a host that waits for its first revision answered unknown_model, which advises never to try again; a leaving host still handed out keys that it would soon answer unknown. Change: no_endpoint with Retry-After until a configuration is in force; no keys while leaving.

--- a/crates/host/src/service.rs
+++ b/crates/host/src/service.rs
@@ -1,6 +1,9 @@
+use core::time;
 use std::net;
 use std::sync;
 
+use answer::{Kind, Refusal};
+
 use crate::flow;
 use crate::keyed;
 use crate::state;
@@ -10,6 +13,9 @@
 /// Keys that one answer of `GET /v1/hosts` hands out.
 const KEYS_PER_ANSWER: usize = 4;
 
+/// Delay that a host without a configuration advises.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
 /// What callers are served.
 pub(crate) struct Service {
     pub(crate) state: sync::Arc<state::State>,
@@ -22,6 +28,10 @@
     fn serve(&self, request: front::Request) -> front::Serving<'_> {
         Box::pin(async move {
             let force = self.state.force();
+            if force.settings.pools.is_empty() {
+                let text = "no configuration is in force yet";
+                return Err(Refusal::new(Kind::NoEndpoint, text).after(RETRY_AFTER));
+            }
             let query = class::Query {
                 bearer: request.bearer.as_deref(),
                 address: request.address,
@@ -50,7 +60,13 @@
     }
 
     fn hosts(&self, address: net::IpAddr) -> serde_json::Value {
-        let keys = self.keyed.mint(KEYS_PER_ANSWER);
+        // A key of a leaving host would be answered `unknown` soon.
+        let count = if self.view.is_leaving() {
+            0
+        } else {
+            KEYS_PER_ANSWER
+        };
+        let keys = self.keyed.mint(count);
         let answer = self.view.discover(address, keys);
         serde_json::to_value(answer).unwrap_or_default()
     }
