--- a/crates/host/src/broker.rs
+++ b/crates/host/src/broker.rs
@@ -6,6 +6,7 @@
 use answer::{Kind, Refusal};
 
 use crate::clock;
+use crate::mutex;
 use crate::permit;
 use crate::shard;
 use crate::state;
@@ -253,8 +254,6 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<(String, u32), time::Duration>> {
-        self.last
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.last)
     }
 }
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -6,26 +6,15 @@
 use crate::clock;
 use crate::outbound;
 use crate::permit;
+use crate::reading;
 use crate::relay;
 use crate::terms;
 
-/// Upper bound of an answer that is not streamed, in bytes.
-const WHOLE_MAX: usize = 16 * 1024 * 1024;
-
 /// Upper bound of attempts per request. The retry budget bounds repeats of a
 /// class; this bounds those of one request, such as against endpoints that
 /// answer every request with garbage at once.
 const ATTEMPTS_MAX: u16 = 4;
 
-/// Headers of an endpoint's answer that concern one connection only.
-const NOT_PASSED: [&str; 5] = [
-    "connection",
-    "keep-alive",
-    "transfer-encoding",
-    "content-length",
-    "upgrade",
-];
-
 /// How the answer is delivered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Delivery {
@@ -46,12 +35,6 @@
     pub(crate) clock: clock::Clock,
 }
 
-/// How one attempt ended without an answer.
-struct Failure {
-    refusal: Refusal,
-    retry: bool,
-}
-
 /// What is known about a request across its attempts.
 struct Progress {
     attempt: u16,
@@ -179,7 +162,9 @@
             let text = format!("the endpoint did not go on: {}", head.status);
             return Err(Refusal::new(Kind::EndpointFailed, text));
         }
-        begin(permit, body).await.map_err(|failure| failure.refusal)
+        reading::begin(permit, body)
+            .await
+            .map_err(|failure| failure.refusal)
     }
 
     fn resumption(&self, attempt: &Attempt<'_>) -> relay::Resume {
@@ -199,14 +184,14 @@
         attempt: Attempt<'_>,
         permit: permit::Permit,
         deadline: time::Duration,
-    ) -> Result<front::Answer, Failure> {
+    ) -> Result<front::Answer, reading::Failure> {
         let left = deadline.saturating_sub(self.clock.now());
         match tokio::time::timeout(left, self.exchange(attempt, permit)).await {
             Ok(outcome) => outcome,
             Err(_) => {
                 let text = "the deadline passed while the request ran";
                 let refusal = Refusal::new(Kind::EndpointTimeout, text);
-                Err(failure(refusal, false))
+                Err(reading::Failure::new(refusal, false))
             }
         }
     }
@@ -215,14 +200,14 @@
         &self,
         attempt: Attempt<'_>,
         permit: permit::Permit,
-    ) -> Result<front::Answer, Failure> {
+    ) -> Result<front::Answer, reading::Failure> {
         let request = attempt.request;
         let built = match outbound::build(request, permit.grant(), attempt.terms.tier) {
             Ok(built) => built,
             Err(cause) => {
                 permit.finish(pool::Result::Unused);
                 let refusal = Refusal::new(Kind::BadRequest, cause.to_string());
-                return Err(failure(refusal, false));
+                return Err(reading::Failure::new(refusal, false));
             }
         };
         let reuse = if attempt.terms.idempotent {
@@ -234,14 +219,14 @@
         let stream = request.stream && head.status.is_success();
         let body = match attempt.delivery {
             Delivery::Streamed if stream => {
-                let source = begin(permit, body).await?;
+                let source = reading::begin(permit, body).await?;
                 relay::events(source, self.resumption(&attempt))
             }
-            _ => whole(permit, body, stream).await?,
+            _ => reading::whole(permit, body, stream).await?,
         };
         Ok(front::Answer {
             status: head.status,
-            headers: passed(&head.headers),
+            headers: reading::passed(&head.headers),
             body,
             class: attempt.terms.class.to_string(),
             queued: attempt.queued,
@@ -273,107 +258,29 @@
         permit: permit::Permit,
         built: http::Request<http_body_util::Full<bytes::Bytes>>,
         reuse: back::Reuse,
-    ) -> Result<(permit::Permit, http::response::Parts, back::Body), Failure> {
+    ) -> Result<(permit::Permit, http::response::Parts, back::Body), reading::Failure> {
         let response = match self.client.send(built, reuse).await {
             Ok(response) => response,
             Err(back::Error::NotSent(cause)) => {
                 permit.finish(pool::Result::Unreachable);
-                return Err(failure(Refusal::new(Kind::EndpointConnect, cause), true));
+                return Err(reading::Failure::new(
+                    Refusal::new(Kind::EndpointConnect, cause),
+                    true,
+                ));
             }
             Err(cause) => {
                 permit.finish(pool::Result::Failed);
                 let refusal = Refusal::new(Kind::EndpointFailed, cause.to_string());
-                return Err(failure(refusal, true));
+                return Err(reading::Failure::new(refusal, true));
             }
         };
         let (head, body) = response.into_parts();
         let fenced = self.is_fenced(&head, &permit);
-        let permit = check_status(head.status, fenced, permit)?;
+        let permit = reading::check_status(head.status, fenced, permit)?;
         Ok((permit, head, body))
     }
 }
 
-/// Reads the first data of a stream.
-async fn begin(permit: permit::Permit, mut body: back::Body) -> Result<relay::Source, Failure> {
-    // The first data is read before the caller gets an answer, so that an
-    // endpoint that fails before any output costs the caller nothing.
-    match relay::next(&mut body).await {
-        Ok(Some(first)) => {
-            permit.first();
-            Ok(relay::Source {
-                permit,
-                body,
-                first: Some(first),
-            })
-        }
-        Ok(None) => {
-            permit.finish(pool::Result::Failed);
-            let refusal = Refusal::new(Kind::EndpointInvalid, "the answer is empty");
-            Err(failure(refusal, true))
-        }
-        Err(relay::Cut(cause)) => {
-            permit.finish(pool::Result::Failed);
-            Err(failure(Refusal::new(Kind::EndpointFailed, cause), true))
-        }
-    }
-}
-
-async fn whole(
-    mut permit: permit::Permit,
-    body: back::Body,
-    stream: bool,
-) -> Result<front::Body, Failure> {
-    let data = match relay::whole(body, WHOLE_MAX).await {
-        Ok(data) => data,
-        Err(relay::Cut(cause)) => {
-            permit.finish(pool::Result::Failed);
-            return Err(failure(Refusal::new(Kind::EndpointFailed, cause), true));
-        }
-    };
-    permit.first();
-    if !stream {
-        permit.set_tokens(usage(&data));
-        permit.finish(pool::Result::Complete);
-        return Ok(front::Body::from(data));
-    }
-    let mut tally = back::Tally::default();
-    tally.push(&data);
-    permit.set_tokens(tally.tokens());
-    if tally.is_done() {
-        permit.finish(pool::Result::Complete);
-        return Ok(front::Body::from(data));
-    }
-    permit.finish(pool::Result::Failed);
-    let refusal = Refusal::new(Kind::EndpointFailed, "the endpoint closed the stream early");
-    Err(failure(refusal, true))
-}
-
-/// Returns the permit if the status is one that the caller gets.
-fn check_status(
-    status: http::StatusCode,
-    fenced: bool,
-    permit: permit::Permit,
-) -> Result<permit::Permit, Failure> {
-    match status {
-        _ if fenced => {
-            permit.finish(pool::Result::Refused);
-            let text = "the endpoint takes orders of a later home";
-            Err(failure(Refusal::new(Kind::EndpointConnect, text), true))
-        }
-        http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE => {
-            permit.finish(pool::Result::Refused);
-            let text = format!("the endpoint refused with {status}");
-            Err(failure(Refusal::new(Kind::EndpointConnect, text), true))
-        }
-        status if status.is_server_error() => {
-            permit.finish(pool::Result::Failed);
-            let text = format!("the endpoint failed with {status}");
-            Err(failure(Refusal::new(Kind::EndpointFailed, text), true))
-        }
-        _ => Ok(permit),
-    }
-}
-
 /// Keeps a refusal's run state true when an earlier attempt may have run.
 ///
 /// A repeat that the retry budget does not allow ends with the failure of the
@@ -397,28 +304,3 @@
     }
     refusal
 }
-
-fn failure(refusal: Refusal, retry: bool) -> Failure {
-    Failure { refusal, retry }
-}
-
-fn passed(headers: &http::HeaderMap) -> http::HeaderMap {
-    let mut kept = headers.clone();
-    for name in NOT_PASSED {
-        kept.remove(name);
-    }
-    kept
-}
-
-/// Returns the output tokens that an answer states, or 0.
-fn usage(data: &[u8]) -> u32 {
-    #[derive(serde::Deserialize)]
-    struct Usage {
-        completion_tokens: u32,
-    }
-    #[derive(serde::Deserialize)]
-    struct Answer {
-        usage: Usage,
-    }
-    serde_json::from_slice::<Answer>(data).map_or(0, |answer| answer.usage.completion_tokens)
-}
--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -6,6 +6,7 @@
 
 use crate::clock;
 use crate::keyed;
+use crate::mutex;
 use crate::permit;
 use crate::shard;
 use crate::spread;
@@ -121,7 +122,7 @@
 
 impl Table {
     fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<Key, Held>> {
-        self.0.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.0)
     }
 
     fn take(&self, from: &peer::Origin, id: u64) -> Option<Held> {
--- a/crates/host/src/kept.rs
+++ b/crates/host/src/kept.rs
@@ -7,6 +7,9 @@
 /// Header that marks the kept answer of an earlier run.
 const REPLAYED: &str = "idempotency-replayed";
 
+/// Delay that a refusal without an estimate of its own advises.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
+
 /// The whole answer of a non-idempotent run.
 #[derive(Clone, Debug)]
 pub(crate) struct Kept {
@@ -45,3 +48,20 @@
         self
     }
 }
+
+/// Returns the refusal of a keyed request.
+pub(crate) fn refusal(kind: Kind) -> Refusal {
+    let text = match kind {
+        Kind::OutcomeUnknown => "an earlier attempt with this key may have run",
+        Kind::OwnerUnreachable => "the owner of the key holds no lease at the moment",
+        Kind::KeyReused => "the key was used with a different request",
+        Kind::BadKey => "the key is not valid",
+        Kind::KeptFull => "the memory for kept results is full",
+        _ => "the request was refused",
+    };
+    let refusal = Refusal::new(kind, text);
+    match kind.entry().advice {
+        answer::Advice::After => refusal.after(RETRY_AFTER),
+        _ => refusal,
+    }
+}
--- a/crates/host/src/keyed.rs
+++ b/crates/host/src/keyed.rs
@@ -11,6 +11,7 @@
 use crate::forward;
 use crate::job;
 use crate::kept;
+use crate::mutex;
 use crate::terms;
 use crate::view;
 
@@ -72,11 +73,11 @@
 
     /// Takes over settings.
     pub(crate) fn replace(&self, settings: sync::Arc<conf::Settings>) {
-        if !lock(&self.owner).reconfigure(options(&settings.once)) {
+        if !mutex::lock(&self.owner).reconfigure(options(&settings.once)) {
             log::error!(target: "host", "owners changed without a higher epoch; the change is ignored");
         }
         self.rotate(&settings.fleet.peer_keys);
-        *lock(&self.settings) = settings;
+        *mutex::lock(&self.settings) = settings;
     }
 
     /// Takes over the shared keys, which sign minted keys, links and datagrams.
@@ -92,37 +93,37 @@
 
     /// Returns the datagrams that renew this owner's lease.
     pub(crate) fn claims(&self) -> Vec<(String, once::Claim)> {
-        lock(&self.owner).claims(self.clock.now())
+        mutex::lock(&self.owner).claims(self.clock.now())
     }
 
     /// Takes a datagram from another owner.
     pub(crate) fn receive(&self, claim: &once::Claim) {
-        lock(&self.owner).receive(self.clock.now(), claim);
+        mutex::lock(&self.owner).receive(self.clock.now(), claim);
     }
 
     /// Notices pauses and forgets what is no longer kept.
     pub(crate) fn tick(&self) {
         let now = self.clock.now();
-        lock(&self.owner).tick(now);
-        lock(&self.inner).ledger.tick(now);
+        mutex::lock(&self.owner).tick(now);
+        mutex::lock(&self.inner).ledger.tick(now);
     }
 
     /// Returns whether this host holds the lease on its keys.
     pub(crate) fn holds_lease(&self) -> bool {
-        lock(&self.owner)
+        mutex::lock(&self.owner)
             .exclusive_since(self.clock.now())
             .is_some()
     }
 
     /// Returns how long an acknowledgement holds.
     pub(crate) fn lease(&self) -> time::Duration {
-        lock(&self.settings).once.lease
+        mutex::lock(&self.settings).once.lease
     }
 
     /// Waits until no run is in progress, up to `limit`.
     pub(crate) async fn drained(&self, limit: time::Duration) {
         let running: Vec<watch::Receiver<Option<kept::Ended>>> =
-            lock(&self.inner).running.values().cloned().collect();
+            mutex::lock(&self.inner).running.values().cloned().collect();
         let ended = async {
             for receiver in running {
                 // The outcome went to the callers; only the end matters here.
@@ -186,7 +187,7 @@
 
     /// Runs a request that another host passed on.
     pub(crate) async fn run_forwarded(self: &sync::Arc<Self>, run: wire::Run) -> wire::Outcome {
-        let settings = lock(&self.settings).clone();
+        let settings = mutex::lock(&self.settings).clone();
         let ended = match forward::receive(run, &settings) {
             Ok((request, terms, key)) => {
                 let scoped = job::scope(&key, &terms);
@@ -211,7 +212,7 @@
         if once::key::is_minted(key) {
             return self.place_of_minted(key);
         }
-        let settings = lock(&self.settings).clone();
+        let settings = mutex::lock(&self.settings).clone();
         let Some(owner) = once::owner_of(&settings.once.owners, scoped) else {
             let text = "the settings name no owners for callers' own keys";
             return Err(Refusal::new(Kind::OwnerUnreachable, text));
@@ -250,11 +251,11 @@
             return Err(Kind::BadKey);
         };
         if once::key::is_minted(key) {
-            let max_age = lock(&self.settings).once.resend_max_age;
+            let max_age = mutex::lock(&self.settings).once.resend_max_age;
             return once::key::verify(key, &self.shared_keys())?.may_dispatch(now, max_age);
         }
         let (first, wall) = (job.request.request_time, clock::Clock::wall_ms());
-        lock(&self.owner).may_dispatch(now, &job.key, first, wall)
+        mutex::lock(&self.owner).may_dispatch(now, &job.key, first, wall)
     }
 
     async fn run(self: &sync::Arc<Self>, job: job::Job) -> kept::Ended {
@@ -268,7 +269,7 @@
             }
             Admission::Wait(receiver) => receiver,
             Admission::Kept(kept) => return Ok(kept.replayed()),
-            Admission::Refuse(kind) => return Err(refusal(kind)),
+            Admission::Refuse(kind) => return Err(kept::refusal(kind)),
         };
         wait(receiver).await
     }
@@ -279,7 +280,7 @@
             fingerprint: job.fingerprint,
             permit,
         };
-        let mut inner = lock(&self.inner);
+        let mut inner = mutex::lock(&self.inner);
         match inner.ledger.admit(self.clock.now(), &request) {
             once::Decision::Run => {
                 let (sender, receiver) = watch::channel(None);
@@ -317,21 +318,23 @@
     /// Checks the permit again and records that a byte may be sent from now on.
     fn gate(&self, job: &job::Job, started: &atomic::AtomicBool) -> Result<(), Refusal> {
         if let Err(kind) = self.permit(job) {
-            lock(&self.inner).ledger.refused(self.clock.now(), &job.key);
+            mutex::lock(&self.inner)
+                .ledger
+                .refused(self.clock.now(), &job.key);
             log::warn!(target: "host", "request {} lost its permit before the dispatch: {kind}", job.request.id);
-            return Err(refusal(Kind::OutcomeUnknown));
+            return Err(kept::refusal(Kind::OutcomeUnknown));
         }
         // A second attempt follows only a connection that was never made.
         let first = !started.swap(true, atomic::Ordering::Relaxed);
-        if first && !lock(&self.inner).ledger.started(&job.key) {
-            return Err(refusal(Kind::OutcomeUnknown));
+        if first && !mutex::lock(&self.inner).ledger.started(&job.key) {
+            return Err(kept::refusal(Kind::OutcomeUnknown));
         }
         Ok(())
     }
 
     fn record(&self, job: &job::Job, outcome: kept::Ended) -> kept::Ended {
         let now = self.clock.now();
-        let mut inner = lock(&self.inner);
+        let mut inner = mutex::lock(&self.inner);
         // Under the lock of the ledger: a repeat that is admitted once the entry
         // is gone has an entry of its own here.
         inner.running.remove(&job.key);
@@ -349,7 +352,7 @@
     }
 
     fn shared_keys(&self) -> Vec<String> {
-        lock(&self.settings).fleet.peer_keys.clone()
+        mutex::lock(&self.settings).fleet.peer_keys.clone()
     }
 }
 
@@ -367,30 +370,11 @@
     match receiver.wait_for(Option::is_some).await {
         Ok(ended) => ended
             .clone()
-            .unwrap_or_else(|| Err(refusal(Kind::OutcomeUnknown))),
-        Err(_) => Err(refusal(Kind::OutcomeUnknown)),
+            .unwrap_or_else(|| Err(kept::refusal(Kind::OutcomeUnknown))),
+        Err(_) => Err(kept::refusal(Kind::OutcomeUnknown)),
     }
 }
 
-fn refusal(kind: Kind) -> Refusal {
-    let text = match kind {
-        Kind::OutcomeUnknown => "an earlier attempt with this key may have run",
-        Kind::OwnerUnreachable => "the owner of the key holds no lease at the moment",
-        Kind::KeyReused => "the key was used with a different request",
-        Kind::BadKey => "the key is not valid",
-        Kind::KeptFull => "the memory for kept results is full",
-        _ => "the request was refused",
-    };
-    let refusal = Refusal::new(kind, text);
-    match kind.entry().advice {
-        answer::Advice::After => refusal.after(RETRY_AFTER),
-        _ => refusal,
-    }
-}
-
-/// Delay that a refusal without an estimate of its own advises.
-const RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
-
 fn options(settings: &conf::settings::Once) -> once::Options {
     once::Options {
         owners: settings.owners.clone(),
@@ -401,7 +385,3 @@
         resend_max_age: settings.resend_max_age,
     }
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- /dev/null
+++ b/crates/host/src/reading.rs
@@ -0,0 +1,149 @@
+//! Answers of endpoints, read as far as an attempt needs them.
+
+use answer::{Kind, Refusal};
+
+use crate::permit;
+use crate::relay;
+
+/// Upper bound of an answer that is not streamed, in bytes.
+const WHOLE_MAX: usize = 16 * 1024 * 1024;
+
+/// Headers of an endpoint's answer that concern one connection only.
+const NOT_PASSED: [&str; 5] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "upgrade",
+];
+
+/// How one attempt ended without an answer.
+pub(crate) struct Failure {
+    pub(crate) refusal: Refusal,
+    pub(crate) retry: bool,
+}
+
+impl Failure {
+    pub(crate) const fn new(refusal: Refusal, retry: bool) -> Self {
+        Self { refusal, retry }
+    }
+}
+
+/// Reads the first data of a stream.
+pub(crate) async fn begin(
+    permit: permit::Permit,
+    mut body: back::Body,
+) -> Result<relay::Source, Failure> {
+    // The first data is read before the caller gets an answer, so that an
+    // endpoint that fails before any output costs the caller nothing.
+    match relay::next(&mut body).await {
+        Ok(Some(first)) => {
+            permit.first();
+            Ok(relay::Source {
+                permit,
+                body,
+                first: Some(first),
+            })
+        }
+        Ok(None) => {
+            permit.finish(pool::Result::Failed);
+            let refusal = Refusal::new(Kind::EndpointInvalid, "the answer is empty");
+            Err(Failure::new(refusal, true))
+        }
+        Err(relay::Cut(cause)) => {
+            permit.finish(pool::Result::Failed);
+            Err(Failure::new(
+                Refusal::new(Kind::EndpointFailed, cause),
+                true,
+            ))
+        }
+    }
+}
+
+/// Reads a whole answer.
+pub(crate) async fn whole(
+    mut permit: permit::Permit,
+    body: back::Body,
+    stream: bool,
+) -> Result<front::Body, Failure> {
+    let data = match relay::whole(body, WHOLE_MAX).await {
+        Ok(data) => data,
+        Err(relay::Cut(cause)) => {
+            permit.finish(pool::Result::Failed);
+            return Err(Failure::new(
+                Refusal::new(Kind::EndpointFailed, cause),
+                true,
+            ));
+        }
+    };
+    permit.first();
+    if !stream {
+        permit.set_tokens(usage(&data));
+        permit.finish(pool::Result::Complete);
+        return Ok(front::Body::from(data));
+    }
+    let mut tally = back::Tally::default();
+    tally.push(&data);
+    permit.set_tokens(tally.tokens());
+    if tally.is_done() {
+        permit.finish(pool::Result::Complete);
+        return Ok(front::Body::from(data));
+    }
+    permit.finish(pool::Result::Failed);
+    let refusal = Refusal::new(Kind::EndpointFailed, "the endpoint closed the stream early");
+    Err(Failure::new(refusal, true))
+}
+
+/// Returns the permit if the status is one that the caller gets.
+pub(crate) fn check_status(
+    status: http::StatusCode,
+    fenced: bool,
+    permit: permit::Permit,
+) -> Result<permit::Permit, Failure> {
+    match status {
+        _ if fenced => {
+            permit.finish(pool::Result::Refused);
+            let text = "the endpoint takes orders of a later home";
+            Err(Failure::new(
+                Refusal::new(Kind::EndpointConnect, text),
+                true,
+            ))
+        }
+        http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE => {
+            permit.finish(pool::Result::Refused);
+            let text = format!("the endpoint refused with {status}");
+            Err(Failure::new(
+                Refusal::new(Kind::EndpointConnect, text),
+                true,
+            ))
+        }
+        status if status.is_server_error() => {
+            permit.finish(pool::Result::Failed);
+            let text = format!("the endpoint failed with {status}");
+            Err(Failure::new(Refusal::new(Kind::EndpointFailed, text), true))
+        }
+        _ => Ok(permit),
+    }
+}
+
+/// Returns the headers that are passed on to the caller.
+pub(crate) fn passed(headers: &http::HeaderMap) -> http::HeaderMap {
+    let mut kept = headers.clone();
+    for name in NOT_PASSED {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// Returns the output tokens that an answer states, or 0.
+fn usage(data: &[u8]) -> u32 {
+    #[derive(serde::Deserialize)]
+    struct Usage {
+        completion_tokens: u32,
+    }
+    #[derive(serde::Deserialize)]
+    struct Answer {
+        usage: Usage,
+    }
+    serde_json::from_slice::<Answer>(data).map_or(0, |answer| answer.usage.completion_tokens)
+}
--- a/crates/host/src/record/records.rs
+++ b/crates/host/src/record/records.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use crate::clock;
+use crate::mutex;
 use crate::record::count;
 use crate::record::end;
 use crate::record::entry;
@@ -41,7 +42,7 @@
     pub(crate) fn replace(&self, settings: &conf::Settings) {
         let now = self.clock.now();
         for count in &self.counts {
-            lock(count).replace(settings, now);
+            mutex::lock(count).replace(settings, now);
         }
         if self.metrics.load().statsd() != settings.metrics.statsd {
             self.metrics.store(sync::Arc::new(open_metrics(settings)));
@@ -58,7 +59,7 @@
         let entry = entry::Entry::new(request.id.clone(), pool, resolved, self.clock.now());
         let cell = sync::Arc::new(sync::Mutex::new(entry));
         let shard = self.shard(&request.id);
-        lock(shard).open(request.id.clone(), cell.clone());
+        mutex::lock(shard).open(request.id.clone(), cell.clone());
         trace::Trace::new(self.clone(), cell)
     }
 
@@ -71,7 +72,7 @@
     pub(crate) fn list(&self, limit: usize) -> Vec<entry::Entry> {
         let mut all = Vec::new();
         for shard in &self.shards {
-            lock(shard).list(&mut all);
+            mutex::lock(shard).list(&mut all);
         }
         all.sort_by_key(|entry| (entry.end.is_some(), core::cmp::Reverse(entry.start)));
         all.truncate(limit);
@@ -81,12 +82,12 @@
     /// Returns the number of open requests.
     pub(crate) fn count_open(&self) -> usize {
         let shards = self.shards.iter();
-        shards.map(|shard| lock(shard).count_open()).sum()
+        shards.map(|shard| mutex::lock(shard).count_open()).sum()
     }
 
     /// Returns a request that is kept.
     pub(crate) fn find(&self, id: &str) -> Option<entry::Entry> {
-        lock(self.shard(id)).find(id)
+        mutex::lock(self.shard(id)).find(id)
     }
 
     /// Returns what this host counted against the service levels.
@@ -94,7 +95,7 @@
         let now = self.clock.now();
         let mut all = burn::Snapshot::default();
         for count in &self.counts {
-            all.merge(&lock(count).snapshot(now));
+            all.merge(&mutex::lock(count).snapshot(now));
         }
         all.hosts = 1;
         all
@@ -104,14 +105,14 @@
     pub(crate) fn class(&self, name: &str) -> tally::Tally {
         let mut sum = tally::Tally::default();
         for count in &self.counts {
-            sum.add(&lock(count).class(name));
+            sum.add(&mutex::lock(count).class(name));
         }
         sum
     }
 
     /// Returns the requests of a team since the start.
     pub(crate) fn team(&self, key: u32) -> tally::Tally {
-        lock(self.count(key)).team(key)
+        mutex::lock(self.count(key)).team(key)
     }
 
     /// Sends what is true of the host now to the metrics.
@@ -126,7 +127,7 @@
 
     pub(super) fn close(&self, cell: &sync::Mutex<entry::Entry>) {
         let now = self.clock.now();
-        let mut entry = lock(cell).clone();
+        let mut entry = mutex::lock(cell).clone();
         entry.running = false;
         // A request without an end was dropped while it waited for a grant.
         let dropped = match entry.first {
@@ -142,9 +143,9 @@
             "request ended: {}",
             end.name()
         );
-        lock(self.count(entry.team_key)).add(&entry, now);
+        mutex::lock(self.count(entry.team_key)).add(&entry, now);
         self.metrics.load().ended(&entry);
-        lock(self.shard(&entry.id)).close(entry);
+        mutex::lock(self.shard(&entry.id)).close(entry);
     }
 
     fn shard(&self, id: &str) -> &sync::Mutex<shard::Shard> {
@@ -163,8 +164,3 @@
         metrics::Metrics::new(None).expect("a sink without a socket cannot fail")
     })
 }
-
-/// Locks a part; one that a panic left is still made of whole values.
-pub(super) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/host/src/record/shard.rs
+++ b/crates/host/src/record/shard.rs
@@ -1,6 +1,7 @@
 use std::collections;
 use std::sync;
 
+use crate::mutex;
 use crate::record::entry;
 
 /// Ended requests kept per shard.
@@ -38,14 +39,14 @@
 
     pub(super) fn find(&self, id: &str) -> Option<entry::Entry> {
         if let Some(cell) = self.open.get(id) {
-            return Some(super::records::lock(cell).clone());
+            return Some(mutex::lock(cell).clone());
         }
         self.ended.iter().find(|entry| entry.id == id).cloned()
     }
 
     pub(super) fn list(&self, out: &mut Vec<entry::Entry>) {
         let open = self.open.values();
-        out.extend(open.map(|cell| super::records::lock(cell).clone()));
+        out.extend(open.map(|cell| mutex::lock(cell).clone()));
         out.extend(self.ended.iter().cloned());
     }
 }
--- a/crates/host/src/record/trace.rs
+++ b/crates/host/src/record/trace.rs
@@ -2,6 +2,7 @@
 use core::time;
 use std::sync;
 
+use crate::mutex;
 use crate::record::end;
 use crate::record::entry;
 use crate::record::records;
@@ -135,7 +136,7 @@
     /// Returns the class of the request, unless nothing is noted.
     fn class(&self) -> Option<sync::Arc<str>> {
         let open = self.0.as_ref()?;
-        Some(records::lock(&open.entry).class.clone())
+        Some(mutex::lock(&open.entry).class.clone())
     }
 
     fn with(&self, change: impl FnOnce(&mut entry::Entry, time::Duration)) {
@@ -143,7 +144,7 @@
             return;
         };
         let now = open.records.now();
-        change(&mut records::lock(&open.entry), now);
+        change(&mut mutex::lock(&open.entry), now);
     }
 }
 
--- a/crates/host/src/shard.rs
+++ b/crates/host/src/shard.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3;
 
 use crate::clock;
+use crate::mutex;
 
 /// A place at an endpoint.
 #[derive(Clone, Debug)]
@@ -251,11 +252,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Inner> {
-        // A panic under the lock leaves the policy in an unknown state, but
-        // refusing all further work of the shard would be worse.
-        self.inner
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.inner)
     }
 
     /// Runs one input of the policy and carries out its decisions. A grant
--- a/crates/host/src/spread.rs
+++ b/crates/host/src/spread.rs
@@ -6,6 +6,7 @@
 
 use crate::clock;
 use crate::keyed;
+use crate::mutex;
 use crate::state;
 use crate::view;
 
@@ -198,9 +199,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Inner> {
-        self.inner
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.inner)
     }
 }
 
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::console;
 use crate::layout;
+use crate::mutex;
 use crate::names;
 use crate::options;
 use crate::record;
@@ -82,15 +83,15 @@
 
     /// Returns whether an operator drained the endpoint at this host.
     pub(crate) fn is_drained(&self, endpoint: &str) -> bool {
-        lock(&self.drained).contains(endpoint)
+        mutex::lock(&self.drained).contains(endpoint)
     }
 
     /// Drains an endpoint at this host's shards or takes it back.
     pub(crate) fn set_drained(&self, endpoint: &str, drained: bool) {
         if drained {
-            lock(&self.drained).insert(endpoint.to_owned());
+            mutex::lock(&self.drained).insert(endpoint.to_owned());
         } else {
-            lock(&self.drained).remove(endpoint);
+            mutex::lock(&self.drained).remove(endpoint);
         }
         for (key, shard) in self.shards() {
             self.configure(&key, &shard);
@@ -110,7 +111,7 @@
     /// Returns the shard, creating it on its first use at this host.
     pub(crate) fn shard(&self, pool: &str, index: u32) -> sync::Arc<shard::Shard> {
         let key = (pool.to_owned(), index);
-        let mut shards = lock(&self.shards);
+        let mut shards = mutex::lock(&self.shards);
         if let Some(shard) = shards.get(&key) {
             return shard.clone();
         }
@@ -127,7 +128,7 @@
 
     /// Lists the shards that this host is or was home of.
     pub(crate) fn shards(&self) -> Vec<(Key, sync::Arc<shard::Shard>)> {
-        lock(&self.shards)
+        mutex::lock(&self.shards)
             .iter()
             .map(|(key, shard)| (key.clone(), shard.clone()))
             .collect()
@@ -135,13 +136,13 @@
 
     /// Returns the number of a class, which shards use as its index.
     pub(crate) fn class_number(&self, name: &str) -> Option<u16> {
-        let number = lock(&self.numbers).classes.find(name)?;
+        let number = mutex::lock(&self.numbers).classes.find(name)?;
         u16::try_from(number).ok()
     }
 
     /// Returns the number of an endpoint that has one.
     pub(crate) fn endpoint_number(&self, name: &str) -> Option<pool::EndpointId> {
-        lock(&self.numbers)
+        mutex::lock(&self.numbers)
             .endpoints
             .find(name)
             .map(pool::EndpointId)
@@ -154,7 +155,7 @@
     }
 
     fn note_classes(&self, settings: &conf::Settings) {
-        let mut numbers = lock(&self.numbers);
+        let mut numbers = mutex::lock(&self.numbers);
         for (name, class) in &settings.classes {
             let number = numbers.classes.number(name) as usize;
             let class = pool::Class {
@@ -183,7 +184,7 @@
         weights.insert(class::ANONYMOUS_KEY, settings.anonymous.weight);
         let pool = settings.pools.get(name);
         pool::Options {
-            classes: lock(&self.numbers).known.clone(),
+            classes: mutex::lock(&self.numbers).known.clone(),
             weights,
             queue_max: settings.limits.queue_max,
             long_tokens: pool.map_or(u32::MAX, |pool| pool.long_tokens),
@@ -198,7 +199,7 @@
             .layout
             .get(pool)
             .and_then(|shards| shards.get(index as usize));
-        let mut numbers = lock(&self.numbers);
+        let mut numbers = mutex::lock(&self.numbers);
         let mut members = Vec::new();
         for name in listed.into_iter().flatten() {
             let Some(endpoint) = force.settings.endpoints.get(name) else {
@@ -234,7 +235,3 @@
         settings,
     }
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::mutex;
 
 /// Homes of a shard that are asked one after the other.
 const HOMES_MAX: usize = 3;
@@ -126,9 +127,7 @@
     }
 
     fn digests(&self) -> sync::MutexGuard<'_, collections::HashMap<String, (time::Duration, u64)>> {
-        self.digests
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.digests)
     }
 
     /// Takes the platform's list of hosts.
@@ -182,8 +181,6 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, fleet::Membership> {
-        self.membership
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.membership)
     }
 }
