feat(testkit): probe a loaded host and spread the measured changes

The probe's answers have one token whatever the pace of the endpoint, so that it can run beside open streams. Changes of the configuration had followed each other at the period of the digests; their pauses now differ.

--- a/crates/testkit/src/bin/capacity.rs
+++ b/crates/testkit/src/bin/capacity.rs
@@ -211,8 +211,8 @@
     let mut routed = Vec::new();
     let mut straight = Vec::new();
     for _ in 0..count {
-        routed.extend(callers.send(to, PROBE).await);
-        straight.extend(callers.send(direct, PROBE).await);
+        routed.extend(callers.probe(to, PROBE).await);
+        straight.extend(callers.probe(direct, PROBE).await);
     }
     for (name, times) in [("routed", &mut routed), ("direct", &mut straight)] {
         times.sort_unstable();
--- a/crates/testkit/src/capacity/callers.rs
+++ b/crates/testkit/src/capacity/callers.rs
@@ -11,7 +11,11 @@
 const PER_ADDRESS: usize = 500;
 /// Size of the read buffer of a caller in bytes.
 const BUFFER: usize = 4096;
+/// Request for a whole answer.
 const BODY: &str = r#"{"model":"model","stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
+/// Request for an answer of one token.
+const SHORT: &str =
+    r#"{"model":"model","max_tokens":1,"stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
 
 /// Callers that stream with one connection each.
 #[derive(Clone, Default)]
@@ -53,7 +57,18 @@
     /// Sends a request from the address of caller `number` and reads the
     /// answer. Returns the time to the first event, with that of connecting.
     pub async fn send(&self, to: net::SocketAddr, number: usize) -> Option<time::Duration> {
-        match self.stream(to, number).await {
+        let result = self.stream(to, number, BODY).await;
+        self.ended(result)
+    }
+
+    /// Does the same for an answer of one token.
+    pub async fn probe(&self, to: net::SocketAddr, number: usize) -> Option<time::Duration> {
+        let result = self.stream(to, number, SHORT).await;
+        self.ended(result)
+    }
+
+    fn ended(&self, result: io::Result<time::Duration>) -> Option<time::Duration> {
+        match result {
             Ok(first) => {
                 self.0.whole.fetch_add(1, atomic::Ordering::Relaxed);
                 Some(first)
@@ -66,7 +81,12 @@
         }
     }
 
-    async fn stream(&self, to: net::SocketAddr, number: usize) -> io::Result<time::Duration> {
+    async fn stream(
+        &self,
+        to: net::SocketAddr,
+        number: usize,
+        body: &str,
+    ) -> io::Result<time::Duration> {
         let socket = tokio_net::TcpSocket::new_v4()?;
         let source = (number / PER_ADDRESS) as u32 + u32::from(net::Ipv4Addr::LOCALHOST);
         socket.bind((net::Ipv4Addr::from(source), 0).into())?;
@@ -75,8 +95,8 @@
         stream.set_nodelay(true)?;
         let head = format!(
             "POST /v1/chat/completions HTTP/1.1\r\nhost: {to}\r\nconnection: close\r\n\
-             content-type: application/json\r\ncontent-length: {}\r\n\r\n{BODY}",
-            BODY.len()
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
         );
         stream.write_all(head.as_bytes()).await?;
         let mut first = None;
--- a/crates/testkit/src/capacity/change.rs
+++ b/crates/testkit/src/capacity/change.rs
@@ -9,6 +9,10 @@
 
 /// Longest wait until a revision is in force everywhere.
 const FORCE_MAX: time::Duration = time::Duration::from_secs(15);
+/// Shortest pause between two changes.
+const PAUSE: time::Duration = time::Duration::from_millis(1_000);
+/// Steps by which the pauses differ.
+const PAUSE_STEP: time::Duration = time::Duration::from_millis(210);
 /// Name under which all hosts read the platform.
 const READER: &str = "all";
 
@@ -34,7 +38,9 @@
             revision - 1,
             spent.as_millis()
         );
-        tokio::time::sleep(time::Duration::from_millis(600)).await;
+        // The digests are sent each second; changes fall on all parts of it.
+        let pause = PAUSE + PAUSE_STEP * u32::try_from(revision % 5)?;
+        tokio::time::sleep(pause).await;
     }
     let (after, seconds) = (platform.figures(), begin.elapsed().as_secs_f64());
     println!(
--- a/crates/testkit/src/capacity/source.rs
+++ b/crates/testkit/src/capacity/source.rs
@@ -10,6 +10,8 @@
 /// One token as an event; each is sent in a chunk of its own.
 const EVENT: &str = "data: {\"id\":\"c-1\",\"object\":\"chat.completion.chunk\",\"choices\":\
     [{\"index\":0,\"delta\":{\"content\":\" word\"},\"finish_reason\":null}]}\n\n";
+/// Part of a request that is answered with one token.
+const SHORT: &[u8] = b"\"max_tokens\":1,";
 const DONE: &str = "data: [DONE]\n\n";
 const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
     transfer-encoding: chunked\r\n\r\n";
@@ -65,6 +67,8 @@
             return Ok(());
         };
         let is_load = input.starts_with(b"GET");
+        let head = &input[..length];
+        let is_short = head.windows(SHORT.len()).any(|part| part == SHORT);
         input.drain(..length);
         if is_load {
             let load = r#"{"running":0,"waiting":0,"slots":100000,"draining":false,"at_ms":0}"#;
@@ -72,7 +76,8 @@
             let answer = format!("{head} {}\r\n\r\n{load}", load.len());
             stream.write_all(answer.as_bytes()).await?;
         } else {
-            answer(&mut stream, pace).await?;
+            let tokens = if is_short { 1 } else { pace.tokens };
+            answer(&mut stream, Pace { tokens, ..pace }).await?;
         }
     }
 }
