test(faults): refuse error events before the first token

A stream without a token must run elsewhere or be refused with a status; a cut before the first token now counts as a wrong answer. The crash test runs 12 innocent callers instead of 4, so that some have no output when their engine crashes.

Failing with the mechanism off (by hand): flow.rs does not retry after a connection that broke before the answer: 'm-3-9: Refused("endpoint_failed", "unknown")' in before_output; with 4 callers a similar change went unnoticed.

--- a/crates/carobbay/tests/faults/crashes.rs
+++ b/crates/carobbay/tests/faults/crashes.rs
@@ -24,7 +24,7 @@
     let engines: Vec<_> = (0..4).map(|_| model::engine(Some(crash.clone()))).collect();
     let settings = fleet::settings(&model::addresses(&engines), "");
     let fleet = fleet::Fleet::start(4, &settings).await;
-    let load = model::Load::start(5, 4, fleet.running_addresses());
+    let load = model::Load::start(5, 12, fleet.running_addresses());
     load.progress(100).await;
     let client = model::client();
     for number in 0..20 {
--- a/crates/carobbay/tests/faults/model.rs
+++ b/crates/carobbay/tests/faults/model.rs
@@ -127,6 +127,8 @@
         return Ended::Wrong(tokens);
     }
     match (is_error, is_broken) {
+        // What has no token yet runs elsewhere or is refused with a status.
+        (true, _) if count == 0 => Ended::Wrong("cut before the first token".to_owned()),
         (true, _) => Ended::Cut,
         (false, true) => Ended::Broken,
         (false, false) => Ended::Wrong(format!("no end after {count} tokens")),
