fix(host): never try non-idempotent work again after an answer

Cause: 429 and 503 counted as refusals before the work, whatever the class, so a booking whose service answered 503 after the effect ran again at once. Change: for non-idempotent work such an answer ends with an unknown outcome, like every other failure after the first byte.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -154,7 +154,7 @@
         let built = outbound::build(&request, permit.grant(), resume.terms.tier)
             .map_err(|cause| Refusal::new(Kind::Internal, cause.to_string()))?;
         let (permit, head, body) = self
-            .send(permit, built, back::Reuse::Kept)
+            .send(permit, built, true)
             .await
             .map_err(|failure| failure.refusal)?;
         if !head.status.is_success() {
@@ -210,12 +210,8 @@
                 return Err(reading::Failure::new(refusal, false));
             }
         };
-        let reuse = if attempt.terms.idempotent {
-            back::Reuse::Kept
-        } else {
-            back::Reuse::Fresh
-        };
-        let (permit, head, body) = self.send(permit, built, reuse).await?;
+        let idempotent = attempt.terms.idempotent;
+        let (permit, head, body) = self.send(permit, built, idempotent).await?;
         let stream = request.stream && head.status.is_success();
         let body = match attempt.delivery {
             Delivery::Streamed if stream => {
@@ -257,8 +253,13 @@
         &self,
         permit: permit::Permit,
         built: http::Request<http_body_util::Full<bytes::Bytes>>,
-        reuse: back::Reuse,
+        idempotent: bool,
     ) -> Result<(permit::Permit, http::response::Parts, back::Body), reading::Failure> {
+        let reuse = if idempotent {
+            back::Reuse::Kept
+        } else {
+            back::Reuse::Fresh
+        };
         let response = match self.client.send(built, reuse).await {
             Ok(response) => response,
             Err(back::Error::NotSent(cause)) => {
@@ -276,7 +277,7 @@
         };
         let (head, body) = response.into_parts();
         let fenced = self.is_fenced(&head, &permit);
-        let permit = reading::check_status(head.status, fenced, permit)?;
+        let permit = reading::check_status(head.status, fenced, idempotent, permit)?;
         Ok((permit, head, body))
     }
 }
--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -95,35 +95,35 @@
 }
 
 /// Returns the permit if the status is one that the caller gets.
+///
+/// A refusal of the endpoint lets idempotent work be tried again. It is no
+/// proof that nothing ran, so that other work ends with an unknown outcome.
 pub(crate) fn check_status(
     status: http::StatusCode,
     fenced: bool,
+    idempotent: bool,
     permit: permit::Permit,
 ) -> Result<permit::Permit, Failure> {
-    match status {
-        _ if fenced => {
-            permit.finish(pool::Result::Refused);
-            let text = "the endpoint takes orders of a later home";
-            Err(Failure::new(
-                Refusal::new(Kind::EndpointConnect, text),
-                true,
-            ))
-        }
-        http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE => {
-            permit.finish(pool::Result::Refused);
-            let text = format!("the endpoint refused with {status}");
-            Err(Failure::new(
-                Refusal::new(Kind::EndpointConnect, text),
-                true,
-            ))
-        }
-        status if status.is_server_error() => {
-            permit.finish(pool::Result::Failed);
-            let text = format!("the endpoint failed with {status}");
-            Err(Failure::new(Refusal::new(Kind::EndpointFailed, text), true))
-        }
-        _ => Ok(permit),
+    let full = matches!(
+        status,
+        http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE
+    );
+    if fenced || full {
+        permit.finish(pool::Result::Refused);
+        let text = format!("the endpoint refused with {status}");
+        let kind = if idempotent {
+            Kind::EndpointConnect
+        } else {
+            Kind::EndpointFailed
+        };
+        return Err(Failure::new(Refusal::new(kind, text), true));
+    }
+    if status.is_server_error() {
+        permit.finish(pool::Result::Failed);
+        let text = format!("the endpoint failed with {status}");
+        return Err(Failure::new(Refusal::new(Kind::EndpointFailed, text), true));
     }
+    Ok(permit)
 }
 
 /// Returns the headers that are passed on to the caller.
--- a/crates/host/tests/fleet.rs
+++ b/crates/host/tests/fleet.rs
@@ -4,8 +4,10 @@
 
 use core::time;
 
+use rstest::rstest;
 use testkit::engine;
 use testkit::load;
+use testkit::service;
 
 /// Guards against hosts that do not find each other, and against answers that
 /// get lost or mixed up when the home of the shard is another host.
@@ -206,3 +208,37 @@
     }
     common::shutdown(hosts).await;
 }
+
+/// Guards against a booking that runs twice because its service answered that
+/// it is full or unavailable after the effect.
+#[rstest]
+#[case::unavailable(503)]
+#[case::full(429)]
+#[tokio::test]
+async fn a_booking_is_not_tried_again_after_an_answer(#[case] status: u16) {
+    let service = common::service();
+    let settings = common::service_settings(&service);
+    let host = common::member("host-1", &[], &[], &settings).await;
+    let client = common::client();
+    let fault = Some(service::Fault::Status(status));
+    let reply = service::Reply {
+        fault,
+        ..service::Reply::default()
+    };
+    for keyed in [false, true] {
+        service.script([reply]);
+        let mut call = common::booking("b1", "");
+        call.headers.clear();
+        if keyed {
+            let key = common::minted_key(&client, host.caller_addr()).await;
+            call = common::booking("b2", &key);
+        }
+        let record = call.send(&client, host.caller_addr()).await;
+        match record.outcome {
+            load::Outcome::Refused { run_state, .. } => assert_eq!(run_state, "unknown"),
+            other => panic!("not refused: {other:?}"),
+        }
+        assert_eq!(service.executions().len(), 1 + usize::from(keyed));
+    }
+    host.shutdown().await;
+}
