fix(cli): start the demonstration's load after the clock skew

Cause: the first bookings came within the clock skew of the owners' leases and were refused, 12 of 220, which looked like a fault of the router. Change: the load waits half a second after the leases begin.

--- a/crates/carobbay/src/demo.rs
+++ b/crates/carobbay/src/demo.rs
@@ -74,6 +74,10 @@
     Ok(())
 }
 
+/// Time after the leases begin. An owner refuses a first attempt that is not
+/// later than its lease by more than the clock skew of the settings, 200 ms.
+const SETTLE: time::Duration = time::Duration::from_millis(500);
+
 async fn load(shape: &measure::Shape, hosts: &[host::Host]) {
     let addresses: Vec<net::SocketAddr> = hosts.iter().map(host::Host::caller_addr).collect();
     let met = async {
@@ -84,6 +88,7 @@
     if tokio::time::timeout(MEETING_MAX, met).await.is_err() {
         println!("the hosts have no leases; bookings are refused");
     }
+    tokio::time::sleep(SETTLE).await;
     let flows = shape.flows(measure::Scenario::Steady, SPAN);
     let arrivals = load::plan(&flows, SPAN, SEED);
     let options = load::Options {
