fix(host): ask again for a stale grant when a stream is resumed

Cause: a host paused between a grant and the dispatch of a resumed stream used the grant after its time, which the first attempt of a request does not. Change: the same check in the resume path.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -149,8 +149,13 @@
             attempt: resume.attempt,
             avoid: Some(avoid),
         };
-        let permit = self.broker.ask(&want).await?;
-        let permit = permit.traced(&resume.terms.trace);
+        let permit = loop {
+            let permit = self.broker.ask(&want).await?;
+            if permit.grant().dispatch_by >= self.clock.now() {
+                break permit.traced(&resume.terms.trace);
+            }
+            permit.finish(pool::Result::Unused);
+        };
         let built = outbound::build(&request, permit.grant(), resume.terms.tier)
             .map_err(|cause| Refusal::new(Kind::Internal, cause.to_string()))?;
         let (permit, head, body) = self
