feat(steer): bulk and interactive work apart, prompts placed by their last shared part

Change: the share of engines for interactive work follows the demand of both kinds; a prompt goes where its last shared part was placed, which hosts tell each other; reading a shared part again costs; bulk work is refused at once when the prompts ahead exceed the target; engines are not filled beyond the point where they preempt.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -127,10 +127,10 @@
 /// Reads what a request asks of an engine. Malformed entries end the list: the
 /// engine judges them itself.
 fn work(names: &headers::Headers, headers: &http::HeaderMap) -> steer::Work {
-    let prompt_tokens = headers::text(headers, &names.tokens)
-        .and_then(|text| text.split(',').next())
-        .and_then(|count| count.trim().parse().ok())
-        .unwrap_or(0);
+    let mut tokens = headers::text(headers, &names.tokens)
+        .unwrap_or_default()
+        .split(',')
+        .map(|count| count.trim().parse().unwrap_or(0));
     let parts = headers::text(headers, &names.prompt)
         .unwrap_or_default()
         .split(',')
@@ -138,7 +138,8 @@
         .collect();
     steer::Work {
         parts,
-        prompt_tokens,
+        prompt_tokens: tokens.next().unwrap_or(0),
+        output_tokens: tokens.next().unwrap_or(0),
     }
 }
 
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -136,6 +136,7 @@
         let need = steer::Need {
             tier: self.job.tier,
             left,
+            target_first: self.job.route.target_first,
         };
         let job = &self.job;
         let outcome = mutex::lock(&self.host.fleet).pick(
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -142,6 +142,7 @@
             server.set_options(self.front_options(&plan.limits));
         }
         let table = sync::Arc::new(plan::Table::new(plan));
+        mutex::lock(&self.fleet).set_services(&table.plan().services);
         // Two sources may offer at the same time; the higher revision stays.
         self.table.rcu(|current| match current {
             Some(current) if current.plan().revision >= revision => Some(current.clone()),
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -28,7 +28,7 @@
 const LOADS_PER_S: f64 = 40.0;
 
 /// Hosts of other data centres that are told the loads in one period.
-const FAR_TARGETS: usize = 1;
+const FAR_TARGETS: usize = 3;
 
 /// Period of the upkeep of lists and connections.
 const UPKEEP_PERIOD: time::Duration = time::Duration::from_millis(200);
@@ -231,6 +231,10 @@
     fn news(&self) -> news::News {
         let host = &self.host;
         let now = host.clock.now();
+        let (demands, placements, loads) = {
+            let fleet = mutex::lock(&host.fleet);
+            (fleet.demands(now), fleet.placements(now), fleet.loads(now))
+        };
         news::News {
             sender: news::sender(&host.options.name),
             incarnation: host.incarnation,
@@ -241,7 +245,9 @@
             endpoint_revision: mutex::lock(&host.registry).revision(),
             age_ms: u32::try_from(host.plan_age(now).as_millis()).unwrap_or(u32::MAX),
             accusations: mutex::lock(&host.accusations).iter().copied().collect(),
-            loads: mutex::lock(&host.fleet).loads(now),
+            demands,
+            placements,
+            loads,
         }
     }
 
@@ -271,7 +277,12 @@
     fn take(&self, from: net::SocketAddr, news: &news::News) {
         let host = &self.host;
         let now = host.clock.now();
-        mutex::lock(&host.fleet).hear(now, news.sender, &news.loads);
+        {
+            let mut fleet = mutex::lock(&host.fleet);
+            fleet.hear(now, news.sender, &news.loads);
+            fleet.hear_placements(now, &news.placements);
+            fleet.hear_demands(now, news.sender, &news.demands);
+        }
         if news.is_leaving {
             self.note_leaving(news);
         }
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -14,7 +14,7 @@
 }
 
 /// What a host tells others several times a second.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub(crate) struct News {
     /// Hash of the sender's name.
     pub(crate) sender: u64,
@@ -32,6 +32,10 @@
     pub(crate) age_ms: u32,
     /// Crashes that the sender has seen lately.
     pub(crate) accusations: Vec<Accusation>,
+    /// Demand that the sender has seen, by the hash of the service.
+    pub(crate) demands: Vec<(u32, steer::Amounts)>,
+    /// Prompt parts that the sender has placed lately.
+    pub(crate) placements: Vec<steer::Placement>,
     /// Work of the sender at endpoints.
     pub(crate) loads: Vec<steer::Load>,
 }
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -1,4 +1,5 @@
 use core::time;
+use std::collections;
 
 use rand::RngExt;
 
@@ -19,6 +20,26 @@
 /// Excess over the mean share of failures that counts as chance.
 const FAILED_CHANCE: f64 = 0.1;
 
+/// Share of an engine's places and memory that is filled. Beyond it, requests
+/// are preempted.
+const FILL_SHARE: f64 = 0.9;
+
+/// What each more urgent tier may fill beyond that share, so that it is the
+/// last to be refused.
+const FILL_TIER_SHARE: f64 = 0.05;
+
+/// Milliseconds by which an engine without room ranks behind the others.
+const NO_ROOM_MS: f64 = 5_000.0;
+
+/// Range of positions in which an engine passes from interactive to bulk work.
+const MIX_RANGE: f64 = 0.25;
+
+/// Tier below which no more time is allowed to the prompts ahead.
+const LAST_TIER: u8 = 2;
+
+/// Key under which engines are ranked for interactive work.
+const INTERACTIVE: &str = "interactive";
+
 /// Random part of a cost in milliseconds. Hosts that read the same loads would
 /// otherwise all choose the same endpoint.
 const SPREAD_MS: f64 = 4.0;
@@ -32,6 +53,9 @@
     key: key::Key,
     cost: f64,
     wait_ms: f64,
+    /// Time that the prompts ahead take.
+    backlog_ms: f64,
+    has_room: bool,
     unread_tokens: u32,
 }
 
@@ -68,14 +92,23 @@
             reachable
         };
         let best = self
-            .candidates(now, service, work, &list, rng)
+            .candidates(now, service, work, need, &list, rng)
             .min_by(|a, b| a.cost.total_cmp(&b.cost));
         let Some(best) = best else {
             return pick::Outcome::NoEndpoint;
         };
         let bound_ms = need.left.as_secs_f64() * 1_000.0 * self.options.wait_share;
-        if best.wait_ms > bound_ms || self.endpoints[best.key].fault.is_full(now) {
-            return pick::Outcome::Busy(retry_after(best.wait_ms - bound_ms, rng));
+        let tiers = f64::from(LAST_TIER.saturating_sub(need.tier));
+        let targets = self.options.backlog_targets + self.options.backlog_tier_targets * tiers;
+        // Short prompts hardly add to a backlog; long ones are refused first.
+        let backlog_bound_ms = match work.is_bulk() {
+            true => need.target_first.as_secs_f64() * 1_000.0 * targets,
+            false => f64::INFINITY,
+        };
+        let is_full = self.endpoints[best.key].fault.is_full(now) || !best.has_room;
+        let excess_ms = (best.wait_ms - bound_ms).max(best.backlog_ms - backlog_bound_ms);
+        if excess_ms > 0.0 || is_full {
+            return pick::Outcome::Busy(retry_after(excess_ms, rng));
         }
         pick::Outcome::Sent(self.picked(now, &best))
     }
@@ -85,23 +118,61 @@
         now: time::Duration,
         service: &str,
         work: &need::Work,
+        need: need::Need,
         keys: &[key::Key],
         rng: &mut impl rand::Rng,
     ) -> impl Iterator<Item = Candidate> {
         let pace = self.paces.get(service).copied().unwrap_or_default();
+        let positions = self.positions(keys);
+        let share = self
+            .demands
+            .get(service)
+            .map_or(0.0, |demand| demand.interactive_share(now));
+        let bulk_keys: Vec<key::Key> = keys
+            .iter()
+            .copied()
+            .filter(|key| positions.get(key).is_none_or(|position| *position >= share))
+            .collect();
+        let placed = if work.is_bulk() && !bulk_keys.is_empty() {
+            &bulk_keys
+        } else {
+            keys
+        };
         let first = work
             .placement()
-            .and_then(|part| self.first_rank(part, keys));
+            .and_then(|part| self.first_rank(part, placed));
+        let memory = self.memories.get(service).copied();
+        let tiers = f64::from(LAST_TIER.saturating_sub(need.tier));
+        let fill = FILL_SHARE + FILL_TIER_SHARE * tiers;
         let mean = self.mean_failed(now, keys);
         keys.iter().map(move |&key| {
             let endpoint = &self.endpoints[key];
             let unread = self.unread(endpoint, work, first == Some(key));
             let wait_ms = self.wait_ms(now, endpoint, unread, pace);
             let failed = (endpoint.failed(now, &self.options) - mean - FAILED_CHANCE).max(0.0);
-            let mut cost = wait_ms + failed * FAILED_MS + rng.random_range(0.0..SPREAD_MS);
+            let own = work.shared().iter().map(|part| f64::from(part.tokens));
+            let fresh = f64::from(work.prompt_tokens) - own.sum::<f64>();
+            let reread = (unread - fresh).max(0.0) * self.options.reread_penalty_ms;
+            let mut cost = wait_ms + reread + failed * FAILED_MS + rng.random_range(0.0..SPREAD_MS);
             if endpoint.listed.data_centre != self.options.data_centre {
                 cost += self.options.far_penalty_ms;
             }
+            if work.prompt_tokens > 0
+                && let Some(position) = positions.get(&key)
+            {
+                let bulk = ((position - share) / MIX_RANGE + 0.5).clamp(0.0, 1.0);
+                let misplaced = if work.is_bulk() { 1.0 - bulk } else { bulk };
+                cost += misplaced * self.options.mix_penalty_ms;
+            }
+            let total = endpoint.total(now, &self.options);
+            let has_room = memory.is_none_or(|memory| {
+                let slots = f64::from(endpoint.listed.slots);
+                let held = total.held_tokens + f64::from(work.held_tokens());
+                total.running < slots * fill && (held < memory * fill || total.running < 1.0)
+            });
+            if !has_room {
+                cost += NO_ROOM_MS;
+            }
             if endpoint.fault.is_full(now) {
                 cost += FAILED_MS;
             }
@@ -109,20 +180,42 @@
                 key,
                 cost,
                 wait_ms,
+                backlog_ms: total.unread_tokens / pace.tokens_per_ms,
+                has_room,
                 unread_tokens: unread as u32,
             }
         })
     }
 
-    /// Returns the endpoint that ranks first for a prompt part. Endpoints of
-    /// the own data centre go before others.
+    /// Returns the endpoint that ranks first for a prompt part, the same on
+    /// every host.
     fn first_rank(&self, part: need::Part, keys: &[key::Key]) -> Option<key::Key> {
         let name = part.id.to_string();
-        keys.iter().copied().max_by_key(|&key| {
+        keys.iter()
+            .copied()
+            .max_by_key(|&key| ::fleet::rank::score(&self.endpoints[key].listed.id, &name))
+    }
+
+    /// Returns where each endpoint stands, between 0 and 1, in the order in
+    /// which those of its data centre take interactive work.
+    fn positions(&self, keys: &[key::Key]) -> collections::HashMap<key::Key, f64> {
+        let mut by_data_centre: collections::HashMap<&str, Vec<(u64, key::Key)>> =
+            collections::HashMap::new();
+        for &key in keys {
             let listed = &self.endpoints[key].listed;
-            let is_near = listed.data_centre == self.options.data_centre;
-            (is_near, ::fleet::rank::score(&listed.id, &name))
-        })
+            let score = ::fleet::rank::score(&listed.id, INTERACTIVE);
+            let list = by_data_centre.entry(&listed.data_centre).or_default();
+            list.push((score, key));
+        }
+        let mut positions = collections::HashMap::new();
+        for list in by_data_centre.values_mut() {
+            list.sort_unstable();
+            let count = list.len() as f64;
+            for (index, (_, key)) in list.iter().enumerate() {
+                positions.insert(*key, (index as f64 + 0.5) / count);
+            }
+        }
+        positions
     }
 
     fn mean_failed(&self, now: time::Duration, keys: &[key::Key]) -> f64 {
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -22,6 +22,7 @@
     pub(crate) tag: u32,
     pub(crate) running: u32,
     pub(crate) unread_tokens: u32,
+    pub(crate) held_tokens: u32,
     pub(crate) peers: rustc_hash::FxHashMap<u64, PeerLoad>,
     pub(crate) report: Option<(report::Report, time::Duration)>,
     pub(crate) fault: fault::Fault,
@@ -33,6 +34,7 @@
 pub(crate) struct Total {
     pub(crate) running: f64,
     pub(crate) unread_tokens: f64,
+    pub(crate) held_tokens: f64,
 }
 
 impl Endpoint {
@@ -42,6 +44,7 @@
             listed,
             running: 0,
             unread_tokens: 0,
+            held_tokens: 0,
             peers: rustc_hash::FxHashMap::default(),
             report: None,
             fault: fault::Fault::default(),
@@ -54,10 +57,15 @@
         let mut total = Total {
             running: f64::from(self.running),
             unread_tokens: f64::from(self.unread_tokens),
+            held_tokens: f64::from(self.held_tokens),
         };
         for peer in self.fresh(now, options) {
             total.running += f64::from(peer.load.running);
-            total.unread_tokens += f64::from(peer.load.unread_tokens);
+            total.held_tokens += f64::from(peer.load.held_tokens);
+            // The endpoint goes on reading after the load was published.
+            let age = now.saturating_sub(peer.at).as_secs_f64();
+            let left = 1.0 - age / options.peer_load_age.as_secs_f64();
+            total.unread_tokens += f64::from(peer.load.unread_tokens) * left.max(0.0);
         }
         total
     }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -2,6 +2,7 @@
 use std::collections;
 
 use crate::change;
+use crate::demand;
 use crate::end;
 use crate::endpoint;
 use crate::key;
@@ -9,6 +10,7 @@
 use crate::need;
 use crate::options;
 use crate::pick;
+use crate::placement;
 use crate::report;
 use crate::run;
 
@@ -20,6 +22,10 @@
 /// little.
 const READ_RATE_RANGE: (f64, f64) = (10.0, 90.0);
 
+/// Engine time of one token of an answer in milliseconds, shared with the
+/// other requests of a usual batch.
+const OUTPUT_MS: f64 = 0.25;
+
 /// Weight of one observation in the learned speed.
 const READ_RATE_STEP: f64 = 0.05;
 
@@ -56,6 +62,10 @@
     pub(crate) endpoints: slotmap::SlotMap<key::Key, endpoint::Endpoint>,
     pub(crate) services: collections::HashMap<String, Vec<key::Key>>,
     pub(crate) paces: collections::HashMap<String, Pace>,
+    pub(crate) demands: collections::HashMap<String, demand::Demand>,
+    /// Tokens that an engine of a service holds in memory.
+    pub(crate) memories: collections::HashMap<String, f64>,
+    placements: placement::Placements,
     tags: rustc_hash::FxHashMap<u32, key::Key>,
 }
 
@@ -67,10 +77,24 @@
             endpoints: slotmap::SlotMap::with_key(),
             services: collections::HashMap::new(),
             paces: collections::HashMap::new(),
+            demands: collections::HashMap::new(),
+            memories: collections::HashMap::new(),
+            placements: placement::Placements::default(),
             tags: rustc_hash::FxHashMap::default(),
         }
     }
 
+    /// Takes what is published about the services.
+    pub fn set_services(&mut self, services: &[plan::Service]) {
+        self.memories = services
+            .iter()
+            .filter_map(|service| {
+                let engine = service.engine?;
+                Some((service.name.clone(), engine.memory_tokens as f64))
+            })
+            .collect();
+    }
+
     /// Takes the list of endpoints and returns what changed.
     ///
     /// A lifetime with the id of an earlier one replaces it.
@@ -152,6 +176,7 @@
         let mut run = run::Run {
             key: pick.key,
             unread_tokens: pick.unread_tokens,
+            held_tokens: work.held_tokens(),
             has_begun: false,
             sent: now,
             ahead_tokens: 0,
@@ -160,7 +185,27 @@
             run.ahead_tokens = endpoint.total(now, &self.options).unread_tokens as u32;
             endpoint.running += 1;
             endpoint.unread_tokens = endpoint.unread_tokens.saturating_add(pick.unread_tokens);
-            endpoint.cache.note(now, work.shared());
+            endpoint.held_tokens = endpoint.held_tokens.saturating_add(run.held_tokens);
+            let room = room(&self.memories, endpoint);
+            for part in work.shared() {
+                endpoint.cache.note(now, *part, room);
+            }
+            if let Some(part) = work.placement() {
+                self.placements.note(now, part, endpoint.tag);
+            }
+            if work.prompt_tokens > 0 {
+                let service = endpoint.listed.service.as_str();
+                let rate = self.paces.get(service).copied().unwrap_or_default();
+                let engine_ms = f64::from(pick.unread_tokens) / rate.tokens_per_ms
+                    + f64::from(work.output_tokens) * OUTPUT_MS;
+                if !self.demands.contains_key(service) {
+                    self.demands
+                        .insert(service.to_owned(), demand::Demand::default());
+                }
+                if let Some(demand) = self.demands.get_mut(service) {
+                    demand.note(now, engine_ms, work.is_bulk());
+                }
+            }
         }
         run
     }
@@ -210,6 +255,7 @@
             return;
         };
         endpoint.running = endpoint.running.saturating_sub(1);
+        endpoint.held_tokens = endpoint.held_tokens.saturating_sub(run.held_tokens);
         if !run.has_begun {
             endpoint.unread_tokens = endpoint.unread_tokens.saturating_sub(run.unread_tokens);
         }
@@ -249,6 +295,7 @@
             tag: endpoint.tag,
             running: endpoint.running,
             unread_tokens: endpoint.unread_tokens,
+            held_tokens: endpoint.held_tokens,
             // CAST: The share is between 0 and 1.
             failed_percent: (endpoint.fault.failed(now) * 100.0) as u8,
             is_down: endpoint.fault.is_down(now),
@@ -262,6 +309,52 @@
         (!is_silent).then_some(load)
     }
 
+    /// Returns the newest placements of prompts to tell other hosts.
+    pub fn placements(&self, now: time::Duration) -> Vec<placement::Placement> {
+        self.placements.tell(now)
+    }
+
+    /// Takes the newest placements of another host.
+    pub fn hear_placements(&mut self, now: time::Duration, placements: &[placement::Placement]) {
+        for placement in placements {
+            let key = self.tags.get(&placement.endpoint);
+            let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(*key)) else {
+                continue;
+            };
+            let part = need::Part {
+                id: placement.part,
+                tokens: placement.tokens,
+            };
+            let room = room(&self.memories, endpoint);
+            endpoint.cache.note(now, part, room);
+        }
+    }
+
+    /// Returns the demand to tell other hosts, by the hash of the service.
+    pub fn demands(&self, now: time::Duration) -> Vec<(u32, demand::Amounts)> {
+        self.demands
+            .iter()
+            .map(|(service, demand)| (endpoint::tag(service), demand.own(now)))
+            .collect()
+    }
+
+    /// Takes the demand that another host has seen.
+    pub fn hear_demands(
+        &mut self,
+        now: time::Duration,
+        peer: u64,
+        demands: &[(u32, demand::Amounts)],
+    ) {
+        let known: Vec<String> = self.services.keys().cloned().collect();
+        for (tag, amounts) in demands {
+            let service = known.iter().find(|name| endpoint::tag(name) == *tag);
+            if let Some(service) = service {
+                let demand = self.demands.entry(service.clone()).or_default();
+                demand.hear(now, peer, *amounts);
+            }
+        }
+    }
+
     /// Takes the loads of another host. Endpoints that it leaves out have no
     /// work of it.
     pub fn hear(&mut self, now: time::Duration, peer: u64, loads: &[load::Load]) {
@@ -290,6 +383,15 @@
     }
 }
 
+/// Returns the tokens of memory that cached parts may take.
+fn room(memories: &collections::HashMap<String, f64>, endpoint: &endpoint::Endpoint) -> f64 {
+    memories
+        .get(&endpoint.listed.service)
+        .map_or(f64::INFINITY, |memory| {
+            (memory - f64::from(endpoint.held_tokens)).max(0.0)
+        })
+}
+
 /// Returns whether both entries describe one lifetime of an endpoint.
 fn is_same_lifetime(known: &plan::Endpoint, listed: &plan::Endpoint) -> bool {
     known.service == listed.service
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -9,6 +9,8 @@
     pub running: u32,
     /// Prompt tokens of requests without a first event.
     pub unread_tokens: u32,
+    /// Tokens that the requests in flight hold in memory at their end.
+    pub held_tokens: u32,
     /// Share of failed answers in percent.
     pub failed_percent: u8,
     /// Whether the endpoint cannot be reached.
--- a/crates/steer/src/need.rs
+++ b/crates/steer/src/need.rs
@@ -16,14 +16,31 @@
     pub parts: Vec<Part>,
     /// Tokens of the prompt; 0 for plain work.
     pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub output_tokens: u32,
 }
 
+/// Prompt tokens for each token of the answer above which reading the prompt
+/// dominates the work.
+const BULK_RATIO: u32 = 10;
+
 impl Work {
     /// Returns the parts that other requests may share.
     pub fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Returns whether reading the prompt dominates the work. Such a request
+    /// delays the tokens of all that run beside it.
+    pub const fn is_bulk(&self) -> bool {
+        self.prompt_tokens > self.output_tokens.saturating_mul(BULK_RATIO)
+    }
+
+    /// Returns the tokens that the request holds in memory at its end.
+    pub const fn held_tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_add(self.output_tokens)
+    }
+
     /// Returns the part that decides where the request is best placed.
     pub fn placement(&self) -> Option<Part> {
         self.shared().last().copied()
@@ -37,4 +54,6 @@
     pub tier: u8,
     /// Time that is left for the request.
     pub left: time::Duration,
+    /// Time within which the first event is on time.
+    pub target_first: time::Duration,
 }
--- a/crates/steer/src/options.rs
+++ b/crates/steer/src/options.rs
@@ -8,6 +8,19 @@
     /// Expected wait, in milliseconds, that a request to another data centre
     /// has to save. Bytes between data centres cost money.
     pub far_penalty_ms: f64,
+    /// Expected wait, in milliseconds, that bulk work has to save to run among
+    /// interactive work, and the other way round. Reading long prompts delays
+    /// the tokens of all that run beside.
+    pub mix_penalty_ms: f64,
+    /// Multiple of the target for the first event that the prompts ahead of a
+    /// request of tier 2 and below may take; above it the request is refused at
+    /// once, so that others are on time.
+    pub backlog_targets: f64,
+    /// What each more urgent tier adds to this multiple.
+    pub backlog_tier_targets: f64,
+    /// Milliseconds that each token of a shared part that has to be read again
+    /// adds to the cost of an endpoint, beyond the time to read it.
+    pub reread_penalty_ms: f64,
     /// Age after which the loads of another host no longer count; it has
     /// stopped or is cut off.
     pub peer_load_age: time::Duration,
@@ -25,11 +38,15 @@
     fn default() -> Self {
         Self {
             data_centre: String::new(),
-            far_penalty_ms: 60.0,
+            far_penalty_ms: 25.0,
+            mix_penalty_ms: 150.0,
+            reread_penalty_ms: 0.06,
+            backlog_targets: 1.0,
+            backlog_tier_targets: 0.5,
             peer_load_age: time::Duration::from_millis(1_500),
             report_age: time::Duration::from_millis(400),
             wait_share: 0.8,
-            first_rank_cached: 0.5,
+            first_rank_cached: 0.8,
         }
     }
 }
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -8,6 +8,8 @@
     pub key: key::Key,
     /// Prompt tokens that count as unread until the first event.
     pub(crate) unread_tokens: u32,
+    /// Tokens that the request holds in memory at its end.
+    pub(crate) held_tokens: u32,
     /// Whether the first event has arrived.
     pub(crate) has_begun: bool,
     /// When it was sent.
