--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -181,7 +181,7 @@
         if !registry.is_lost() {
             log::warn!(target: "edge", dependency = "platform"; "the platform is lost: {cause}");
         }
-        registry.lose();
+        registry.lose(self.clock.now());
     }
 
     /// Notes that the configuration in force is the newest one.
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -293,7 +293,9 @@
             host.heard(now.saturating_sub(age));
         }
         let (own_endpoints, is_lost) = {
-            let registry = mutex::lock(&host.registry);
+            let mut registry = mutex::lock(&host.registry);
+            let age = time::Duration::from_millis(news.age_ms.into());
+            registry.note_witness(now.saturating_sub(age));
             (registry.revision(), registry.is_lost())
         };
         let lacks_endpoints = is_lost && news.endpoint_revision > own_endpoints;
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -26,7 +26,10 @@
     lapsed: collections::BTreeMap<String, time::Duration>,
     /// End of the time in which removals are held back.
     doubt_until: time::Duration,
-    is_lost: bool,
+    /// When the platform was lost; absent while it answers.
+    lost: Option<time::Duration>,
+    /// Whether another host was in touch with the platform meanwhile.
+    has_witness: bool,
     revision: u64,
 }
 
@@ -39,20 +42,30 @@
             revisions: collections::BTreeMap::new(),
             lapsed: collections::BTreeMap::new(),
             doubt_until: time::Duration::ZERO,
-            is_lost: false,
+            lost: None,
+            has_witness: false,
             revision: 0,
         }
     }
 
     /// Notes that the platform is out of reach.
-    pub const fn lose(&mut self) {
-        self.is_lost = true;
+    pub const fn lose(&mut self, now: time::Duration) {
+        if self.lost.is_none() {
+            self.has_witness = false;
+            self.lost = Some(now);
+        }
+    }
+
+    /// Notes that another host was in touch with the platform at this time. If
+    /// that was after this host lost it, only the own path is broken, and no
+    /// entry lapses.
+    pub fn note_witness(&mut self, at: time::Duration) {
+        self.has_witness |= self.lost.is_some_and(|lost| at > lost);
     }
 
     /// Notes that the platform has answered.
     pub fn regain(&mut self, now: time::Duration) {
-        if self.is_lost {
-            self.is_lost = false;
+        if self.lost.take().is_some() && !self.has_witness {
             self.doubt_until = now + self.return_time;
         }
     }
@@ -113,7 +126,7 @@
     /// Drops the lapsed entries whose time is over; returns whether there were
     /// any.
     pub fn expire(&mut self, now: time::Duration) -> bool {
-        if self.is_lost || now < self.doubt_until {
+        if self.is_lost() || now < self.doubt_until {
             return false;
         }
         let over = core::mem::take(&mut self.lapsed);
@@ -135,7 +148,7 @@
 
     /// Returns whether the platform is out of reach.
     pub const fn is_lost(&self) -> bool {
-        self.is_lost
+        self.lost.is_some()
     }
 
     /// Notes a change of an entry; returns whether it is the newest one.
@@ -148,7 +161,7 @@
     }
 
     fn drop_entry(&mut self, now: time::Duration, id: &str, may_lapse: bool) {
-        let in_doubt = self.is_lost || now < self.doubt_until;
+        let in_doubt = self.is_lost() || now < self.doubt_until;
         let was_up = self
             .endpoints
             .get(id)
