--- a/crates/carobbay/src/cli.rs
+++ b/crates/carobbay/src/cli.rs
@@ -41,11 +41,11 @@
     --seeds 127.0.0.1:7101 --name a-1 --data-centre a --region r \\
     --listen 127.0.0.1:8080 --peer-listen 127.0.0.1:8081"))]
     Serve(Box<Serve>),
-    /// Serves on the users' platform until SIGTERM. The settings file of the
-    /// platform is named by CAROBBAY_NODE_FILE; logs are JSON lines on standard
-    /// output.
+    /// Serves on the users' platform until SIGTERM. The environment names the
+    /// platform's settings file (docs/operate/platform.md); logs are JSON lines
+    /// on standard output.
     #[command(after_help = help!("Example:
-  CAROBBAY_NODE_FILE=/etc/carobbay/boot.yaml carobbay platform --metrics-port 9464"))]
+  carobbay platform --metrics-port 9464"))]
     Platform(Platform),
     /// Checks a settings folder and prints every problem.
     #[command(after_help = help!("Examples:
