feat(edge): the strongest hosts of a data centre read the platform for the others

Change: four watchers in each data centre, the strongest first, read the store and tell every host of a change at once; the others fetch the state, with the configuration only where it is newer, and read the store themselves when no fresh word arrives. Changes of workers that follow soon are read with one call.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -10,7 +10,7 @@
 
 /// Age of the newest word of the platform or of another host above which a key
 /// or a route that is not known may only be new.
-const STALE: time::Duration = time::Duration::from_secs(3);
+const STALE: time::Duration = time::Duration::from_secs(5);
 
 /// After what time a caller is told to come back that met a host without
 /// current configuration.
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -20,6 +20,7 @@
 use crate::peers;
 use crate::registry;
 use crate::snapshot;
+use crate::watchers;
 
 /// Wait before an endpoint that broke a connection is asked for a sign of
 /// life; a process that crashes closes its listener at the same time.
@@ -45,6 +46,10 @@
 /// Time before the end of the process at which the rest is given up.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(400);
 
+/// Age of the newest word of the platform after which a host reads it itself.
+/// Watchers hear from the platform every few seconds and tell it at once.
+const WORD_AGE: time::Duration = time::Duration::from_millis(3_600);
+
 /// One host that serves opaque traffic.
 pub struct Host {
     pub(crate) options: options::Options,
@@ -61,6 +66,9 @@
     pub(crate) lines: lines::Lines,
     /// Counters and histograms.
     pub meters: meter::Meters,
+    pub(crate) watchers: sync::Mutex<watchers::Watchers>,
+    /// Wakes whoever tells other hosts of a change.
+    pub(crate) changed: tokio::sync::Notify,
     pub(crate) membership: sync::Mutex<fleet::Membership>,
     pub(crate) held_bytes: atomic::AtomicUsize,
     /// Time of the newest word of the platform, own or of another host, in
@@ -104,6 +112,8 @@
             links: links::Links::default(),
             lines: lines::Lines::default(),
             meters: meter::Meters::default(),
+            watchers: sync::Mutex::default(),
+            changed: tokio::sync::Notify::new(),
             membership: sync::Mutex::new(membership),
             held_bytes: atomic::AtomicUsize::new(0),
             heard_ms: atomic::AtomicU64::new(0),
@@ -150,6 +160,7 @@
         });
         mutex::lock(&self.membership).set_version(revision, [0; 32]);
         self.meters.set("plan_revision", revision);
+        self.changed.notify_one();
         log::info!(
             target: "edge",
             revision = revision, before = known.unwrap_or(0), source = source;
@@ -209,6 +220,39 @@
         front::Server::start_exchange(listen, front::Options::default(), exchange).await
     }
 
+    /// Returns whether this host has to read the platform itself: it is among
+    /// the watchers of its data centre, or has no fresh word from another one.
+    pub fn reads_platform(&self) -> bool {
+        let now = self.clock.now();
+        self.plan_age(now) > WORD_AGE || !self.is_ready() || self.is_watcher(now)
+    }
+
+    pub(crate) fn is_watcher(&self, now: time::Duration) -> bool {
+        let membership = mutex::lock(&self.membership);
+        let live = membership.live();
+        let near = live
+            .iter()
+            .filter(|entry| entry.data_centre == self.options.data_centre)
+            .map(|entry| entry.name.as_str());
+        let own = (self.options.name.as_str(), self.options.strength);
+        mutex::lock(&self.watchers).is_watcher(now, own, near)
+    }
+
+    /// Returns whether the endpoints come from other hosts, because this one
+    /// does not read the platform or gets no answer.
+    pub(crate) fn follows_others(&self, now: time::Duration) -> bool {
+        let (is_lost, is_empty) = {
+            let registry = mutex::lock(&self.registry);
+            (registry.is_lost(), registry.revision() == 0)
+        };
+        is_lost || is_empty || !self.is_watcher(now)
+    }
+
+    /// Returns the platform's revision of the endpoints that are in use.
+    pub fn endpoint_revision(&self) -> u64 {
+        mutex::lock(&self.registry).revision()
+    }
+
     /// Returns whether the host serves callers.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving()
@@ -291,6 +335,9 @@
         let endpoints = registry.endpoints();
         let count = endpoints.len();
         let changes = mutex::lock(&self.fleet).replace(&endpoints);
+        if !changes.is_empty() {
+            self.changed.notify_one();
+        }
         let revision = registry.revision();
         for change in changes {
             let (what, id) = match &change {
@@ -311,11 +358,19 @@
         self.meters.set("endpoints", count as u64);
     }
 
-    pub(crate) fn snapshot(&self) -> snapshot::Snapshot {
+    /// Returns the state for another host, with the configuration only if its
+    /// revision is above the one that the other host has.
+    pub(crate) fn snapshot(&self, known: u64) -> snapshot::Snapshot {
         let now = self.clock.now();
         let registry = mutex::lock(&self.registry);
+        let table = self.table.load();
+        let plan_revision = table.as_ref().map_or(0, |table| table.plan().revision);
         snapshot::Snapshot {
-            plan: self.table.load().as_ref().map(|table| table.plan().clone()),
+            plan: table
+                .as_ref()
+                .filter(|_| plan_revision > known)
+                .map(|table| table.plan().clone()),
+            plan_revision,
             endpoint_revision: registry.revision(),
             endpoints: registry.endpoints(),
             // CAST: A process does not live long enough to exceed the range.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod send;
 mod snapshot;
 mod step;
+mod watchers;
 
 pub use event::Splitter;
 pub use headers::Headers;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -43,6 +43,9 @@
 /// How long a starting host waits for the platform before it asks its seeds.
 const SEED_PAUSE: time::Duration = time::Duration::from_millis(400);
 
+/// Shortest time between two changes that are told at once.
+const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(50);
+
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_MAX: usize = 2_048;
 
@@ -108,6 +111,7 @@
     tokio::spawn(mesh.clone().receive_digests());
     tokio::spawn(mesh.clone().send_loads());
     tokio::spawn(mesh.clone().receive_loads());
+    tokio::spawn(mesh.clone().tell_changes());
     tokio::spawn(mesh.clone().ask_seeds());
     tokio::spawn(upkeep(host.clone()));
     Ok(())
@@ -173,6 +177,17 @@
         }
     }
 
+    /// Tells every host of a change at once.
+    async fn tell_changes(self) {
+        loop {
+            self.host.changed.notified().await;
+            if self.host.is_watcher(self.host.clock.now()) {
+                self.tell(true).await;
+            }
+            tokio::time::sleep(CHANGE_PAUSE).await;
+        }
+    }
+
     async fn send_loads(self) {
         loop {
             let near = self.tell(false).await;
@@ -235,16 +250,23 @@
             let fleet = mutex::lock(&host.fleet);
             (fleet.demands(now), fleet.placements(now), fleet.loads(now))
         };
+        let (endpoint_revision, is_lost) = {
+            let registry = mutex::lock(&host.registry);
+            (registry.revision(), registry.is_lost())
+        };
+        let accusations = mutex::lock(&host.accusations).iter().copied().collect();
         news::News {
             sender: news::sender(&host.options.name),
             incarnation: host.incarnation,
             // CAST: A process does not live long enough to exceed the range.
             number: now.as_millis() as u64,
             is_leaving: host.is_leaving(),
+            strength: host.options.strength,
+            is_lost,
             plan_revision: host.plan_revision().unwrap_or(0),
-            endpoint_revision: mutex::lock(&host.registry).revision(),
+            endpoint_revision,
             age_ms: u32::try_from(host.plan_age(now).as_millis()).unwrap_or(u32::MAX),
-            accusations: mutex::lock(&host.accusations).iter().copied().collect(),
+            accusations,
             demands,
             placements,
             loads,
@@ -287,18 +309,21 @@
             self.note_leaving(news);
         }
         self.accuse(now, news);
+        mutex::lock(&host.watchers).hear(now, news.sender, news.strength);
         let own_plan = host.plan_revision().unwrap_or(0);
-        if news.plan_revision <= own_plan && own_plan > 0 && news.plan_revision == own_plan {
-            let age = time::Duration::from_millis(news.age_ms.into());
-            host.heard(now.saturating_sub(age));
-        }
-        let (own_endpoints, is_lost) = {
+        let heard = now.saturating_sub(time::Duration::from_millis(news.age_ms.into()));
+        let own_endpoints = {
             let mut registry = mutex::lock(&host.registry);
-            let age = time::Duration::from_millis(news.age_ms.into());
-            registry.note_witness(now.saturating_sub(age));
-            (registry.revision(), registry.is_lost())
+            registry.note_witness(heard);
+            registry.revision()
         };
-        let lacks_endpoints = is_lost && news.endpoint_revision > own_endpoints;
+        let is_current = own_plan > 0
+            && news.plan_revision == own_plan
+            && news.endpoint_revision <= own_endpoints;
+        if is_current && !news.is_lost {
+            host.heard(heard);
+        }
+        let lacks_endpoints = news.endpoint_revision > own_endpoints && host.follows_others(now);
         if news.plan_revision > own_plan || lacks_endpoints {
             let peer = net::SocketAddr::new(from.ip(), host.options.peer_listen.port());
             let mesh = self.clone();
@@ -342,12 +367,13 @@
         let Ok(_one) = self.fetching.try_lock() else {
             return;
         };
-        tokio::time::sleep(FETCH_PAUSE).await;
+        let now = self.host.clock.now();
+        if !self.host.follows_others(now) {
+            tokio::time::sleep(FETCH_PAUSE).await;
+        }
         let lacks_plan = self.host.plan_revision().unwrap_or(0) < plan_revision;
-        let lacks_endpoints = {
-            let registry = mutex::lock(&self.host.registry);
-            registry.is_lost() && registry.revision() < endpoint_revision
-        };
+        let lacks_endpoints = self.host.endpoint_revision() < endpoint_revision
+            && self.host.follows_others(self.host.clock.now());
         if lacks_plan || lacks_endpoints {
             self.fetch(from).await;
         }
@@ -355,7 +381,8 @@
 
     async fn fetch(&self, from: net::SocketAddr) {
         let asked = self.host.clock.now();
-        let snapshot = match peers::fetch(&self.client, from).await {
+        let known = self.host.plan_revision().unwrap_or(0);
+        let snapshot = match peers::fetch(&self.client, from, known).await {
             Ok(snapshot) => snapshot,
             Err(cause) => {
                 log::warn!(target: "edge", peer = from.to_string().as_str(); "state not fetched: {cause}");
@@ -364,19 +391,20 @@
         };
         let source = from.to_string();
         if let Some(plan) = snapshot.plan {
-            let revision = plan.revision;
             self.host.offer_plan(plan, &source);
-            if self.host.plan_revision() == Some(revision) {
-                let age = time::Duration::from_millis(snapshot.age_ms);
-                self.host.heard(asked.saturating_sub(age));
-            }
         }
+        let follows = self.host.follows_others(asked);
         let mut registry = mutex::lock(&self.host.registry);
-        let is_first = registry.revision() == 0;
-        if (registry.is_lost() || is_first) && registry.revision() < snapshot.endpoint_revision {
+        if follows && registry.revision() < snapshot.endpoint_revision {
             registry.adopt(snapshot.endpoints, snapshot.endpoint_revision);
             self.host.use_endpoints(&registry);
         }
+        let is_current = self.host.plan_revision() == Some(snapshot.plan_revision)
+            && registry.revision() >= snapshot.endpoint_revision;
+        if is_current {
+            let age = time::Duration::from_millis(snapshot.age_ms);
+            self.host.heard(asked.saturating_sub(age));
+        }
     }
 
     /// Asks the seeds for their state while the platform does not answer a
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -24,6 +24,10 @@
     pub(crate) number: u64,
     /// Whether the sender finishes what it has and takes no more.
     pub(crate) is_leaving: bool,
+    /// Processor time of the sender in thousandths of a core.
+    pub(crate) strength: u16,
+    /// Whether the platform does not answer the sender.
+    pub(crate) is_lost: bool,
     /// Revision of the configuration in force at the sender.
     pub(crate) plan_revision: u64,
     /// Platform revision of the sender's list of endpoints.
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -23,6 +23,9 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Text from which the key of datagrams between hosts is derived.
     pub peer_key: String,
+    /// Processor time of the host in thousandths of a core. The strongest hosts
+    /// of a data centre read the platform for the others.
+    pub strength: u16,
     /// Header names.
     pub headers: headers::Headers,
     /// Upper bound of connections of callers.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -32,7 +32,13 @@
                 *response.status_mut() = http::StatusCode::NOT_FOUND;
                 return response;
             }
-            match serde_json::to_vec(&host.snapshot()) {
+            let known = request
+                .uri()
+                .query()
+                .and_then(|query| query.strip_prefix("plan="))
+                .and_then(|revision| revision.parse().ok())
+                .unwrap_or(0);
+            match postcard::to_allocvec(&host.snapshot(known)) {
                 Ok(bytes) => *response.body_mut() = axum::body::Body::from(bytes),
                 Err(cause) => {
                     log::error!(target: "edge", "state not encoded: {cause}");
@@ -44,7 +50,8 @@
     }
 }
 
-/// Reads the state of another host.
+/// Reads the state of another host. `known` is the revision of the
+/// configuration that this host has.
 ///
 /// # Errors
 ///
@@ -52,8 +59,9 @@
 pub(crate) async fn fetch(
     client: &back::Client,
     from: net::SocketAddr,
+    known: u64,
 ) -> Result<snapshot::Snapshot, String> {
-    let request = http::Request::get(format!("http://{from}{STATE_PATH}"))
+    let request = http::Request::get(format!("http://{from}{STATE_PATH}?plan={known}"))
         .body(http_body_util::Full::default())
         .map_err(|cause| cause.to_string())?;
     let reading = async {
@@ -69,5 +77,5 @@
     let body = tokio::time::timeout(FETCH_TIMEOUT, reading)
         .await
         .map_err(|_| "no answer in time".to_owned())??;
-    serde_json::from_slice(&body.to_bytes()).map_err(|cause| cause.to_string())
+    postcard::from_bytes(&body.to_bytes()).map_err(|cause| cause.to_string())
 }
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -2,7 +2,9 @@
 /// cannot read the platform itself.
 #[derive(Debug, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Snapshot {
+    /// The configuration, unless the other host has it.
     pub(crate) plan: Option<plan::Plan>,
+    pub(crate) plan_revision: u64,
     /// Platform revision of the list of endpoints.
     pub(crate) endpoint_revision: u64,
     pub(crate) endpoints: Vec<plan::Endpoint>,
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -38,6 +38,7 @@
         load_listen: free(),
         seeds,
         peer_key: "test".into(),
+        strength: 100,
         headers: edge::Headers {
             reserved: vec![http::HeaderName::from_static("x-hold")],
             ..edge::Headers::default()
