feat(edge): a refusal names the wait and the backlog that decided it

Cause: the line of a refused request said only that every endpoint is too busy.

Change: expected wait, prompts ahead, room and tried endpoints stand in a step of their own.

--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -160,11 +160,24 @@
                 );
                 Ok(pick)
             }
-            steer::Outcome::Busy(after) if self.runs == 0 => {
+            steer::Outcome::Busy(busy) => {
+                self.job.note(
+                    now,
+                    "busy",
+                    format_args!(
+                        "wait_ms={:.0} backlog_ms={:.0} has_room={} tried={}",
+                        busy.wait_ms,
+                        busy.backlog_ms,
+                        busy.has_room,
+                        self.tried.len()
+                    ),
+                );
+                if self.runs > 0 {
+                    return Err(self.failed("the other endpoints are too busy"));
+                }
                 let text = "every endpoint is too busy";
-                Err(Refusal::new(Kind::Overload, text).after(after))
+                Err(Refusal::new(Kind::Overload, text).after(busy.after))
             }
-            steer::Outcome::Busy(_) => Err(self.failed("the other endpoints are too busy")),
             steer::Outcome::NoEndpoint => Err(self.failed("no other endpoint takes work")),
         }
     }
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -115,7 +115,12 @@
         let is_full = self.endpoints[best.key].fault.is_full(now) || !best.has_room;
         let excess_ms = (best.wait_ms - bound_ms).max(best.backlog_ms - backlog_bound_ms);
         if excess_ms > 0.0 || is_full {
-            return pick::Outcome::Busy(retry_after(excess_ms, rng));
+            return pick::Outcome::Busy(pick::Refusal {
+                after: retry_after(excess_ms, rng),
+                wait_ms: best.wait_ms,
+                backlog_ms: best.backlog_ms,
+                has_room: !is_full,
+            });
         }
         pick::Outcome::Sent(self.picked(now, &best))
     }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -34,7 +34,7 @@
 pub use load::Load;
 pub use need::{Need, Part, Work};
 pub use options::Options;
-pub use pick::{Outcome, Pick};
+pub use pick::{Outcome, Pick, Refusal};
 pub use placement::Placement;
 pub use report::Report;
 pub use run::Run;
--- a/crates/steer/src/pick.rs
+++ b/crates/steer/src/pick.rs
@@ -29,6 +29,19 @@
     Sent(Pick),
     /// No endpoint of the service takes work.
     NoEndpoint,
-    /// Every endpoint is too busy; a retry is sensible after this time.
-    Busy(time::Duration),
+    /// Every endpoint is too busy.
+    Busy(Refusal),
+}
+
+/// Why no endpoint takes a request now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    /// After what time a retry is sensible.
+    pub after: time::Duration,
+    /// Expected wait at the best endpoint in milliseconds.
+    pub wait_ms: f64,
+    /// Time that the prompts ahead take there in milliseconds.
+    pub backlog_ms: f64,
+    /// Whether that endpoint has room in its places and memory.
+    pub has_room: bool,
 }
--- a/crates/steer/tests/load.rs
+++ b/crates/steer/tests/load.rs
@@ -212,7 +212,7 @@
     );
     let refused = host.pick(0, &bulk(500, 500), 1);
     assert!(
-        matches!(refused, steer::Outcome::Busy(after) if after >= ms(100)),
+        matches!(refused, steer::Outcome::Busy(busy) if busy.after >= ms(100)),
         "{refused:?}"
     );
     assert!(matches!(
@@ -267,11 +267,9 @@
     let mut hosts: Vec<Host> = (0..8).map(|seed| Host::new(seed, "dc0", 8)).collect();
     let mut counts: collections::HashMap<String, u32> = collections::HashMap::new();
     for round in 0..10u64 {
-        for index in 0..hosts.len() {
+        for (index, host) in hosts.iter_mut().enumerate() {
             let own = round * 100 + index as u64;
-            let pick = hosts[index]
-                .send(round * 200, &interactive(own))
-                .expect("endpoint");
+            let pick = host.send(round * 200, &interactive(own)).expect("endpoint");
             *counts.entry(pick.id).or_default() += 1;
         }
         for from in 0..hosts.len() {
