--- a/crates/back/src/client.rs
+++ b/crates/back/src/client.rs
@@ -7,6 +7,7 @@
 use hyper_util::rt;
 use tokio::sync::Semaphore;
 
+use crate::chain;
 use crate::connector;
 use crate::error;
 use crate::load;
@@ -144,21 +145,10 @@
 }
 
 fn classify(cause: legacy::Error) -> error::Error {
-    let text = chain(&cause);
+    let text = chain::chain(&cause);
     if cause.is_connect() {
         error::Error::NotSent(text)
     } else {
         error::Error::MayHaveRun(text)
     }
 }
-
-fn chain(cause: &dyn std::error::Error) -> String {
-    let mut text = cause.to_string();
-    let mut next = cause.source();
-    while let Some(source) = next {
-        text.push_str(": ");
-        text.push_str(&source.to_string());
-        next = source.source();
-    }
-    text
-}
--- a/crates/back/src/lib.rs
+++ b/crates/back/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Client::send`] tells whether a failed request may have reached the
 //! endpoint, which decides whether a non-idempotent request may be repeated.
 
+mod chain;
 mod client;
 mod connector;
 mod error;
@@ -14,6 +15,7 @@
 mod tally;
 mod version;
 
+pub use chain::chain;
 pub use client::Client;
 pub use error::Error;
 pub use load::Load;
--- /dev/null
+++ b/crates/edge/src/crash.rs
@@ -0,0 +1,50 @@
+use core::time;
+use std::sync;
+
+use base::mutex;
+
+use crate::host;
+use crate::news;
+
+/// Wait before an endpoint that broke a connection is asked for a sign of
+/// life; a process that crashes closes its listener at the same time.
+const CRASH_PAUSE: time::Duration = time::Duration::from_millis(40);
+
+/// Longest wait for that sign of life.
+const CRASH_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// Crashes that are remembered and told to other hosts.
+pub(crate) const ACCUSATIONS_MAX: usize = 16;
+
+impl host::Host {
+    /// Finds out whether an endpoint that broke a connection has crashed. The
+    /// requests that were in flight there are then suspects.
+    pub(crate) fn suspect(self: &sync::Arc<Self>, pick: &steer::Pick, fingerprint: u64) {
+        let host = self.clone();
+        let (address, key) = (pick.address, pick.key);
+        let endpoint = news::sender(&pick.id);
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_PAUSE).await;
+            let connecting = tokio::net::TcpStream::connect(address);
+            if let Ok(Ok(_)) = tokio::time::timeout(CRASH_TIMEOUT, connecting).await {
+                return;
+            }
+            let now = host.clock.now();
+            mutex::lock(&host.fleet).unreachable(now, key);
+            mutex::lock(&host.blame).accuse(now, fingerprint, endpoint);
+            log::warn!(
+                target: "edge",
+                endpoint = address.to_string().as_str(), fingerprint = fingerprint;
+                "an endpoint crashed with the request in flight"
+            );
+            let mut accusations = mutex::lock(&host.accusations);
+            accusations.push_back(news::Accusation {
+                fingerprint,
+                endpoint,
+            });
+            if accusations.len() > ACCUSATIONS_MAX {
+                accusations.pop_front();
+            }
+        });
+    }
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -22,16 +22,6 @@
 use crate::snapshot;
 use crate::watchers;
 
-/// Wait before an endpoint that broke a connection is asked for a sign of
-/// life; a process that crashes closes its listener at the same time.
-const CRASH_PAUSE: time::Duration = time::Duration::from_millis(40);
-
-/// Longest wait for that sign of life.
-const CRASH_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-
-/// Crashes that are remembered and told to other hosts.
-pub(crate) const ACCUSATIONS_MAX: usize = 16;
-
 /// Share of the fleet's repeats beside those that requests earn that hosts use
 /// together. The rest covers hosts that do not know each other.
 const SLACK_SHARE: f64 = 0.6;
@@ -39,13 +29,6 @@
 /// Share of the repeats that requests earn which is used.
 const RATIO_SHARE: f64 = 0.8;
 
-/// Time for which a leaving host accepts connections, so that callers that
-/// still hold its address are served.
-const ACCEPT_TIME: time::Duration = time::Duration::from_millis(2_000);
-
-/// Time before the end of the process at which the rest is given up.
-const STOP_MARGIN: time::Duration = time::Duration::from_millis(400);
-
 /// Age of the newest word of the platform after which a host reads it itself.
 /// Watchers hear from the platform every few seconds and tell it at once.
 const WORD_AGE: time::Duration = time::Duration::from_millis(3_600);
@@ -74,9 +57,9 @@
     /// Time of the newest word of the platform, own or of another host, in
     /// milliseconds since the start plus one; 0 for none.
     heard_ms: atomic::AtomicU64,
-    is_leaving: atomic::AtomicBool,
+    pub(crate) is_leaving: atomic::AtomicBool,
     has_endpoints: atomic::AtomicBool,
-    server: sync::Mutex<Option<front::Server>>,
+    pub(crate) server: sync::Mutex<Option<front::Server>>,
 }
 
 impl std::fmt::Debug for Host {
@@ -285,27 +268,6 @@
         self.options.peer_listen
     }
 
-    /// Stops: the host is no longer listed, serves what it has and what still
-    /// arrives for a while, and returns when all is answered or the time is
-    /// over.
-    pub async fn stop(&self) {
-        let start = tokio::time::Instant::now();
-        self.is_leaving.store(true, atomic::Ordering::Release);
-        mutex::lock(&self.membership).set_leaving();
-        log::info!(target: "edge", "leaving: finishing open requests");
-        tokio::time::sleep(ACCEPT_TIME).await;
-        let server = mutex::lock(&self.server).take();
-        let Some(server) = server else { return };
-        let end = start + self.options.stop_time.saturating_sub(STOP_MARGIN);
-        if tokio::time::timeout_at(end, server.shutdown())
-            .await
-            .is_err()
-        {
-            log::warn!(target: "edge", "stopped with open requests: the time is over");
-        }
-        log::info!(target: "edge", "stopped");
-    }
-
     /// Returns whether the host finishes what it has.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(atomic::Ordering::Acquire)
@@ -390,37 +352,6 @@
         }
     }
 
-    /// Finds out whether an endpoint that broke a connection has crashed. The
-    /// requests that were in flight there are then suspects.
-    pub(crate) fn suspect(self: &sync::Arc<Self>, pick: &steer::Pick, fingerprint: u64) {
-        let host = self.clone();
-        let (address, key) = (pick.address, pick.key);
-        let endpoint = news::sender(&pick.id);
-        tokio::spawn(async move {
-            tokio::time::sleep(CRASH_PAUSE).await;
-            let connecting = tokio::net::TcpStream::connect(address);
-            if let Ok(Ok(_)) = tokio::time::timeout(CRASH_TIMEOUT, connecting).await {
-                return;
-            }
-            let now = host.clock.now();
-            mutex::lock(&host.fleet).unreachable(now, key);
-            mutex::lock(&host.blame).accuse(now, fingerprint, endpoint);
-            log::warn!(
-                target: "edge",
-                endpoint = address.to_string().as_str(), fingerprint = fingerprint;
-                "an endpoint crashed with the request in flight"
-            );
-            let mut accusations = mutex::lock(&host.accusations);
-            accusations.push_back(news::Accusation {
-                fingerprint,
-                endpoint,
-            });
-            if accusations.len() > ACCUSATIONS_MAX {
-                accusations.pop_front();
-            }
-        });
-    }
-
     fn front_options(&self, limits: &plan::Limits) -> front::Options {
         front::Options {
             body_max: limits.body_bytes,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,8 @@
 
 mod admit;
 mod answered;
+mod catch_up;
+mod crash;
 mod event;
 mod exchange;
 mod expose;
@@ -38,6 +40,7 @@
 mod send;
 mod snapshot;
 mod step;
+mod stop;
 mod watchers;
 
 pub use event::Splitter;
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -75,7 +75,7 @@
             .await
             .map_err(|mut failure| match failure.take_message() {
                 Some(request) => Failure::NotSent(Box::new(request)),
-                None => Failure::Broken(chain(failure.error())),
+                None => Failure::Broken(back::chain(failure.error())),
             })
     }
 
@@ -90,15 +90,3 @@
         self.task.abort();
     }
 }
-
-/// Returns an error with its causes.
-pub(crate) fn chain(cause: &dyn std::error::Error) -> String {
-    let mut text = cause.to_string();
-    let mut next = cause.source();
-    while let Some(source) = next {
-        text.push_str(": ");
-        text.push_str(&source.to_string());
-        next = source.source();
-    }
-    text
-}
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -6,10 +6,10 @@
 use base::mutex;
 use rand::seq::IteratorRandom;
 
+use crate::crash;
 use crate::host;
 use crate::news;
 use crate::options;
-use crate::peers;
 
 /// Period of membership digests.
 const DIGEST_PERIOD: time::Duration = time::Duration::from_secs(1);
@@ -36,13 +36,6 @@
 /// Pause after a socket failed.
 const SOCKET_PAUSE: time::Duration = time::Duration::from_millis(100);
 
-/// How long the own reading of the platform may take before newer state is
-/// fetched from another host.
-const FETCH_PAUSE: time::Duration = time::Duration::from_millis(150);
-
-/// How long a starting host waits for the platform before it asks its seeds.
-const SEED_PAUSE: time::Duration = time::Duration::from_millis(400);
-
 /// Shortest time between two changes that are told at once.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -81,12 +74,12 @@
 
 /// What the tasks of the mesh share.
 #[derive(Clone)]
-struct Mesh {
-    host: sync::Arc<host::Host>,
+pub(crate) struct Mesh {
+    pub(crate) host: sync::Arc<host::Host>,
     digests: peer::Socket,
     loads: sync::Arc<tokio::net::UdpSocket>,
-    client: back::Client,
-    fetching: sync::Arc<tokio::sync::Mutex<()>>,
+    pub(crate) client: back::Client,
+    pub(crate) fetching: sync::Arc<tokio::sync::Mutex<()>>,
 }
 
 /// Starts the exchange with other hosts. `state` serves the state of this host
@@ -352,7 +345,7 @@
                 continue;
             }
             accusations.push_back(*accusation);
-            if accusations.len() > host::ACCUSATIONS_MAX {
+            if accusations.len() > crash::ACCUSATIONS_MAX {
                 accusations.pop_front();
             }
             drop(accusations);
@@ -360,70 +353,4 @@
             blame.accuse(now, accusation.fingerprint, accusation.endpoint);
         }
     }
-
-    /// Fetches newer state from another host unless the platform delivers it
-    /// first.
-    async fn catch_up(self, from: net::SocketAddr, plan_revision: u64, endpoint_revision: u64) {
-        let Ok(_one) = self.fetching.try_lock() else {
-            return;
-        };
-        let now = self.host.clock.now();
-        if !self.host.follows_others(now) {
-            tokio::time::sleep(FETCH_PAUSE).await;
-        }
-        let lacks_plan = self.host.plan_revision().unwrap_or(0) < plan_revision;
-        let lacks_endpoints = self.host.endpoint_revision() < endpoint_revision
-            && self.host.follows_others(self.host.clock.now());
-        if lacks_plan || lacks_endpoints {
-            self.fetch(from).await;
-        }
-    }
-
-    async fn fetch(&self, from: net::SocketAddr) {
-        let asked = self.host.clock.now();
-        let known = self.host.plan_revision().unwrap_or(0);
-        let snapshot = match peers::fetch(&self.client, from, known).await {
-            Ok(snapshot) => snapshot,
-            Err(cause) => {
-                log::warn!(target: "edge", peer = from.to_string().as_str(); "state not fetched: {cause}");
-                return;
-            }
-        };
-        let source = from.to_string();
-        if let Some(plan) = snapshot.plan {
-            self.host.offer_plan(plan, &source);
-        }
-        let follows = self.host.follows_others(asked);
-        let mut registry = mutex::lock(&self.host.registry);
-        if follows && registry.revision() < snapshot.endpoint_revision {
-            registry.adopt(snapshot.endpoints, snapshot.endpoint_revision);
-            self.host.use_endpoints(&registry);
-        }
-        let is_current = self.host.plan_revision() == Some(snapshot.plan_revision)
-            && registry.revision() >= snapshot.endpoint_revision;
-        if is_current {
-            let age = time::Duration::from_millis(snapshot.age_ms);
-            self.host.heard(asked.saturating_sub(age));
-        }
-    }
-
-    /// Asks the seeds for their state while the platform does not answer a
-    /// starting host.
-    async fn ask_seeds(self) {
-        loop {
-            tokio::time::sleep(SEED_PAUSE).await;
-            if self.host.is_ready() || self.host.is_leaving() {
-                return;
-            }
-            let own = self.host.options.peer_listen;
-            let others = self.host.options.seeds.iter().filter(|seed| **seed != own);
-            let seed = {
-                let mut rng = mutex::lock(&self.host.rng);
-                others.choose(&mut *rng).copied()
-            };
-            if let Some(seed) = seed {
-                self.fetch(seed).await;
-            }
-        }
-    }
 }
