fix(edge): a long answer counts as served when it is whole, and the route's time bounds it

Cause: the head of an answer above 256 KiB was passed on together with the note that the request was served, and the rest was read without a limit. Change: Rest drives such an answer, ends it with an error at the request's time limit, and notes the outcome at its end. Open::finish is the one place where a whole answer ends its run and gives back its connection.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -23,12 +23,17 @@
     headers: http::HeaderMap,
     body: axum::body::Body,
 ) -> Response {
-    flow.conclude(if status.is_success() {
+    flow.conclude(outcome(status));
+    streamed(status, headers, body)
+}
+
+/// Returns how a request ends with a whole answer of an endpoint.
+pub(crate) fn outcome(status: http::StatusCode) -> &'static str {
+    if status.is_success() {
         "served"
     } else {
         "endpoint_failure"
-    });
-    streamed(status, headers, body)
+    }
 }
 
 /// Returns an endpoint's answer whose body ends the request.
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -59,6 +59,14 @@
         self.outcome = Some(outcome);
     }
 
+    /// Notes that an answer is ended before it is whole.
+    pub(crate) fn cut(&mut self, refusal: &Refusal) {
+        let now = self.host.clock.now();
+        self.job
+            .note(now, "cut", format_args!("{}", refusal.message));
+        self.conclude(refusal.kind.entry().name);
+    }
+
     /// Attempts the request until the head of an answer is there that is to be
     /// passed on. `after` is the last event that the caller has.
     ///
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,6 +37,7 @@
 mod registry;
 mod relay;
 mod reply;
+mod rest;
 mod send;
 mod snapshot;
 mod step;
--- a/crates/edge/src/open.rs
+++ b/crates/edge/src/open.rs
@@ -3,6 +3,7 @@
 use http::header;
 
 use crate::guard;
+use crate::host;
 use crate::link;
 
 /// An answer whose head has arrived.
@@ -24,8 +25,21 @@
             || self.headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Notes the end of a whole answer, keeps the connection for other requests
+    /// and returns the headers.
+    pub(crate) fn finish(self, host: &host::Host) -> http::HeaderMap {
+        let idle_time = self.idle_time();
+        let end = match self.status.is_server_error() {
+            true => steer::End::Failed,
+            false => steer::End::Served,
+        };
+        self.guard.end(end);
+        host.links.keep(self.link, idle_time);
+        self.headers
+    }
+
     /// Returns how long the endpoint keeps the connection, if it says so.
-    pub(crate) fn idle_time(&self) -> Option<time::Duration> {
+    fn idle_time(&self) -> Option<time::Duration> {
         let value = self.headers.get("keep-alive")?.to_str().ok()?;
         value
             .split(',')
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,11 +1,11 @@
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use http_body_util::BodyExt;
 
 use crate::exchange;
 use crate::flow;
 use crate::headers;
 use crate::open;
+use crate::rest;
 
 /// Bytes of an answer that are read before its head is passed on. A spoiled
 /// answer of this size or less can still be replaced.
@@ -29,7 +29,7 @@
         };
         match read(&mut flow, &mut open).await {
             Read::Whole(body) => return whole(flow, open, body),
-            Read::Part(body) => return partial(flow, open, body),
+            Read::Part(body) => return rest::answer(flow, open, body),
             Read::Late => {
                 let refusal = flow.late();
                 open.guard.end(steer::End::Lost);
@@ -78,31 +78,9 @@
 }
 
 fn whole(flow: flow::Flow, open: open::Open, body: Bytes) -> exchange::Response {
-    let idle_time = open.idle_time();
-    let end = match open.status.is_server_error() {
-        true => steer::End::Failed,
-        false => steer::End::Served,
-    };
-    open.guard.end(end);
-    flow.host.links.keep(open.link, idle_time);
-    let mut headers = open.headers;
+    let status = open.status;
+    let mut headers = open.finish(&flow.host);
     headers::strip_connection(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
-    exchange::answered(flow, open.status, headers, axum::body::Body::from(body))
-}
-
-/// Passes on an answer that is too long to be held.
-fn partial(flow: flow::Flow, open: open::Open, begun: Bytes) -> exchange::Response {
-    let mut headers = open.headers;
-    headers::strip_connection(&mut headers);
-    let (guard, link) = (open.guard, open.link);
-    let rest = open.body.into_data_stream();
-    let begun = futures_util::stream::once(async move { Ok(begun) });
-    let body = begun.chain(rest).map(move |data| {
-        // The run and its connection last as long as the body.
-        let _held = (&guard, &link);
-        data
-    });
-    let body = axum::body::Body::from_stream(body);
-    exchange::answered(flow, open.status, headers, body)
+    exchange::answered(flow, status, headers, axum::body::Body::from(body))
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -194,13 +194,7 @@
         self.is_over = true;
         self.flow.conclude("served");
         if let Some(open) = self.open.take() {
-            let idle_time = open.idle_time();
-            let end = match open.status.is_server_error() {
-                true => steer::End::Failed,
-                false => steer::End::Served,
-            };
-            open.guard.end(end);
-            self.flow.host.links.keep(open.link, idle_time);
+            open.finish(&self.flow.host);
         }
     }
 
@@ -259,11 +253,7 @@
             Ok(None) => None,
             Err(refusal) => {
                 self.is_cut = true;
-                let flow = &mut self.relay.flow;
-                let now = flow.host.clock.now();
-                flow.job
-                    .note(now, "cut", format_args!("{}", refusal.message));
-                flow.conclude(refusal.kind.entry().name);
+                self.relay.flow.cut(&refusal);
                 // An error closes the connection, so that the stream does not
                 // look complete.
                 Some((Err(io::Error::other(refusal.message)), self))
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -308,3 +308,84 @@
     let good = common::call(&host, &common::request("GET", "/look/good", "g", "", "")).await;
     assert_eq!(good.status, 200);
 }
+
+/// Bytes of an answer that is too long to be held until its end.
+const LONG: usize = 400 * 1024;
+
+/// Returns the head and the first bytes of a long answer.
+fn long_begun(seen: &endpoint::Seen) -> Step {
+    let whole = endpoint::text(seen, 200, "x-signature: s\r\n", &"x".repeat(LONG));
+    Step::Bytes(whole[..300 * 1024].into())
+}
+
+/// Waits until the metrics of the host hold a line.
+async fn wait_for_metric(host: &edge::Host, line: &str) {
+    let found = async {
+        while !host.meters.text().contains(line) {
+            tokio::time::sleep(common::ms(5)).await;
+        }
+    };
+    if tokio::time::timeout(common::ms(5_000), found)
+        .await
+        .is_err()
+    {
+        panic!("no \"{line}\" in {}", host.meters.text());
+    }
+}
+
+#[tokio::test]
+async fn a_long_answer_is_passed_on_whole() {
+    let one = endpoint::Endpoint::start("e1", |seen| endpoint::ok(seen, &"x".repeat(LONG))).await;
+    let host = common::host(&[&one]).await;
+    let answer = common::call(&host, &common::request("GET", "/look/a", "r1", "", "")).await;
+    assert!(answer.is_whole);
+    assert_eq!(answer.body.len(), LONG);
+    wait_for_metric(&host, "outcome=\"served\"} 1").await;
+}
+
+#[tokio::test]
+async fn a_long_answer_that_breaks_off_does_not_count_as_served() {
+    // Guards against a torn answer that logs and metrics show as a success.
+    let one = endpoint::Endpoint::start("e1", |seen| {
+        vec![long_begun(seen), Step::Pause(common::ms(200)), Step::Reset]
+    })
+    .await;
+    let host = common::host(&[&one]).await;
+    let answer = common::call(&host, &common::request("GET", "/look/a", "r1", "", "")).await;
+    assert!(!answer.is_whole);
+    wait_for_metric(&host, "outcome=\"endpoint_failed\"} 1").await;
+    assert!(!host.meters.text().contains("outcome=\"served\""));
+}
+
+#[tokio::test]
+async fn the_time_limit_bounds_the_rest_of_a_long_answer() {
+    // Guards against an endpoint that stops within an answer and holds the caller for ever.
+    let one = endpoint::Endpoint::start("e1", |seen| vec![long_begun(seen), Step::Hang]).await;
+    let host = common::host(&[&one]).await;
+    let start = tokio::time::Instant::now();
+    let extra = "request-deadline: 500\r\n";
+    let answer = common::call(&host, &common::request("GET", "/look/a", "r1", extra, "")).await;
+    let took = start.elapsed();
+    assert!(!answer.is_whole);
+    assert!(took < common::ms(2_000), "cut after {took:?}");
+    wait_for_metric(&host, "outcome=\"endpoint_timeout\"} 1").await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_a_long_answer_does_not_count_as_served() {
+    let one = endpoint::Endpoint::start("e1", |seen| vec![long_begun(seen), Step::Hang]).await;
+    let host = common::host(&[&one]).await;
+    let text = common::request("GET", "/look/a", "r1", "", "");
+    let mut stream = tokio::net::TcpStream::connect(host.address())
+        .await
+        .expect("connect");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, text.as_bytes())
+        .await
+        .expect("send");
+    let mut buffer = [0; 1_024];
+    tokio::io::AsyncReadExt::read_exact(&mut stream, &mut buffer)
+        .await
+        .expect("the begun answer");
+    drop(stream);
+    wait_for_metric(&host, "outcome=\"caller_left\"} 1").await;
+}
