fix(plan): requests of one team are ranked by their routes

The tier of a team replaced that of the route, and nearly all teams have the same one, so engines could not tell drafts from chats when their memory ran out, and admission gave both the same room. Load knowledge was ruled out as the cause: the preempted chat had waited 0.6 s at an engine of its own data centre. Change: plan::Rank orders by team, then by route, among the tiers in use at a service; endpoints get the place (at most ten), and steer the urgency from 0 to 1, which widens the room and the backlog that a request may use. The test in plan fails on the old rule, where both places are equal.

--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -142,7 +142,7 @@
 
     fn pick(&mut self, now: time::Duration, left: time::Duration) -> Result<steer::Pick, Refusal> {
         let need = steer::Need {
-            tier: self.job.tier,
+            urgency: self.job.rank.urgency(),
             left,
             target_first: self.job.route.target_first,
         };
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -76,11 +76,11 @@
     let now = host.clock.now();
     host.earn_repeat(now, &job.service);
     let inputs = format!(
-        "route={} service={} team={} tier={} left_ms={} plan={}",
+        "route={} service={} team={} rank={} left_ms={} plan={}",
         job.route.name,
         job.service,
         job.team.as_deref().unwrap_or("-"),
-        job.tier,
+        job.rank.place(),
         job.left(now).as_millis(),
         job.revision,
     );
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -28,7 +28,7 @@
     pub(crate) revision: u64,
     pub(crate) service: String,
     pub(crate) team: Option<String>,
-    pub(crate) tier: u8,
+    pub(crate) rank: plan::Rank,
     pub(crate) work: steer::Work,
     /// Same for repeats of the same content by the same caller.
     pub(crate) fingerprint: u64,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -295,7 +295,7 @@
         let mut headers = self.job.headers.clone();
         let left = self.job.left(self.host.clock.now()).as_millis();
         headers.insert(names.deadline_ms.clone(), (left as u64).into());
-        headers.insert(names.tier.clone(), u64::from(self.job.tier).into());
+        headers.insert(names.tier.clone(), u64::from(self.job.rank.place()).into());
         if let Ok(id) = http::HeaderValue::from_str(&pick.id) {
             headers.insert(names.endpoint.clone(), id);
         }
--- a/crates/edge/tests/configuration.rs
+++ b/crates/edge/tests/configuration.rs
@@ -123,3 +123,24 @@
             .is_err()
     );
 }
+
+#[tokio::test]
+async fn an_endpoint_learns_which_request_of_a_team_is_more_urgent() {
+    // Guards against engines that preempt urgent work of a team for its other work.
+    let one = endpoint::Endpoint::start("e1", |seen| endpoint::ok(seen, "x")).await;
+    let host = common::host(&[&one]).await;
+    let mut plan = common::plan(2);
+    plan.teams[0].tier = Some(1);
+    plan.routes[0].tier = 0;
+    plan.routes[1].tier = 3;
+    assert!(host.offer_plan(plan, "test"));
+    common::call(&host, &common::request("GET", "/look/a", "r1", "", "")).await;
+    common::call(&host, &common::request("POST", "/book/a", "r2", "", "")).await;
+    let places: Vec<u64> = one
+        .requests()
+        .iter()
+        .filter_map(|seen| seen.header("x-tier")?.parse().ok())
+        .collect();
+    assert_eq!(places.len(), 2);
+    assert!(places[0] < places[1], "{places:?}");
+}
--- /dev/null
+++ b/crates/plan/src/rank.rs
@@ -0,0 +1,80 @@
+use std::collections;
+
+use crate::plan;
+
+/// Ranks that endpoints tell apart.
+const LEVELS: usize = 10;
+
+/// How urgent a request is among those of its service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rank {
+    place: u8,
+    last: u8,
+}
+
+impl Rank {
+    /// Returns the rank at a place, 0 being the most urgent, of which `last` is
+    /// the least urgent one.
+    pub const fn new(place: u8, last: u8) -> Self {
+        Self { place, last }
+    }
+
+    /// Returns the place; 0 is the most urgent.
+    pub const fn place(self) -> u8 {
+        self.place
+    }
+
+    /// Returns the urgency, from 0 for the least to 1 for the most urgent
+    /// requests of the service.
+    pub fn urgency(self) -> f64 {
+        match self.last {
+            0 => 0.0,
+            last => 1.0 - f64::from(self.place.min(last)) / f64::from(last),
+        }
+    }
+}
+
+/// Tier of the team, or of the route for teams without one, and tier of the
+/// route. Requests are ranked in this order.
+type Pair = (u8, u8);
+
+/// The tiers in use at each service, in order.
+#[derive(Debug, Default)]
+pub(crate) struct Ranks(collections::HashMap<String, Vec<Pair>>);
+
+impl Ranks {
+    pub(crate) fn new(plan: &plan::Plan) -> Self {
+        let mut sets: collections::HashMap<String, collections::BTreeSet<Pair>> =
+            collections::HashMap::new();
+        for route in &plan.routes {
+            let teams = plan.teams.iter().map(|team| team.tier);
+            let pairs: Vec<Pair> = teams
+                .chain([None])
+                .map(|team| pair(team, route.tier))
+                .collect();
+            for target in &route.targets {
+                let set = sets.entry(target.service.clone()).or_default();
+                set.extend(&pairs);
+            }
+        }
+        let lists = sets
+            .into_iter()
+            .map(|(service, set)| (service, set.into_iter().collect()));
+        Self(lists.collect())
+    }
+
+    pub(crate) fn rank(&self, service: &str, team: Option<u8>, route: u8) -> Rank {
+        let wanted = pair(team, route);
+        let list = self.0.get(service).map_or(&[][..], Vec::as_slice);
+        let place = list.partition_point(|known| *known < wanted);
+        let count = list.len().max(place + 1);
+        // Neighbouring ranks share a place if there are too many of them.
+        let levels = count.min(LEVELS);
+        // CAST: Both are below the number of levels.
+        Rank::new((place * levels / count) as u8, (levels - 1) as u8)
+    }
+}
+
+fn pair(team: Option<u8>, route: u8) -> Pair {
+    (team.unwrap_or(route), route)
+}
--- a/crates/plan/src/table.rs
+++ b/crates/plan/src/table.rs
@@ -3,6 +3,7 @@
 use xxhash_rust::xxh3;
 
 use crate::plan;
+use crate::rank;
 use crate::route;
 use crate::service;
 use crate::team;
@@ -25,6 +26,7 @@
     /// Routes of a host name, longest prefix first.
     routes: collections::HashMap<String, Vec<usize>>,
     keys: collections::HashMap<String, usize>,
+    ranks: rank::Ranks,
 }
 
 impl Table {
@@ -44,7 +46,12 @@
             .enumerate()
             .flat_map(|(index, team)| team.keys.iter().map(move |key| (key.clone(), index)))
             .collect();
-        Self { plan, routes, keys }
+        Self {
+            ranks: rank::Ranks::new(&plan),
+            plan,
+            routes,
+            keys,
+        }
     }
 
     /// Returns the plan.
@@ -78,6 +85,18 @@
         Caller::Unknown
     }
 
+    /// Returns how urgent a request is at a service. Teams are ranked first,
+    /// and requests of equal teams by their routes.
+    pub fn rank(
+        &self,
+        service: &str,
+        route: &route::Route,
+        team: Option<&team::Team>,
+    ) -> rank::Rank {
+        let team = team.and_then(|team| team.tier);
+        self.ranks.rank(service, team, route.tier)
+    }
+
     /// Returns the service of this name.
     pub fn service(&self, name: &str) -> Option<&service::Service> {
         self.plan
--- a/crates/plan/src/team.rs
+++ b/crates/plan/src/team.rs
@@ -5,6 +5,6 @@
     pub name: String,
     /// Keys in force.
     pub keys: Vec<String>,
-    /// Rank that replaces the one of the route.
+    /// Rank, which goes before that of the route; 0 is the most urgent.
     pub tier: Option<u8>,
 }
--- a/crates/plan/tests/table.rs
+++ b/crates/plan/tests/table.rs
@@ -94,3 +94,75 @@
     let none = table.route("shop.example", "/open/x").expect("route");
     assert_eq!(table.target(none, b"id"), None);
 }
+
+/// Returns a plan in which two teams share the routes of an engine.
+fn shared() -> plan::Plan {
+    let team = |name: &str, tier| plan::Team {
+        name: name.into(),
+        keys: vec![format!("{name}-key")],
+        tier,
+    };
+    let ranked = |name, tier| plan::Route {
+        tier,
+        ..route(name, &format!("/{name}/"), &[("engine", 1)])
+    };
+    plan::Plan {
+        revision: 1,
+        routes: vec![ranked("chat", 0), ranked("draft", 1)],
+        teams: vec![team("north", Some(0)), team("south", Some(1))],
+        ..plan::Plan::default()
+    }
+}
+
+fn place(table: &plan::Table, route: usize, team: usize) -> u8 {
+    let plan = table.plan();
+    let rank = table.rank("engine", &plan.routes[route], Some(&plan.teams[team]));
+    rank.place()
+}
+
+#[test]
+fn requests_of_one_team_are_ranked_by_their_routes() {
+    // Guards against engines that preempt chats while drafts of the same team run on.
+    let table = plan::Table::new(shared());
+    for team in 0..2 {
+        assert!(place(&table, 0, team) < place(&table, 1, team));
+    }
+}
+
+#[test]
+fn the_team_goes_before_the_route() {
+    let table = plan::Table::new(shared());
+    assert!(place(&table, 1, 0) < place(&table, 0, 1));
+}
+
+#[test]
+fn a_team_without_a_tier_takes_that_of_the_route() {
+    let mut plan = shared();
+    plan.teams[1].tier = None;
+    let table = plan::Table::new(plan);
+    assert_eq!(place(&table, 0, 0), place(&table, 0, 1));
+    assert!(place(&table, 1, 0) < place(&table, 1, 1));
+}
+
+#[test]
+fn many_tiers_keep_their_order_within_the_levels_of_endpoints() {
+    let mut plan = shared();
+    for tier in 2..40 {
+        plan.teams.push(plan::Team {
+            name: format!("t{tier}"),
+            keys: Vec::new(),
+            tier: Some(tier),
+        });
+    }
+    let table = plan::Table::new(plan);
+    let places: Vec<u8> = (0..40).map(|team| place(&table, 0, team)).collect();
+    assert!(places.is_sorted(), "{places:?}");
+    assert_eq!((places[0], places[39]), (0, 9));
+}
+
+#[test]
+fn the_urgency_of_a_service_with_one_rank_is_the_least() {
+    assert_eq!(plan::Rank::new(0, 0).urgency(), 0.0);
+    assert_eq!(plan::Rank::new(0, 3).urgency(), 1.0);
+    assert_eq!(plan::Rank::new(3, 3).urgency(), 0.0);
+}
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -24,9 +24,9 @@
 /// are preempted.
 const FILL_SHARE: f64 = 0.75;
 
-/// What each more urgent tier may fill beyond that share, so that it is the
-/// last to be refused.
-const FILL_TIER_SHARE: f64 = 0.05;
+/// What the most urgent requests may fill beyond that share, so that they are
+/// the last to be refused.
+const FILL_URGENT_SHARE: f64 = 0.15;
 
 /// Milliseconds by which an engine without room ranks behind the others.
 const NO_ROOM_MS: f64 = 5_000.0;
@@ -34,9 +34,6 @@
 /// Range of positions in which an engine passes from interactive to bulk work.
 const MIX_RANGE: f64 = 0.25;
 
-/// Tier below which no more time is allowed to the prompts ahead.
-const LAST_TIER: u8 = 2;
-
 /// Share of an engine's places up to which more requests cost nothing extra.
 const CALM_SHARE: f64 = 0.5;
 
@@ -105,8 +102,8 @@
             return pick::Outcome::NoEndpoint;
         };
         let bound_ms = need.left.as_secs_f64() * 1_000.0 * self.options.wait_share;
-        let tiers = f64::from(LAST_TIER.saturating_sub(need.tier));
-        let targets = self.options.backlog_targets + self.options.backlog_tier_targets * tiers;
+        let urgent_targets = self.options.backlog_urgent_targets * need.urgency;
+        let targets = self.options.backlog_targets + urgent_targets;
         // Short prompts hardly add to a backlog; long ones are refused first.
         let backlog_bound_ms = match work.is_bulk() {
             true => need.target_first.as_secs_f64() * 1_000.0 * targets,
@@ -154,8 +151,7 @@
             .placement()
             .and_then(|part| self.first_rank(part, placed));
         let memory = self.memories.get(service).copied();
-        let tiers = f64::from(LAST_TIER.saturating_sub(need.tier));
-        let fill = FILL_SHARE + FILL_TIER_SHARE * tiers;
+        let fill = FILL_SHARE + FILL_URGENT_SHARE * need.urgency;
         let mean = self.mean_failed(now, keys);
         keys.iter().map(move |&key| {
             let endpoint = &self.endpoints[key];
--- a/crates/steer/src/need.rs
+++ b/crates/steer/src/need.rs
@@ -48,10 +48,11 @@
 }
 
 /// What a request needs beside its work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Need {
-    /// Rank; 0 is the most urgent.
-    pub tier: u8,
+    /// Urgency from 0 for the least to 1 for the most urgent requests of the
+    /// service.
+    pub urgency: f64,
     /// Time that is left for the request.
     pub left: time::Duration,
     /// Time within which the first event is on time.
--- a/crates/steer/src/options.rs
+++ b/crates/steer/src/options.rs
@@ -12,12 +12,12 @@
     /// interactive work, and the other way round. Reading long prompts delays
     /// the tokens of all that run beside.
     pub mix_penalty_ms: f64,
-    /// Multiple of the target for the first event that the prompts ahead of a
-    /// request of tier 2 and below may take; above it the request is refused at
-    /// once, so that others are on time.
+    /// Multiple of the target for the first event that the prompts ahead of
+    /// one of the least urgent requests may take; above it the request is
+    /// refused at once, so that others are on time.
     pub backlog_targets: f64,
-    /// What each more urgent tier adds to this multiple.
-    pub backlog_tier_targets: f64,
+    /// What the most urgent requests add to this multiple.
+    pub backlog_urgent_targets: f64,
     /// Milliseconds that each token of a shared part that has to be read again
     /// adds to the cost of an endpoint, beyond the time to read it.
     pub reread_penalty_ms: f64,
@@ -42,7 +42,7 @@
             mix_penalty_ms: 150.0,
             reread_penalty_ms: 0.06,
             backlog_targets: 1.0,
-            backlog_tier_targets: 0.5,
+            backlog_urgent_targets: 1.0,
             peer_load_age: time::Duration::from_millis(1_500),
             report_age: time::Duration::from_millis(400),
             wait_share: 0.8,
