feat(edge): lines of a request are written from its first send on

Change: the first send takes the lines of a served request from their budget and from then on each decision is written as it is made.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -7,6 +7,7 @@
 use crate::headers;
 use crate::host;
 use crate::job;
+use crate::record;
 
 /// Age of the newest word of the platform or of another host above which a key
 /// or a route that is not known may only be new.
@@ -72,7 +73,7 @@
         method: head.method,
         uri: head.uri,
         body: bytes::Bytes::new(),
-        steps: Vec::new(),
+        record: record::Record::default(),
     })
 }
 
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -36,7 +36,7 @@
 
 impl Drop for Flow {
     fn drop(&mut self) {
-        journal::write(&self.host, &self.job, self.outcome);
+        journal::write(&self.host, &mut self.job, self.outcome);
     }
 }
 
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 
+use crate::record;
 use crate::step;
 
 /// Longest request identity that is logged, in bytes.
@@ -34,7 +35,7 @@
     pub(crate) fingerprint: u64,
     /// Last event that the caller has already.
     pub(crate) last_event: Option<u64>,
-    pub(crate) steps: Vec<step::Step>,
+    pub(crate) record: record::Record,
 }
 
 impl Job {
@@ -51,7 +52,8 @@
         inputs: fmt::Arguments<'_>,
     ) {
         let at = now.saturating_sub(self.arrived);
-        self.steps.push(step::Step::new(at, what, inputs));
+        self.record
+            .note(&self.id, step::Step::new(at, what, inputs));
     }
 }
 
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -1,32 +1,41 @@
 use crate::host;
 use crate::job;
 
-/// Writes the decisions about a request, unless the line budget is used up.
+/// Lines of a request that is served at once: routed, picked, answered, begun
+/// and finished.
+const SERVED_LINES: usize = 5;
+
+/// Begins to write the lines of a request that is about to be sent, unless the
+/// budget of served requests is used up. From then on they are written as
+/// decisions are made, so that they are there if the process is killed.
+pub(crate) fn open(host: &host::Host, job: &mut job::Job) {
+    let now = host.clock.now();
+    if !job.record.is_open() && host.lines.take(now, SERVED_LINES, true) {
+        job.record.open(&job.id);
+    }
+}
+
+/// Writes how a request ended, with the decisions that led there.
 ///
-/// All lines of a request are kept or none, and failures go before successes.
-pub(crate) fn write(host: &host::Host, job: &job::Job, outcome: Option<&'static str>) {
+/// All lines of a request are kept or none. Lines of failures have a budget
+/// that served requests do not use up.
+pub(crate) fn write(host: &host::Host, job: &mut job::Job, outcome: Option<&'static str>) {
     let outcome = outcome.unwrap_or("caller_left");
-    let took = host.clock.now().saturating_sub(job.arrived);
+    let now = host.clock.now();
+    let took = now.saturating_sub(job.arrived);
     host.meters.count(
         "requests",
         &[("route", &job.route.name), ("outcome", outcome)],
     );
     host.meters
         .time("request_ms", &[("route", &job.route.name)], took);
-    let is_success = outcome == "served" && job.steps.iter().all(|step| step.what != "lost");
-    if !host
-        .lines
-        .take(host.clock.now(), job.steps.len() + 1, is_success)
-    {
-        host.meters.count("log_lines_dropped", &[]);
-        return;
-    }
-    for step in &job.steps {
-        log::info!(
-            target: "request",
-            request = job.id.as_str(), step = step.what, at_ms = step.at.as_millis() as u64;
-            "{}", step.inputs
-        );
+    if !job.record.is_open() {
+        let is_success = outcome == "served" && !job.record.has_lost();
+        if !host.lines.take(now, job.record.waiting() + 1, is_success) {
+            host.meters.count("log_lines_dropped", &[]);
+            return;
+        }
+        job.record.open(&job.id);
     }
     log::info!(
         target: "request",
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod options;
 mod peers;
 mod plain;
+mod record;
 mod registry;
 mod relay;
 mod reply;
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -9,8 +9,10 @@
 use crate::flow;
 use crate::guard;
 use crate::headers;
+use crate::journal;
 use crate::link;
 use crate::open;
+use crate::step;
 
 /// Longest wait for a connection. Data centres of a region are milliseconds
 /// apart; an endpoint that does not accept within this time is down.
@@ -97,6 +99,7 @@
         let mut request = self.request(pick, after);
         self.arrivals += 1;
         self.runs += 1;
+        journal::open(&self.host, &mut self.job);
         loop {
             let answer = self.head(&mut link, request).await;
             match answer {
@@ -259,7 +262,7 @@
         let now = self.host.clock.now();
         self.job.note(
             now,
-            "lost",
+            step::LOST,
             format_args!("endpoint={} cause={cause}", pick.id),
         );
         guard.end(end);
--- a/crates/edge/src/step.rs
+++ b/crates/edge/src/step.rs
@@ -1,6 +1,9 @@
 use core::time;
 use std::fmt;
 
+/// An attempt failed after the request may have arrived.
+pub(crate) const LOST: &str = "lost";
+
 /// One decision about a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Step {
