fix(host): a leaving host waits while callers hold a list that names it

Cause: has_peers counted the live hosts after this one had marked itself as leaving, so that with two hosts, or with one of three under suspicion, the pause was left out and connections were refused 2 ms after SIGTERM. Where it was kept, half of shutdown_max cut it to 5 s, the life of a list, without the second for the news to spread. Change: any other live host counts, and shutdown_max alone bounds the pause. The rolling-restart test says how old the list of a failed booking is.

--- a/crates/carobbay/tests/faults/leaving.rs
+++ b/crates/carobbay/tests/faults/leaving.rs
@@ -9,6 +9,13 @@
 use crate::fleet;
 use crate::model;
 
+/// How long callers keep a list of hosts.
+const LIST_LIFE: time::Duration = time::Duration::from_secs(5);
+
+/// Time for the news that a host leaves to reach the others, whose lists name
+/// it until then.
+const NEWS_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// Time after which an endpoint that leaves gets no new work.
 const SETTLED: time::Duration = time::Duration::from_secs(4);
 
@@ -57,6 +64,27 @@
     model::assert_whole(&load.end().await);
 }
 
+/// Guards against a host that is gone while callers still hold a list that
+/// names it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_host_accepts_callers_for_the_life_of_a_list() {
+    let engine = model::engine(None);
+    let settings = fleet::settings(&[engine.address()], "");
+    let mut fleet = fleet::Fleet::start(2, &settings).await;
+    let leaving = fleet.caller(0);
+    let start = tokio::time::Instant::now();
+    fleet.signal(0, "TERM");
+    while tokio::net::TcpStream::connect(leaving).await.is_ok() {
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    let accepted = start.elapsed();
+    assert!(
+        accepted >= LIST_LIFE + NEWS_TIME,
+        "connections were refused after {accepted:?}"
+    );
+    fleet.ended(0).await;
+}
+
 /// Guards against requests that fail while all hosts are replaced, one after
 /// the other, for callers that use the hosts listed at the time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -109,6 +137,7 @@
         if listed.has_changed().is_err() {
             break;
         }
+        let read = tokio::time::Instant::now();
         let hosts = listed.borrow().clone();
         // A host that is leaving mints none; the others do.
         let mut keys = Vec::new();
@@ -122,7 +151,11 @@
         let call = booking::booking(&tag, Some(key));
         let address = hosts[(number + 1) % hosts.len()];
         let outcome = booking::attempt(&call, address, booking::PATIENCE).await;
-        assert!(outcome.is_whole(), "{tag}: {outcome:?}");
+        assert!(
+            outcome.is_whole(),
+            "{tag} at {address}, listed {:?} ago: {outcome:?}",
+            read.elapsed()
+        );
         answers.note(&tag, outcome);
     }
     answers
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -181,7 +181,7 @@
         self.parts.view.leave();
         self.parts.peers.leave();
         if self.parts.view.has_peers() {
-            tokio::time::sleep(LEAVE_PAUSE.min(self.shutdown_max / 2)).await;
+            tokio::time::sleep(LEAVE_PAUSE.min(self.shutdown_max)).await;
         }
         let served = self.front.shutdown();
         if tokio::time::timeout(self.shutdown_max, served)
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -93,7 +93,9 @@
 
     /// Returns whether another live host is known.
     pub(crate) fn has_peers(&self) -> bool {
-        self.lock().live().len() > 1
+        let membership = self.lock();
+        let own = &membership.own().name;
+        membership.live().iter().any(|entry| entry.name != *own)
     }
 
     /// Marks this host as leaving.
