fix(testkit): leaving the queue of an engine is not a cancelled run

Cause: a request whose caller left before it entered the batch counted as cancelled but not as an execution, so that the two never matched again and streams::hang_ups_free_the_places_of_engines waited in vain. Change: such requests count as withdrawn. Before: the new test failed with one cancelled run of none. After: passes.

--- a/crates/testkit/src/engine/batch.rs
+++ b/crates/testkit/src/engine/batch.rs
@@ -65,6 +65,10 @@
         lock(&self.state).runs.clone()
     }
 
+    pub(crate) fn waiting(&self) -> usize {
+        lock(&self.state).waiting.len()
+    }
+
     /// Returns whether the number is as new as the newest seen.
     pub(crate) fn fence(&self, number: u64) -> bool {
         let mut state = lock(&self.state);
@@ -92,13 +96,15 @@
         Some(serial)
     }
 
-    pub(crate) fn leave(&self, priority: i64, serial: u64) {
+    /// Removes a request whose caller left. Returns whether it had run.
+    pub(crate) fn leave(&self, priority: i64, serial: u64) -> bool {
         let mut state = lock(&self.state);
-        state.leave(priority, serial);
+        let has_run = state.leave(priority, serial);
         if state.running.is_empty() {
             self.emptied.notify_one();
         }
         self.note(&mut state);
+        has_run
     }
 
     /// Drops every request; their connections are cut by the caller.
--- a/crates/testkit/src/engine/counters.rs
+++ b/crates/testkit/src/engine/counters.rs
@@ -13,8 +13,11 @@
     pub executions: u64,
     /// Requests whose whole answer was taken by the caller.
     pub completed: u64,
-    /// Requests whose caller left before the whole answer was taken.
+    /// Requests whose caller left after they entered the running batch, before
+    /// the whole answer was taken.
     pub cancelled: u64,
+    /// Requests whose caller left before they entered the running batch.
+    pub withdrawn: u64,
     /// Requests refused because the engine was draining or full.
     pub refused: u64,
     /// Requests refused because of an old fencing number.
--- a/crates/testkit/src/engine/handle.rs
+++ b/crates/testkit/src/engine/handle.rs
@@ -46,6 +46,11 @@
         self.batch.runs()
     }
 
+    /// Returns the number of requests that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.batch.waiting()
+    }
+
     /// Makes every step take `factor` times as long; 1 is the usual pace.
     pub fn set_slow(&self, factor: f64) {
         self.batch.set_slow(factor);
--- a/crates/testkit/src/engine/state.rs
+++ b/crates/testkit/src/engine/state.rs
@@ -85,10 +85,11 @@
         crash
     }
 
-    /// Removes a request whose caller left.
-    pub(crate) fn leave(&mut self, priority: i64, serial: u64) {
-        self.waiting.remove(&(priority, serial));
+    /// Removes a request whose caller left. Returns whether it had run.
+    pub(crate) fn leave(&mut self, priority: i64, serial: u64) -> bool {
+        let has_waited = self.waiting.remove(&(priority, serial)).is_some();
         self.running.retain(|sequence| sequence.serial != serial);
+        !has_waited
     }
 
     /// Drops everything, as a crash does.
--- a/crates/testkit/src/engine/ticket.rs
+++ b/crates/testkit/src/engine/ticket.rs
@@ -35,10 +35,14 @@
         if self.progress.settled.swap(true, Relaxed) {
             return;
         }
-        self.batch.leave(self.priority, self.serial);
+        let has_run = self.batch.leave(self.priority, self.serial);
         let tokens = self.progress.tokens.load(Relaxed);
-        let counters = &self.batch.counters;
-        lock(counters).wasted += u64::from(tokens);
-        lock(counters).cancelled += 1;
+        let mut counters = lock(&self.batch.counters);
+        if has_run {
+            counters.wasted += u64::from(tokens);
+            counters.cancelled += 1;
+        } else {
+            counters.withdrawn += 1;
+        }
     }
 }
--- a/crates/testkit/tests/engine.rs
+++ b/crates/testkit/tests/engine.rs
@@ -133,6 +133,35 @@
     assert_eq!(figures.tokens, wasted + 3);
 }
 
+/// Guards against a request that leaves the queue and counts as a cancelled run,
+/// so that runs and cancelled runs never match again.
+#[tokio::test]
+async fn leaving_the_queue_is_not_a_cancelled_run() {
+    let engine = engine::Engine::start(engine::Options {
+        slots: 1,
+        lengths: vec![engine::Length {
+            median: 1e6,
+            sigma: 0.0,
+            max: 1_000_000,
+            ..engine::Length::default()
+        }],
+        ..options()
+    })
+    .unwrap();
+    let address = engine.address();
+    let start = |number| tokio::spawn(async move { call(number).send(&client(), address).await });
+    let running = start(0);
+    until(|| engine.counters().executions == 1).await;
+    let waiting = start(1);
+    until(|| engine.waiting() == 1).await;
+    waiting.abort();
+    until(|| engine.waiting() == 0).await;
+    assert_eq!(engine.counters().cancelled, 0);
+    running.abort();
+    until(|| engine.counters().cancelled == 1).await;
+    assert_eq!(engine.counters().executions, 1);
+}
+
 /// Guards against a crash that leaves connections open, and a port that is lost.
 #[tokio::test]
 async fn marker_crashes_the_engine_which_comes_back() {
