--- a/crates/steer/tests/faults.rs
+++ b/crates/steer/tests/faults.rs
@@ -2,7 +2,7 @@
 
 use core::time;
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 
 const SERVICE: &str = "orders";
 
@@ -189,3 +189,50 @@
     assert!(!budget.spend(ms(5_000), share));
     assert!(budget.spend(ms(12_000), share));
 }
+
+#[test]
+fn two_hosts_that_cannot_reach_an_endpoint_warn_the_others() {
+    // Guards against each host that runs into the same dead endpoint by itself.
+    let mut one = fleet(2);
+    let mut others = [fleet(2), fleet(2)];
+    let down = sent(&one, 0, 1);
+    for other in &mut others {
+        let key = (0..20)
+            .map(|seed| sent(other, 0, seed))
+            .find(|pick| pick.id == down.id)
+            .expect("both endpoints are used");
+        other.unreachable(ms(0), key.key);
+    }
+    one.hear(ms(10), 1, &others[0].loads(ms(10)));
+    assert!((0..40).any(|seed| sent(&one, 20, seed).id == down.id));
+    one.hear(ms(10), 2, &others[1].loads(ms(10)));
+    assert!((0..40).all(|seed| sent(&one, 20, seed).id != down.id));
+}
+
+#[test]
+fn an_endpoint_that_was_full_gets_a_pause() {
+    // Guards against a queue that is offered more work at each refusal.
+    let mut fleet = fleet(2);
+    let full = run(&mut fleet, 0, 1, |_| steer::End::Full);
+    assert!((0..40).all(|seed| sent(&fleet, 50, seed).id != full));
+    assert!((0..40).any(|seed| sent(&fleet, 1_000, seed).id == full));
+}
+
+#[test]
+fn an_unlucky_endpoint_keeps_its_requests() {
+    // Guards against taking chance for an outage: each request fails with the same
+    // probability wherever it runs.
+    let mut fleet = fleet(4);
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(3);
+    let mut counts = std::collections::HashMap::new();
+    for round in 0..400u64 {
+        let end = match rng.random_bool(0.14) {
+            true => steer::End::Failed,
+            false => steer::End::Served,
+        };
+        let id = run(&mut fleet, round * 10, round, |_| end);
+        *counts.entry(id).or_insert(0u32) += 1;
+    }
+    assert_eq!(counts.len(), 4);
+    assert!(counts.values().all(|&count| count >= 40), "{counts:?}");
+}
--- a/crates/steer/tests/load.rs
+++ b/crates/steer/tests/load.rs
@@ -292,3 +292,95 @@
         "{most} of 80 requests ran on one of 8 endpoints"
     );
 }
+
+/// Counts at which endpoints of `host` short requests would run.
+fn spread(host: &mut Host, now: u64) -> collections::HashMap<String, u32> {
+    let mut counts = collections::HashMap::new();
+    for own in 0..60 {
+        if let steer::Outcome::Sent(pick) = host.pick(now, &interactive(own), 0.5) {
+            *counts.entry(pick.id).or_default() += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn an_idle_endpoint_nearby_goes_before_one_far_away() {
+    // Guards against traffic between data centres that saves no time.
+    let mut host = Host::new(1, "dc0", 6);
+    for id in spread(&mut host, 0).into_keys() {
+        assert!(
+            ["e0", "e2", "e4"].contains(&id.as_str()),
+            "{id} is far away"
+        );
+    }
+}
+
+#[test]
+fn a_load_that_another_host_tells_counts_at_once() {
+    // Guards against a host that fills an engine that others fill at the same time.
+    let mut host = Host::new(1, "dc0", 3);
+    let mut other = Host::new(2, "dc0", 3);
+    assert!(spread(&mut host, 0).contains_key("e0"));
+    for own in 0..20 {
+        while !other
+            .send_as(0, &interactive(own), 1.0)
+            .is_some_and(|pick| pick.id == "e0")
+        {}
+    }
+    let mut loads = other.fleet.loads(ms(0));
+    // The other host has most work at one endpoint only.
+    loads.sort_by_key(|load| core::cmp::Reverse(load.running));
+    loads.truncate(1);
+    host.fleet.hear(ms(0), 7, &loads);
+    assert_eq!(spread(&mut host, 0).len(), 1);
+    // What is not repeated is void.
+    assert!(spread(&mut host, 2_000).len() > 1);
+}
+
+#[test]
+fn long_prompts_that_would_be_late_are_refused_before_they_wait() {
+    // Guards against a crest that makes every prompt late instead of some.
+    let mut host = Host::new(1, "dc0", 1);
+    let need = steer::Need {
+        urgency: 0.0,
+        left: ms(60_000),
+        target_first: ms(500),
+    };
+    // Tokens that an engine reads within the target until it has shown its speed.
+    let readable = 500 * 45;
+    let mut ahead = 0;
+    for own in 0..20 {
+        let work = bulk(own, own);
+        let outcome = host
+            .fleet
+            .pick(ms(0), SERVICE, &work, need, &[], &mut host.rng);
+        if let steer::Outcome::Sent(pick) = outcome {
+            assert!(ahead <= readable, "{ahead} tokens are read first");
+            ahead += pick.unread_tokens;
+            host.runs.push(host.fleet.start(ms(0), &pick, &work));
+        }
+    }
+    assert!(ahead > readable / 2, "only {ahead} tokens were admitted");
+}
+
+#[test]
+fn a_slow_moment_of_an_endpoint_shifts_work_without_ejecting_it() {
+    // Guards against a neighbour on one machine that makes requests late.
+    let mut host = Host::new(1, "dc0", 1);
+    let list: Vec<plan::Endpoint> = (0..3).map(|index| endpoint(index, 1)).collect();
+    host.fleet.replace(&list);
+    let steer::Outcome::Sent(pick) = host.pick(0, &interactive(0), 0.5) else {
+        panic!("an idle endpoint was refused");
+    };
+    let slow = steer::Report {
+        running: 0,
+        waiting: 0,
+        slowness_percent: 250,
+    };
+    host.fleet.report(ms(0), pick.key, slow);
+    let counts = spread(&mut host, 10);
+    assert!(!counts.contains_key(&pick.id), "{counts:?}");
+    let counts = spread(&mut host, 1_000);
+    assert!(counts.contains_key(&pick.id), "{counts:?}");
+}
