feat(edge): metrics of first events, pauses, hosts, endpoints and budgets

Cause: an engineer could not see from metrics how long first events take, how streams flow, which hosts are believed live, or what is left of the repeat budget; histograms by route could fill memory with 1,400 routes. Conclusion: the new test reads them from the metrics address.

--- a/crates/edge/src/expose.rs
+++ b/crates/edge/src/expose.rs
@@ -12,6 +12,7 @@
         _request: http::Request<hyper::body::Incoming>,
         _remote: net::SocketAddr,
     ) -> front::Exchanging {
+        self.0.measure();
         let text = self.0.meters.text();
         Box::pin(async move { http::Response::new(axum::body::Body::from(text)) })
     }
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Notes the first event, or the head of a plain answer.
+    pub(crate) fn begun(&self) {
+        let took = self.host.clock.now().saturating_sub(self.job.arrived);
+        let tags = [("service", self.job.service.as_str())];
+        self.host.meters.time("first_event_ms", &tags, took);
+    }
+
     /// Notes how the request ended.
     pub(crate) const fn conclude(&mut self, outcome: &'static str) {
         self.outcome = Some(outcome);
--- /dev/null
+++ b/crates/edge/src/gauge.rs
@@ -0,0 +1,58 @@
+use std::collections;
+use std::sync::atomic;
+
+use base::mutex;
+
+use crate::host;
+
+impl host::Host {
+    /// Brings the gauges of what the host believes up to date.
+    pub(crate) fn measure(&self) {
+        let now = self.clock.now();
+        let meters = &self.meters;
+        // CAST: A process does not live long enough to exceed the range.
+        meters.set("plan_age_ms", &[], self.plan_age(now).as_millis() as u64);
+        let (is_lost, revision) = {
+            let registry = mutex::lock(&self.registry);
+            (registry.is_lost(), registry.revision())
+        };
+        meters.set("platform_lost", &[], is_lost.into());
+        meters.set("endpoint_revision", &[], revision);
+        let census = mutex::lock(&self.fleet).census(now);
+        for (state, count) in [
+            ("up", census.up),
+            ("leaving", census.leaving),
+            ("down", census.down),
+        ] {
+            meters.set("endpoints", &[("state", state)], count);
+        }
+        meters.set("requests_at_endpoints", &[], census.running);
+        let held = self.held_bytes.load(atomic::Ordering::Relaxed);
+        meters.set("body_bytes", &[], held as u64);
+        self.measure_hosts();
+        let share = self.repeat_share();
+        for (service, budget) in &*mutex::lock(&self.budgets) {
+            // CAST: The rest is not below zero, and fractions do not count.
+            let left = budget.left(now, share).max(0.0) as u64;
+            meters.set("repeats_left", &[("service", service)], left);
+        }
+    }
+
+    fn measure_hosts(&self) {
+        let mut states: collections::BTreeMap<&str, u64> = ["live", "suspect", "leaving", "dead"]
+            .map(|state| (state, 0))
+            .into();
+        for (_, state) in mutex::lock(&self.membership).entries() {
+            let name = match state {
+                fleet::State::Live => "live",
+                fleet::State::Suspect => "suspect",
+                fleet::State::Leaving => "leaving",
+                fleet::State::Dead => "dead",
+            };
+            *states.entry(name).or_default() += 1;
+        }
+        for (state, count) in states {
+            self.meters.set("hosts", &[("state", state)], count);
+        }
+    }
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -142,7 +142,7 @@
             _ => Some(table.clone()),
         });
         mutex::lock(&self.membership).set_version(revision, [0; 32]);
-        self.meters.set("plan_revision", revision);
+        self.meters.set("plan_revision", &[], revision);
         self.changed.notify_one();
         log::info!(
             target: "edge",
@@ -317,7 +317,6 @@
         if count > 0 {
             self.has_endpoints.store(true, atomic::Ordering::Release);
         }
-        self.meters.set("endpoints", count as u64);
     }
 
     /// Returns the state for another host, with the configuration only if its
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -25,10 +25,14 @@
     let took = now.saturating_sub(job.arrived);
     host.meters.count(
         "requests",
-        &[("route", &job.route.name), ("outcome", outcome)],
+        &[
+            ("route", &job.route.name),
+            ("rank", &job.rank.place().to_string()),
+            ("outcome", outcome),
+        ],
     );
     host.meters
-        .time("request_ms", &[("route", &job.route.name)], took);
+        .time("request_ms", &[("service", &job.service)], took);
     if !job.record.is_open() {
         let is_success = outcome == "served" && !job.record.has_lost();
         if !host.lines.take(now, job.record.waiting() + 1, is_success) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod exchange;
 mod expose;
 mod flow;
+mod gauge;
 mod guard;
 mod headers;
 mod host;
--- a/crates/edge/src/meter.rs
+++ b/crates/edge/src/meter.rs
@@ -122,8 +122,12 @@
     }
 
     /// Sets the value of a gauge.
-    pub fn set(&self, name: &str, value: u64) {
-        self.client.gauge_with_tags(name, value).send();
+    pub fn set(&self, name: &str, tags: &[(&str, &str)], value: u64) {
+        let mut metric = self.client.gauge_with_tags(name, value);
+        for &(key, value) in tags {
+            metric = metric.with_tag(key, value);
+        }
+        metric.send();
     }
 
     /// Records how long something took.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -55,6 +55,7 @@
 
 async fn read(flow: &mut flow::Flow, open: &mut open::Open) -> Read {
     open.guard.first();
+    flow.begun();
     let due = tokio::time::Instant::now() + flow.job.left(flow.host.clock.now());
     let mut held = BytesMut::new();
     loop {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -115,10 +115,15 @@
                     match take(&mut self.splitter, &mut self.last) {
                         Ok(events) if events.is_empty() => {}
                         Ok(events) => {
+                            let gap = self.progress.elapsed();
                             self.progress = Instant::now();
-                            if !self.has_begun {
+                            if self.has_begun {
+                                let tags = [("service", self.flow.job.service.as_str())];
+                                self.flow.host.meters.time("event_gap_ms", &tags, gap);
+                            } else {
                                 self.has_begun = true;
                                 open.guard.first();
+                                self.flow.begun();
                                 let now = self.flow.host.clock.now();
                                 self.flow.job.note(
                                     now,
--- a/crates/edge/tests/lines.rs
+++ b/crates/edge/tests/lines.rs
@@ -89,7 +89,10 @@
             assert_eq!(steps, ["routed", "picked", "answered", "finished"]);
         }
     }
-    assert!((10..60).contains(&kept), "{kept} of 60 requests were logged");
+    assert!(
+        (10..60).contains(&kept),
+        "{kept} of 60 requests were logged"
+    );
     let text = common::request("POST", "/book/a", "bad", "", "o");
     assert_eq!(common::call(&host, &text).await.status, 502);
     assert_eq!(
--- /dev/null
+++ b/crates/edge/tests/metrics.rs
@@ -0,0 +1,66 @@
+//! Guards against metrics from which a failure cannot be explained.
+
+mod common;
+
+use common::endpoint::{self, Step};
+
+/// Returns the value of a metric in the text that a host serves.
+async fn value(address: std::net::SocketAddr, name: &str) -> Option<u64> {
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connect");
+    let request = "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n";
+    tokio::io::AsyncWriteExt::write_all(&mut stream, request.as_bytes())
+        .await
+        .expect("send");
+    let text = common::read(&mut stream).await.text();
+    let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+    Some(line.trim().parse().expect("a whole number"))
+}
+
+#[tokio::test]
+async fn what_a_host_believes_and_how_requests_went_is_served_as_text() {
+    let stream = |seen: &endpoint::Seen| {
+        vec![
+            endpoint::stream_head(seen),
+            endpoint::chunk(&endpoint::event(1)),
+            Step::Pause(common::ms(30)),
+            endpoint::chunk(&endpoint::event(2)),
+            endpoint::stream_end(),
+        ]
+    };
+    let one = endpoint::Endpoint::start("e1", stream).await;
+    let two = endpoint::Endpoint::start("e2", stream).await;
+    let host = common::host(&[&one, &two]).await;
+    let listen = common::free();
+    let _server = host.serve_metrics(listen).await.expect("metrics");
+    let text = common::request("GET", "/live/a", "r1", "", "");
+    assert_eq!(common::call(&host, &text).await.status, 200);
+    for (name, least, most) in [
+        ("carobbay.first_event_ms_count{service=\"s\"}", 1, 1),
+        ("carobbay.event_gap_ms_count{service=\"s\"}", 1, 1),
+        (
+            "carobbay.event_gap_ms{service=\"s\",quantile=\"0.99\"}",
+            25,
+            2_000,
+        ),
+        ("carobbay.request_ms_count{service=\"s\"}", 1, 1),
+        (
+            "carobbay.requests{route=\"live\",rank=\"0\",outcome=\"served\"}",
+            1,
+            1,
+        ),
+        ("carobbay.endpoints{state=\"up\"}", 2, 2),
+        ("carobbay.endpoints{state=\"down\"}", 0, 0),
+        ("carobbay.hosts{state=\"live\"}", 1, 1),
+        ("carobbay.repeats_left{service=\"s\"}", 1, 100),
+        ("carobbay.plan_revision", 1, 1),
+        ("carobbay.plan_age_ms", 0, 20_000),
+        ("carobbay.platform_lost", 0, 0),
+        ("carobbay.requests_at_endpoints", 0, 0),
+    ] {
+        let value = value(listen, name).await;
+        let value = value.unwrap_or_else(|| panic!("{name} is not served"));
+        assert!((least..=most).contains(&value), "{name} is {value}");
+    }
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod budget;
 mod cache;
+mod census;
 mod change;
 mod choose;
 mod demand;
@@ -26,6 +27,7 @@
 mod run;
 
 pub use budget::{Budget, Share};
+pub use census::Census;
 pub use change::Change;
 pub use demand::Amounts;
 pub use end::End;
