feat(edge): lines for what a host believes of others, and the longest pause of a stream

Cause: a host suspected or passed over others without a line; why a stream was late could not be told from its lines. Change: changes of other hosts (seen, suspected, leaving, gone) and of endpoints that cannot be reached are logged once each; the last line of a request has its longest pause. Conclusion: the test meets a new host and an endpoint that is gone.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -74,6 +74,7 @@
         uri: head.uri,
         body: bytes::Bytes::new(),
         record: record::Record::default(),
+        longest_gap: time::Duration::ZERO,
     })
 }
 
--- a/crates/edge/src/gauge.rs
+++ b/crates/edge/src/gauge.rs
@@ -3,6 +3,7 @@
 
 use base::mutex;
 
+use crate::belief;
 use crate::host;
 
 impl host::Host {
@@ -43,13 +44,7 @@
             .map(|state| (state, 0))
             .into();
         for (_, state) in mutex::lock(&self.membership).entries() {
-            let name = match state {
-                fleet::State::Live => "live",
-                fleet::State::Suspect => "suspect",
-                fleet::State::Leaving => "leaving",
-                fleet::State::Dead => "dead",
-            };
-            *states.entry(name).or_default() += 1;
+            *states.entry(belief::state_name(state)).or_default() += 1;
         }
         for (state, count) in states {
             self.meters.set("hosts", &[("state", state)], count);
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -36,6 +36,8 @@
     /// Last event that the caller has already.
     pub(crate) last_event: Option<u64>,
     pub(crate) record: record::Record,
+    /// Longest pause between two events that were passed on.
+    pub(crate) longest_gap: time::Duration,
 }
 
 impl Job {
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -45,7 +45,7 @@
         target: "request",
         request = job.id.as_str(), step = "finished", outcome = outcome,
         at_ms = took.as_millis() as u64;
-        "route={}", job.route.name
+        "route={} longest_gap_ms={}", job.route.name, job.longest_gap.as_millis()
     );
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admit;
 mod answered;
+mod belief;
 mod catch_up;
 mod crash;
 mod event;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -5,6 +5,7 @@
 
 use base::mutex;
 use rand::seq::IteratorRandom;
+use crate::belief;
 
 use crate::crash;
 use crate::host;
@@ -107,9 +108,11 @@
     tokio::spawn(mesh.clone().tell_changes());
     tokio::spawn(mesh.clone().ask_seeds());
     tokio::spawn(upkeep(host.clone()));
+    let mut belief = belief::Belief::default();
     Ok(())
 }
 
+        belief.update(&host);
 async fn upkeep(host: sync::Arc<host::Host>) {
     loop {
         tokio::time::sleep(UPKEEP_PERIOD).await;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -120,6 +120,8 @@
                             if self.has_begun {
                                 let tags = [("service", self.flow.job.service.as_str())];
                                 self.flow.host.meters.time("event_gap_ms", &tags, gap);
+                                let longest = &mut self.flow.job.longest_gap;
+                                *longest = gap.max(*longest);
                             } else {
                                 self.has_begun = true;
                                 open.guard.first();
--- a/crates/edge/tests/lines.rs
+++ b/crates/edge/tests/lines.rs
@@ -3,13 +3,14 @@
 mod common;
 
 use std::collections;
+use std::net;
 use std::sync;
 
 use base::mutex;
 use common::endpoint::{self, Step};
 
-/// Steps by request.
-type Lines = collections::HashMap<String, Vec<String>>;
+/// Steps by request, or states by host or endpoint, with what decided them.
+type Lines = collections::HashMap<String, Vec<(String, String)>>;
 
 /// Keeps the lines of requests in memory.
 struct Log(sync::LazyLock<sync::Mutex<Lines>>);
@@ -18,7 +19,7 @@
 
 impl log::Log for Log {
     fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
-        metadata.target() == "request"
+        ["request", "edge"].contains(&metadata.target())
     }
 
     fn log(&self, record: &log::Record<'_>) {
@@ -26,8 +27,10 @@
             let value = record.key_values().get(log::kv::Key::from_str(name));
             value.map(|value| value.to_string())
         };
-        if let (Some(request), Some(step)) = (field("request"), field("step")) {
-            mutex::lock(&self.0).entry(request).or_default().push(step);
+        let name = field("request").or(field("peer")).or(field("endpoint"));
+        if let (Some(request), Some(step)) = (name, field("step").or(field("state"))) {
+            let line = (step, record.args().to_string());
+            mutex::lock(&self.0).entry(request).or_default().push(line);
         }
     }
 
@@ -42,7 +45,16 @@
 
 fn steps(request: &str) -> Vec<String> {
     let lines = mutex::lock(&LOG.0);
-    lines.get(request).cloned().unwrap_or_default()
+    let steps = lines.get(request).into_iter().flatten();
+    steps.map(|(step, _)| step.clone()).collect()
+}
+
+/// Returns what decided a step of a request.
+fn inputs(request: &str, step: &str) -> String {
+    let lines = mutex::lock(&LOG.0);
+    let mut steps = lines.get(request).into_iter().flatten();
+    let found = steps.find(|(name, _)| name == step);
+    found.map(|(_, inputs)| inputs.clone()).unwrap_or_default()
 }
 
 #[tokio::test]
@@ -100,3 +112,70 @@
         ["routed", "picked", "lost", "refused", "finished"]
     );
 }
+
+#[tokio::test]
+async fn a_host_knows_where_another_one_placed_a_prompt() {
+    // Guards against prompts that are read again by another engine.
+    start();
+    let endpoints = [
+        endpoint::Endpoint::start("e1", |seen| endpoint::ok(seen, "x")).await,
+        endpoint::Endpoint::start("e2", |seen| endpoint::ok(seen, "x")).await,
+    ];
+    let mut hosts = Vec::new();
+    // Hosts expect each other at the same ports of different addresses.
+    let ports = [common::free(), common::free(), common::free()].map(|address| address.port());
+    let address = |host: u8, port: usize| net::SocketAddr::from(([127, 77, 0, host], ports[port]));
+    for (host, name) in [(1, "a"), (2, "b")] {
+        let options = edge::Options {
+            listen: address(host, 0),
+            peer_listen: address(host, 1),
+            load_listen: address(host, 2),
+            ..common::options(name, vec![address(1, 1)])
+        };
+        let host = edge::Host::start(options).await.expect("host");
+        host.offer_plan(common::plan(1), "test");
+        common::list(&host, &[&endpoints[0], &endpoints[1]], 1);
+        host.heard_plan();
+        hosts.push(host);
+    }
+    // The hosts need a moment to meet.
+    for round in 0..20 {
+        let extra = format!("x-tokens: 9200,50\r\nx-prompt: a1:2500,b{round}:3800,c3:2900\r\n");
+        let (placed, heard) = (format!("placed{round}"), format!("heard{round}"));
+        let text = common::request("GET", "/look/a", &placed, &extra, "");
+        assert_eq!(common::call(&hosts[0], &text).await.status, 200);
+        assert!(inputs(&placed, "picked").contains("cached=false"));
+        tokio::time::sleep(common::ms(400)).await;
+        let text = common::request("GET", "/look/a", &heard, &extra, "");
+        assert_eq!(common::call(&hosts[1], &text).await.status, 200);
+        if inputs(&heard, "picked").contains("cached=true") {
+            return;
+        }
+    }
+    panic!("the second host never heard of a prompt");
+}
+
+#[tokio::test]
+async fn what_a_host_believes_of_others_is_logged_when_it_changes() {
+    // Guards against a host that passes over others without a word.
+    start();
+    let gone = endpoint::Endpoint::start("e-gone", |seen| endpoint::ok(seen, "x")).await;
+    let one = common::host(&[&gone]).await;
+    let listed = gone.listed();
+    drop(gone);
+    let options = common::options("b-seen", vec![one.peer_address()]);
+    let _two = edge::Host::start(options).await.expect("host");
+    one.offer_endpoints(|_, registry| registry.adopt(vec![listed], 2));
+    let logged = async {
+        while !steps("b-seen").contains(&"live".to_owned())
+            || !steps("e-gone").contains(&"down".to_owned())
+        {
+            let text = common::request("GET", "/look/a", "r-gone", "", "");
+            common::call(&one, &text).await;
+            tokio::time::sleep(common::ms(50)).await;
+        }
+    };
+    tokio::time::timeout(common::ms(10_000), logged)
+        .await
+        .expect("both changes are logged");
+}
--- a/crates/steer/src/census.rs
+++ b/crates/steer/src/census.rs
@@ -1,4 +1,5 @@
 use core::time;
+use std::collections;
 
 use crate::fleet;
 
@@ -16,6 +17,15 @@
 }
 
 impl fleet::Fleet {
+    /// Returns the identifiers of the endpoints that are taken for unreachable.
+    pub fn down(&self, now: time::Duration) -> collections::BTreeSet<String> {
+        self.endpoints
+            .values()
+            .filter(|endpoint| endpoint.is_down(now, &self.options))
+            .map(|endpoint| endpoint.listed.id.clone())
+            .collect()
+    }
+
     /// Counts the endpoints by state.
     pub fn census(&self, now: time::Duration) -> Census {
         let mut census = Census::default();
