feat(steer): sums of data centres, drawn endpoints, and kinds of work apart

Change: hosts tell their own reports only, and other data centres the sum of their own, with its demand and a choice of its placements; a request compares drawn engines, those that rank first for its prompt and those that know it; interactive work gets the engines that its expected answers need before the rest is divided; long prompts keep off engines that run short ones, and wait behind others for half to one target instead of one to two.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -142,6 +142,8 @@
         parts,
         prompt_tokens: tokens.next().unwrap_or(0),
         output_tokens: tokens.next().unwrap_or(0),
+        expected_tokens: headers::number(headers, &names.expected_tokens)
+            .map(|expected| u32::try_from(expected).unwrap_or(u32::MAX)),
     }
 }
 
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -164,13 +164,14 @@
         );
         match outcome {
             steer::Outcome::Sent(pick) => {
+                let rank = pick.rank.map_or(-1, |rank| rank as i64);
                 let age = pick.report_age.map_or(-1, |age| age.as_millis() as i64);
                 self.job.note(
                     now,
                     "picked",
                     format_args!(
-                        "endpoint={} near={} wait_ms={:.0} unread={} report_age_ms={age}",
-                        pick.id, pick.is_near, pick.wait_ms, pick.unread_tokens
+                        "endpoint={} near={} rank={rank} cached={} share={:.2} meant={} wait_ms={:.0} unread={} report_age_ms={age}",
+                        pick.id, pick.is_near, pick.is_cached, pick.share, pick.is_meant, pick.wait_ms, pick.unread_tokens
                     ),
                 );
                 Ok(pick)
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -20,6 +20,8 @@
     /// Load of the endpoint: running, waiting, slots and, if known, slowness
     /// in percent, separated by commas.
     pub load: HeaderName,
+    /// The caller's estimate of the tokens of the answer.
+    pub expected_tokens: HeaderName,
     /// Prompt tokens and most output tokens, separated by a comma.
     pub tokens: HeaderName,
     /// Parts of the prompt as `ID:TOKENS`, separated by commas.
@@ -43,6 +45,7 @@
             signature: name("x-signature"),
             not_run: name("x-not-run"),
             load: name("x-load"),
+            expected_tokens: name("x-expected-tokens"),
             tokens: name("x-tokens"),
             prompt: name("x-prompt"),
             last_event: name("last-event-id"),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod snapshot;
 mod step;
 mod stop;
+mod tell;
 mod watchers;
 
 pub use event::Splitter;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -4,9 +4,8 @@
 use std::sync;
 
 use base::mutex;
-use rand::seq::IteratorRandom;
-use crate::belief;
 
+use crate::belief;
 use crate::crash;
 use crate::host;
 use crate::news;
@@ -26,10 +25,7 @@
 
 /// Datagrams with loads that a host may receive a second from its own data
 /// centre; the period grows with the number of hosts there.
-const LOADS_PER_S: f64 = 40.0;
-
-/// Hosts of other data centres that are told the loads in one period.
-const FAR_TARGETS: usize = 3;
+const LOADS_PER_S: f64 = 80.0;
 
 /// Period of the upkeep of lists and connections.
 const UPKEEP_PERIOD: time::Duration = time::Duration::from_millis(200);
@@ -78,7 +74,7 @@
 pub(crate) struct Mesh {
     pub(crate) host: sync::Arc<host::Host>,
     digests: peer::Socket,
-    loads: sync::Arc<tokio::net::UdpSocket>,
+    pub(crate) loads: sync::Arc<tokio::net::UdpSocket>,
     pub(crate) client: back::Client,
     pub(crate) fetching: sync::Arc<tokio::sync::Mutex<()>>,
 }
@@ -108,15 +104,15 @@
     tokio::spawn(mesh.clone().tell_changes());
     tokio::spawn(mesh.clone().ask_seeds());
     tokio::spawn(upkeep(host.clone()));
-    let mut belief = belief::Belief::default();
     Ok(())
 }
 
-        belief.update(&host);
 async fn upkeep(host: sync::Arc<host::Host>) {
+    let mut belief = belief::Belief::default();
     loop {
         tokio::time::sleep(UPKEEP_PERIOD).await;
         let now = host.clock.now();
+        belief.update(&host);
         host.links.expire();
         mutex::lock(&host.blame).tick(now);
         let mut registry = mutex::lock(&host.registry);
@@ -192,83 +188,6 @@
         }
     }
 
-    /// Sends the news to the hosts of the own data centre and some of the
-    /// others, or to all hosts. Returns the number of hosts near.
-    async fn tell(&self, all: bool) -> usize {
-        let (near, far) = self.targets();
-        let far = match all {
-            true => far,
-            false => {
-                let mut rng = mutex::lock(&self.host.rng);
-                far.into_iter().sample(&mut *rng, FAR_TARGETS)
-            }
-        };
-        let bytes = match self.news().encode() {
-            Ok(bytes) => bytes,
-            Err(cause) => {
-                log::error!(target: "edge", "news not encoded: {cause}");
-                return near.len();
-            }
-        };
-        for address in near.iter().chain(&far) {
-            if let Err(cause) = self.loads.send_to(&bytes, address).await {
-                log::debug!(target: "edge", "loads to {address} not sent: {cause}");
-            }
-        }
-        near.len()
-    }
-
-    fn targets(&self) -> (Vec<net::SocketAddr>, Vec<net::SocketAddr>) {
-        let membership = mutex::lock(&self.host.membership);
-        let own = membership.own();
-        let port = self.host.options.load_listen.port();
-        let mut near = Vec::new();
-        let mut far = Vec::new();
-        for (entry, state) in membership.entries() {
-            if entry.name == own.name || state == fleet::State::Dead {
-                continue;
-            }
-            let address = net::SocketAddr::new(entry.peer.ip(), port);
-            let is_near = entry.data_centre == own.data_centre;
-            if is_near {
-                near.push(address)
-            } else {
-                far.push(address)
-            }
-        }
-        (near, far)
-    }
-
-    fn news(&self) -> news::News {
-        let host = &self.host;
-        let now = host.clock.now();
-        let (demands, placements, loads) = {
-            let fleet = mutex::lock(&host.fleet);
-            (fleet.demands(now), fleet.placements(now), fleet.loads(now))
-        };
-        let (endpoint_revision, is_lost) = {
-            let registry = mutex::lock(&host.registry);
-            (registry.revision(), registry.is_lost())
-        };
-        let accusations = mutex::lock(&host.accusations).iter().copied().collect();
-        news::News {
-            sender: news::sender(&host.options.name),
-            incarnation: host.incarnation,
-            // CAST: A process does not live long enough to exceed the range.
-            number: now.as_millis() as u64,
-            is_leaving: host.is_leaving(),
-            strength: host.options.strength,
-            is_lost,
-            plan_revision: host.plan_revision().unwrap_or(0),
-            endpoint_revision,
-            age_ms: u32::try_from(host.plan_age(now).as_millis()).unwrap_or(u32::MAX),
-            accusations,
-            demands,
-            placements,
-            loads,
-        }
-    }
-
     async fn receive_loads(self) {
         let mut buffer = [0; DATAGRAM_MAX];
         loop {
@@ -297,9 +216,18 @@
         let now = host.clock.now();
         {
             let mut fleet = mutex::lock(&host.fleet);
-            fleet.hear(now, news.sender, &news.loads);
+            match &news.work {
+                news::Work::Host(loads) => {
+                    fleet.hear(now, news.sender, loads);
+                    fleet.relay_placements(now, &news.placements);
+                    fleet.hear_demands(now, news.sender, &news.demands);
+                }
+                news::Work::DataCentre { name, sum } => {
+                    fleet.hear_sum(now, *name, sum);
+                    fleet.hear_demands_sum(now, *name, &news.demands);
+                }
+            }
             fleet.hear_placements(now, &news.placements);
-            fleet.hear_demands(now, news.sender, &news.demands);
         }
         if news.is_leaving {
             self.note_leaving(news);
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -3,9 +3,12 @@
 /// Bytes of a datagram, below the smallest usual packet.
 const BYTES_MAX: usize = 1_350;
 
-/// Loads in a datagram.
+/// Loads in a datagram; of a sum that has more, each datagram holds a part.
 const LOADS_MAX: usize = 100;
 
+/// Loads in a part of a sum, which leaves room for placements.
+const PART_LOADS: usize = 40;
+
 /// A request that was in flight at an endpoint when it crashed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Accusation {
@@ -36,27 +39,55 @@
     pub(crate) age_ms: u32,
     /// Crashes that the sender has seen lately.
     pub(crate) accusations: Vec<Accusation>,
-    /// Demand that the sender has seen, by the hash of the service.
-    pub(crate) demands: Vec<(u32, steer::Amounts)>,
+    /// Demand that the sender, or its data centre, has seen.
+    pub(crate) demands: steer::Demands,
     /// Prompt parts that the sender has placed lately.
     pub(crate) placements: Vec<steer::Placement>,
-    /// Work of the sender at endpoints.
-    pub(crate) loads: Vec<steer::Load>,
+    /// Work at endpoints.
+    pub(crate) work: Work,
+}
+
+/// The work that news tell of.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub(crate) enum Work {
+    /// Work of the sender, for hosts of its own data centre.
+    Host(Vec<steer::Load>),
+    /// Work of all hosts of the sender's data centre, for those of others.
+    DataCentre {
+        /// Hash of the name of the data centre.
+        name: u64,
+        /// Their loads, or a part of them.
+        sum: steer::Sum,
+    },
 }
 
 impl News {
-    /// Encodes the news. The loads that do not fit are left out, those with the
-    /// least work first.
+    /// Encodes the news. What does not fit is left out: the loads with the
+    /// least work beyond a part, then placements, then further loads.
     pub(crate) fn encode(&mut self) -> Result<Vec<u8>, postcard::Error> {
-        self.loads
+        self.loads()
             .sort_by_key(|load| core::cmp::Reverse((load.is_down, load.running)));
-        self.loads.truncate(LOADS_MAX);
+        self.loads().truncate(LOADS_MAX);
         loop {
             let bytes = postcard::to_allocvec(self)?;
-            if bytes.len() <= BYTES_MAX || self.loads.is_empty() {
+            if bytes.len() <= BYTES_MAX {
+                return Ok(bytes);
+            }
+            if self.loads().len() <= PART_LOADS && !self.placements.is_empty() {
+                self.placements.truncate(self.placements.len() * 3 / 4);
+            } else if !self.loads().is_empty() {
+                let kept = self.loads().len() * 3 / 4;
+                self.loads().truncate(kept);
+            } else {
                 return Ok(bytes);
             }
-            self.loads.truncate(self.loads.len() * 3 / 4);
+        }
+    }
+
+    fn loads(&mut self) -> &mut Vec<steer::Load> {
+        match &mut self.work {
+            Work::Host(loads) => loads,
+            Work::DataCentre { sum, .. } => &mut sum.loads,
         }
     }
 
@@ -66,7 +97,16 @@
     }
 }
 
-/// Returns the hash by which a host is named.
+/// Returns the parts in which the sum of a data centre is told.
+pub(crate) fn parts(data_centre: &str, sum: steer::Sum) -> Vec<Work> {
+    let name = sender(data_centre);
+    sum.split(PART_LOADS)
+        .into_iter()
+        .map(|sum| Work::DataCentre { name, sum })
+        .collect()
+}
+
+/// Returns the hash by which a host or a data centre is named.
 pub(crate) fn sender(name: &str) -> u64 {
     xxh3::xxh3_64(name.as_bytes())
 }
--- /dev/null
+++ b/crates/edge/src/tell.rs
@@ -0,0 +1,115 @@
+use std::net;
+
+use base::mutex;
+use rand::seq::IteratorRandom;
+
+use crate::mesh;
+use crate::news;
+
+/// Hosts of other data centres that are told the loads in one period.
+const FAR_TARGETS: usize = 2;
+
+impl mesh::Mesh {
+    /// Sends the news to the hosts of the own data centre and some of the
+    /// others, or to all hosts. Returns the number of hosts near.
+    pub(crate) async fn tell(&self, all: bool) -> usize {
+        let (near, far) = self.targets();
+        let now = self.host.clock.now();
+        let (loads, sum) = {
+            let fleet = mutex::lock(&self.host.fleet);
+            (fleet.loads(now), fleet.sum(now))
+        };
+        let mut parts = news::parts(&self.host.options.data_centre, sum);
+        let far = match all {
+            true => {
+                // A change is in every part.
+                parts.truncate(1);
+                far
+            }
+            false => {
+                let mut rng = mutex::lock(&self.host.rng);
+                far.into_iter().sample(&mut *rng, FAR_TARGETS)
+            }
+        };
+        self.send(self.news(news::Work::Host(loads)), &near).await;
+        if !far.is_empty() {
+            for part in parts {
+                self.send(self.news(part), &far).await;
+            }
+        }
+        near.len()
+    }
+
+    async fn send(&self, mut news: news::News, targets: &[net::SocketAddr]) {
+        let bytes = match news.encode() {
+            Ok(bytes) => bytes,
+            Err(cause) => {
+                log::error!(target: "edge", "news not encoded: {cause}");
+                return;
+            }
+        };
+        for address in targets {
+            if let Err(cause) = self.loads.send_to(&bytes, address).await {
+                log::debug!(target: "edge", "loads to {address} not sent: {cause}");
+            }
+        }
+    }
+
+    fn targets(&self) -> (Vec<net::SocketAddr>, Vec<net::SocketAddr>) {
+        let membership = mutex::lock(&self.host.membership);
+        let own = membership.own();
+        let port = self.host.options.load_listen.port();
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for (entry, state) in membership.entries() {
+            if entry.name == own.name || state == fleet::State::Dead {
+                continue;
+            }
+            let address = net::SocketAddr::new(entry.peer.ip(), port);
+            let is_near = entry.data_centre == own.data_centre;
+            if is_near {
+                near.push(address)
+            } else {
+                far.push(address)
+            }
+        }
+        (near, far)
+    }
+
+    fn news(&self, work: news::Work) -> news::News {
+        let host = &self.host;
+        let now = host.clock.now();
+        let (demands, placements) = {
+            let fleet = mutex::lock(&host.fleet);
+            match work {
+                news::Work::Host(_) => (fleet.demands(now), fleet.placements(now)),
+                news::Work::DataCentre { .. } => {
+                    let mut rng = mutex::lock(&host.rng);
+                    let placements = fleet.placements_near(now, &mut *rng);
+                    (fleet.demands_near(now), placements)
+                }
+            }
+        };
+        let (endpoint_revision, is_lost) = {
+            let registry = mutex::lock(&host.registry);
+            (registry.revision(), registry.is_lost())
+        };
+        let accusations = mutex::lock(&host.accusations).iter().copied().collect();
+        news::News {
+            sender: news::sender(&host.options.name),
+            incarnation: host.incarnation,
+            // CAST: A process does not live long enough to exceed the range.
+            number: now.as_millis() as u64,
+            is_leaving: host.is_leaving(),
+            strength: host.options.strength,
+            is_lost,
+            plan_revision: host.plan_revision().unwrap_or(0),
+            endpoint_revision,
+            age_ms: u32::try_from(host.plan_age(now).as_millis()).unwrap_or(u32::MAX),
+            accusations,
+            demands,
+            placements,
+            work,
+        }
+    }
+}
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -1,5 +1,4 @@
 use core::time;
-use std::collections;
 
 use rand::RngExt;
 
@@ -31,8 +30,9 @@
 /// Milliseconds by which an engine without room ranks behind the others.
 const NO_ROOM_MS: f64 = 5_000.0;
 
-/// Range of positions in which an engine passes from interactive to bulk work.
-const MIX_RANGE: f64 = 0.25;
+/// Milliseconds by which an endpoint ranks behind those at which other hosts
+/// would place the same prompt.
+const UNRANKED_MS: f64 = 30.0;
 
 /// Share of an engine's places up to which more requests cost nothing extra.
 const CALM_SHARE: f64 = 0.5;
@@ -41,9 +41,6 @@
 /// request lengthens the steps of all, and other hosts send at the same time.
 const CROWD_MS: f64 = 400.0;
 
-/// Key under which engines are ranked for interactive work.
-const INTERACTIVE: &str = "interactive";
-
 /// Random part of a cost in milliseconds. Hosts that read the same loads would
 /// otherwise all choose the same endpoint.
 const SPREAD_MS: f64 = 4.0;
@@ -60,7 +57,20 @@
     /// Time that the prompts ahead take.
     backlog_ms: f64,
     has_room: bool,
+    /// Time by which the request would wait longer than it may; negative if it
+    /// would not.
+    excess_ms: f64,
     unread_tokens: u32,
+    rank: Option<usize>,
+    is_cached: bool,
+    share: f64,
+    is_meant: bool,
+}
+
+impl Candidate {
+    fn admits(&self) -> bool {
+        self.has_room && self.excess_ms <= 0.0
+    }
 }
 
 impl fleet::Fleet {
@@ -95,31 +105,23 @@
         } else {
             reachable
         };
-        let best = self
+        let candidates: Vec<Candidate> = self
             .candidates(now, service, work, need, &list, rng)
-            .min_by(|a, b| a.cost.total_cmp(&b.cost));
-        let Some(best) = best else {
+            .collect();
+        let by_cost = |a: &&Candidate, b: &&Candidate| a.cost.total_cmp(&b.cost);
+        let admitted = candidates.iter().filter(|candidate| candidate.admits());
+        if let Some(best) = admitted.min_by(by_cost) {
+            return pick::Outcome::Sent(self.picked(now, best));
+        }
+        let Some(best) = candidates.iter().min_by(by_cost) else {
             return pick::Outcome::NoEndpoint;
         };
-        let bound_ms = need.left.as_secs_f64() * 1_000.0 * self.options.wait_share;
-        let urgent_targets = self.options.backlog_urgent_targets * need.urgency;
-        let targets = self.options.backlog_targets + urgent_targets;
-        // Short prompts hardly add to a backlog; long ones are refused first.
-        let backlog_bound_ms = match work.is_bulk() {
-            true => need.target_first.as_secs_f64() * 1_000.0 * targets,
-            false => f64::INFINITY,
-        };
-        let is_full = self.endpoints[best.key].fault.is_full(now) || !best.has_room;
-        let excess_ms = (best.wait_ms - bound_ms).max(best.backlog_ms - backlog_bound_ms);
-        if excess_ms > 0.0 || is_full {
-            return pick::Outcome::Busy(pick::Refusal {
-                after: retry_after(excess_ms, rng),
-                wait_ms: best.wait_ms,
-                backlog_ms: best.backlog_ms,
-                has_room: !is_full,
-            });
-        }
-        pick::Outcome::Sent(self.picked(now, &best))
+        pick::Outcome::Busy(pick::Refusal {
+            after: retry_after(best.excess_ms, rng),
+            wait_ms: best.wait_ms,
+            backlog_ms: best.backlog_ms,
+            has_room: best.has_room,
+        })
     }
 
     fn candidates(
@@ -132,28 +134,23 @@
         rng: &mut impl rand::Rng,
     ) -> impl Iterator<Item = Candidate> {
         let pace = self.paces.get(service).copied().unwrap_or_default();
-        let positions = self.positions(keys);
-        let share = self
-            .demands
-            .get(service)
-            .map_or(0.0, |demand| demand.interactive_share(now));
-        let bulk_keys: Vec<key::Key> = keys
-            .iter()
-            .copied()
-            .filter(|key| positions.get(key).is_none_or(|position| *position >= share))
-            .collect();
-        let placed = if work.is_bulk() && !bulk_keys.is_empty() {
-            &bulk_keys
-        } else {
-            keys
-        };
-        let first = work
-            .placement()
-            .and_then(|part| self.first_rank(part, placed));
+        let border = self.border(now, service, work, keys);
+        let first = border.ranked.first().copied();
+        let wait_bound_ms = need.left.as_secs_f64() * 1_000.0 * self.options.wait_share;
+        let urgent_targets = self.options.backlog_urgent_targets * need.urgency;
+        let targets = self.options.backlog_targets + urgent_targets;
+        let target_ms = need.target_first.as_secs_f64() * 1_000.0;
         let memory = self.memories.get(service).copied();
+        let has_others = self
+            .heard
+            .is_some_and(|at| now.saturating_sub(at) < self.options.peer_load_age);
+        let compared = match memory {
+            Some(_) if has_others => self.shortlist(work, keys, &border, rng),
+            _ => keys.to_vec(),
+        };
         let fill = FILL_SHARE + FILL_URGENT_SHARE * need.urgency;
         let mean = self.mean_failed(now, keys);
-        keys.iter().map(move |&key| {
+        compared.into_iter().map(move |key| {
             let endpoint = &self.endpoints[key];
             let unread = self.unread(endpoint, work, first == Some(key));
             let wait_ms = self.wait_ms(now, endpoint, unread, pace);
@@ -165,19 +162,10 @@
             if endpoint.listed.data_centre != self.options.data_centre {
                 cost += self.options.far_penalty_ms;
             }
-            if work.prompt_tokens > 0
-                && let Some(position) = positions.get(&key)
-            {
-                let bulk = ((position - share) / MIX_RANGE + 0.5).clamp(0.0, 1.0);
-                let misplaced = if work.is_bulk() { 1.0 - bulk } else { bulk };
-                cost += misplaced * self.options.mix_penalty_ms;
-            }
+            cost += border.misplaced(key, work) * self.options.mix_penalty_ms;
             let total = endpoint.total(now, &self.options);
-            let has_room = memory.is_none_or(|memory| {
-                let slots = f64::from(endpoint.listed.slots);
-                let held = total.held_tokens + f64::from(work.held_tokens());
-                total.running < slots * fill && (held < memory * fill || total.running < 1.0)
-            });
+            let has_room =
+                memory.is_none_or(|memory| has_room(endpoint, total, memory, work, fill));
             if memory.is_some() {
                 let filled = total.running / f64::from(endpoint.listed.slots.max(1));
                 cost += (filled - CALM_SHARE).max(0.0) * CROWD_MS / (1.0 - CALM_SHARE);
@@ -185,51 +173,38 @@
             if !has_room {
                 cost += NO_ROOM_MS;
             }
-            if endpoint.fault.is_full(now) {
+            let is_full = endpoint.fault.is_full(now);
+            if is_full {
                 cost += FAILED_MS;
             }
+            if work.is_bulk() && has_others && !border.ranked.contains(&key) {
+                cost += UNRANKED_MS;
+            }
+            let backlog_ms = total.unread_tokens / pace.tokens_per_ms;
+            // Short prompts hardly add to a backlog; long ones are refused first.
+            let backlog_bound_ms = match (work.is_bulk(), border.meant.contains(&key)) {
+                (false, _) => f64::INFINITY,
+                (true, true) => target_ms * targets,
+                (true, false) if total.running < 1.0 => target_ms * targets,
+                // Reading a long prompt delays all answers there.
+                (true, false) => f64::NEG_INFINITY,
+            };
             Candidate {
                 key,
                 cost,
                 wait_ms,
-                backlog_ms: total.unread_tokens / pace.tokens_per_ms,
-                has_room,
+                backlog_ms,
+                has_room: has_room && !is_full,
+                share: border.share,
+                is_meant: border.meant.contains(&key),
+                rank: border.ranked.iter().position(|ranked| *ranked == key),
+                is_cached: endpoint.cache.leading(work.shared()) == work.shared().len(),
+                excess_ms: (wait_ms - wait_bound_ms).max(backlog_ms - backlog_bound_ms),
                 unread_tokens: unread as u32,
             }
         })
     }
 
-    /// Returns the endpoint that ranks first for a prompt part, the same on
-    /// every host.
-    fn first_rank(&self, part: need::Part, keys: &[key::Key]) -> Option<key::Key> {
-        let name = part.id.to_string();
-        keys.iter()
-            .copied()
-            .max_by_key(|&key| ::fleet::rank::score(&self.endpoints[key].listed.id, &name))
-    }
-
-    /// Returns where each endpoint stands, between 0 and 1, in the order in
-    /// which those of its data centre take interactive work.
-    fn positions(&self, keys: &[key::Key]) -> collections::HashMap<key::Key, f64> {
-        let mut by_data_centre: collections::HashMap<&str, Vec<(u64, key::Key)>> =
-            collections::HashMap::new();
-        for &key in keys {
-            let listed = &self.endpoints[key].listed;
-            let score = ::fleet::rank::score(&listed.id, INTERACTIVE);
-            let list = by_data_centre.entry(&listed.data_centre).or_default();
-            list.push((score, key));
-        }
-        let mut positions = collections::HashMap::new();
-        for list in by_data_centre.values_mut() {
-            list.sort_unstable();
-            let count = list.len() as f64;
-            for (index, (_, key)) in list.iter().enumerate() {
-                positions.insert(*key, (index as f64 + 0.5) / count);
-            }
-        }
-        positions
-    }
-
     fn mean_failed(&self, now: time::Duration, keys: &[key::Key]) -> f64 {
         let sum: f64 = keys
             .iter()
@@ -292,10 +267,28 @@
             wait_ms: best.wait_ms,
             unread_tokens: best.unread_tokens,
             report_age: endpoint.report.map(|(_, at)| now.saturating_sub(at)),
+            rank: best.rank,
+            share: best.share,
+            is_meant: best.is_meant,
+            is_cached: best.is_cached,
         }
     }
 }
 
+/// Returns whether the request fits into this share of an engine's places and
+/// memory.
+fn has_room(
+    endpoint: &endpoint::Endpoint,
+    total: endpoint::Total,
+    memory: f64,
+    work: &need::Work,
+    fill: f64,
+) -> bool {
+    let slots = f64::from(endpoint.listed.slots);
+    let held = total.held_tokens + f64::from(work.held_tokens());
+    total.running < slots * fill && (held < memory * fill || total.running < 1.0)
+}
+
 /// Returns when a caller should come back, spread so that refused callers do
 /// not return together.
 fn retry_after(excess_ms: f64, rng: &mut impl rand::Rng) -> time::Duration {
--- a/crates/steer/src/demand.rs
+++ b/crates/steer/src/demand.rs
@@ -10,8 +10,16 @@
 /// engines while it is rare.
 const SHARE_RANGE: (f64, f64) = (0.1, 0.85);
 
+/// Share of its engines up to which interactive work fills them; beyond it, the
+/// steps of all requests grow too long.
+const INTERACTIVE_FILL: f64 = 0.75;
+
+/// Share of its engines up to which bulk work fills them. Prompts are read one
+/// after the other, and the wait behind a long one grows with the share.
+const BULK_FILL: f64 = 0.5;
+
 /// Interactive share of a service without requests.
-const SHARE_DEFAULT: f64 = 0.4;
+pub(crate) const SHARE_DEFAULT: f64 = 0.4;
 
 /// Engine time that requests ask for, in milliseconds with decay.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -27,7 +35,10 @@
 pub(crate) struct Demand {
     own: Amounts,
     updated: time::Duration,
+    /// By host of the own data centre.
     peers: rustc_hash::FxHashMap<u64, (Amounts, time::Duration)>,
+    /// By other data centre.
+    sums: rustc_hash::FxHashMap<u64, (Amounts, time::Duration)>,
 }
 
 impl Demand {
@@ -52,24 +63,48 @@
         }
     }
 
-    /// Takes the demand that another host has seen.
+    /// Returns the demand that all hosts of the own data centre have seen.
+    pub(crate) fn near(&self, now: time::Duration) -> Amounts {
+        add(self.own(now), now, &self.peers)
+    }
+
+    /// Takes the demand that another host of the own data centre has seen.
     pub(crate) fn hear(&mut self, now: time::Duration, peer: u64, amounts: Amounts) {
         self.peers.insert(peer, (amounts, now));
     }
 
-    /// Returns the share of interactive work over all hosts.
-    pub(crate) fn interactive_share(&self, now: time::Duration) -> f64 {
-        let mut sum = self.own(now);
-        for (amounts, at) in self.peers.values() {
-            if now.saturating_sub(*at) < PEER_AGE {
-                sum.bulk_ms += amounts.bulk_ms;
-                sum.interactive_ms += amounts.interactive_ms;
-            }
-        }
-        let all = f64::from(sum.bulk_ms + sum.interactive_ms);
-        if all < 1.0 {
+    /// Takes the demand of another data centre.
+    pub(crate) fn hear_sum(&mut self, now: time::Duration, data_centre: u64, amounts: Amounts) {
+        self.sums.insert(data_centre, (amounts, now));
+    }
+
+    /// Returns the share of the engines that is kept for interactive work. It
+    /// gets what it needs first; what both do not need is divided.
+    pub(crate) fn interactive_share(&self, now: time::Duration, engines: usize) -> f64 {
+        let sum = add(self.near(now), now, &self.sums);
+        let capacity_ms = engines.max(1) as f64 * MEMORY_S * 1_000.0;
+        let interactive = f64::from(sum.interactive_ms) / capacity_ms / INTERACTIVE_FILL;
+        let bulk = f64::from(sum.bulk_ms) / capacity_ms / BULK_FILL;
+        if f64::from(sum.bulk_ms + sum.interactive_ms) < 1.0 {
             return SHARE_DEFAULT;
         }
-        (f64::from(sum.interactive_ms) / all).clamp(SHARE_RANGE.0, SHARE_RANGE.1)
+        let spare = (1.0 - interactive - bulk).max(0.0);
+        let share = interactive + spare * interactive / (interactive + bulk);
+        share.clamp(SHARE_RANGE.0, SHARE_RANGE.1)
     }
 }
+
+/// Adds up the demand that is still fresh.
+fn add(
+    own: Amounts,
+    now: time::Duration,
+    others: &rustc_hash::FxHashMap<u64, (Amounts, time::Duration)>,
+) -> Amounts {
+    let fresh = others
+        .values()
+        .filter(|(_, at)| now.saturating_sub(*at) < PEER_AGE);
+    fresh.fold(own, |sum, (amounts, _)| Amounts {
+        bulk_ms: sum.bulk_ms + amounts.bulk_ms,
+        interactive_ms: sum.interactive_ms + amounts.interactive_ms,
+    })
+}
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -8,7 +8,8 @@
 use crate::options;
 use crate::report;
 
-/// The loads that another host published last.
+/// The load that another host published last, or the sum of the hosts of
+/// another data centre.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PeerLoad {
     pub(crate) load: load::Load,
@@ -23,8 +24,13 @@
     pub(crate) running: u32,
     pub(crate) unread_tokens: u32,
     pub(crate) held_tokens: u32,
+    /// Loads by host of the own data centre.
     pub(crate) peers: rustc_hash::FxHashMap<u64, PeerLoad>,
+    /// Sums by other data centre.
+    pub(crate) sums: rustc_hash::FxHashMap<u64, PeerLoad>,
     pub(crate) report: Option<(report::Report, time::Duration)>,
+    /// Whether the report came with an answer to this host.
+    pub(crate) is_report_own: bool,
     pub(crate) fault: fault::Fault,
     pub(crate) cache: cache::Cache,
 }
@@ -46,12 +52,26 @@
             unread_tokens: 0,
             held_tokens: 0,
             peers: rustc_hash::FxHashMap::default(),
+            sums: rustc_hash::FxHashMap::default(),
             report: None,
+            is_report_own: false,
             fault: fault::Fault::default(),
             cache: cache::Cache::default(),
         }
     }
 
+    /// Takes the endpoint's word on its load from another host, if it is newer.
+    pub(crate) fn hear_report(&mut self, now: time::Duration, load: load::Load) {
+        let Some((report, age_ms)) = load.report else {
+            return;
+        };
+        let at = now.saturating_sub(time::Duration::from_millis(age_ms.into()));
+        if self.report.is_none_or(|(_, known)| known < at) {
+            self.report = Some((report, at));
+            self.is_report_own = false;
+        }
+    }
+
     /// Adds up the load of all hosts.
     pub(crate) fn total(&self, now: time::Duration, options: &options::Options) -> Total {
         let mut total = Total {
@@ -118,6 +138,7 @@
         let age = options.peer_load_age;
         self.peers
             .values()
+            .chain(self.sums.values())
             .filter(move |peer| now.saturating_sub(peer.at) < age)
     }
 }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -6,13 +6,13 @@
 use crate::end;
 use crate::endpoint;
 use crate::key;
-use crate::load;
 use crate::need;
 use crate::options;
 use crate::pick;
 use crate::placement;
 use crate::report;
 use crate::run;
+use crate::sum;
 
 /// Prompt tokens that an engine reads in a millisecond until it has shown its
 /// own speed.
@@ -24,7 +24,7 @@
 
 /// Engine time of one token of an answer in milliseconds, shared with the
 /// other requests of a usual batch.
-const OUTPUT_MS: f64 = 0.25;
+const OUTPUT_MS: f64 = 0.3;
 
 /// Weight of one observation in the learned speed.
 const READ_RATE_STEP: f64 = 0.05;
@@ -65,6 +65,10 @@
     pub(crate) demands: collections::HashMap<String, demand::Demand>,
     /// Tokens that an engine of a service holds in memory.
     pub(crate) memories: collections::HashMap<String, f64>,
+    /// When another host was heard last.
+    pub(crate) heard: Option<time::Duration>,
+    /// The sum of each other data centre that was heard last.
+    pub(crate) sums: rustc_hash::FxHashMap<u64, sum::Heard>,
     placements: placement::Placements,
     tags: rustc_hash::FxHashMap<u32, key::Key>,
 }
@@ -79,6 +83,8 @@
             paces: collections::HashMap::new(),
             demands: collections::HashMap::new(),
             memories: collections::HashMap::new(),
+            heard: None,
+            sums: rustc_hash::FxHashMap::default(),
             placements: placement::Placements::default(),
             tags: rustc_hash::FxHashMap::default(),
         }
@@ -154,6 +160,12 @@
         }
     }
 
+    /// Returns the endpoint whose id has this hash.
+    pub(crate) fn tagged(&mut self, tag: u32) -> Option<&mut endpoint::Endpoint> {
+        let key = self.tags.get(&tag)?;
+        self.endpoints.get_mut(*key)
+    }
+
     /// Returns the number of listed endpoints.
     pub fn len(&self) -> usize {
         self.endpoints.len()
@@ -197,7 +209,7 @@
                 let service = endpoint.listed.service.as_str();
                 let rate = self.paces.get(service).copied().unwrap_or_default();
                 let engine_ms = f64::from(pick.unread_tokens) / rate.tokens_per_ms
-                    + f64::from(work.output_tokens) * OUTPUT_MS;
+                    + f64::from(work.expected_output()) * OUTPUT_MS;
                 if !self.demands.contains_key(service) {
                     self.demands
                         .insert(service.to_owned(), demand::Demand::default());
@@ -272,46 +284,30 @@
     pub fn report(&mut self, now: time::Duration, key: key::Key, report: report::Report) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.report = Some((report, now));
+            endpoint.is_report_own = true;
         }
     }
 
-    /// Returns the loads to tell other hosts. Endpoints without anything to
-    /// tell are left out.
-    pub fn loads(&self, now: time::Duration) -> Vec<load::Load> {
-        self.endpoints
-            .values()
-            .filter_map(|endpoint| self.load(now, endpoint))
-            .collect()
+    /// Returns the newest placements of prompts to tell other hosts.
+    pub fn placements(&self, now: time::Duration) -> Vec<placement::Placement> {
+        self.placements.tell(now)
     }
 
-    fn load(&self, now: time::Duration, endpoint: &endpoint::Endpoint) -> Option<load::Load> {
-        let report = endpoint
-            .report
-            .map(|(report, at)| (report, now.saturating_sub(at)))
-            .filter(|(_, age)| *age < self.options.report_age)
-            // CAST: The age is below the bound of a few hundred milliseconds.
-            .map(|(report, age)| (report, age.as_millis() as u32));
-        let load = load::Load {
-            tag: endpoint.tag,
-            running: endpoint.running,
-            unread_tokens: endpoint.unread_tokens,
-            held_tokens: endpoint.held_tokens,
-            // CAST: The share is between 0 and 1.
-            failed_percent: (endpoint.fault.failed(now) * 100.0) as u8,
-            is_down: endpoint.fault.is_down(now),
-            report,
-        };
-        let is_silent = load.running == 0
-            && load.unread_tokens == 0
-            && load.failed_percent == 0
-            && !load.is_down
-            && load.report.is_none();
-        (!is_silent).then_some(load)
+    /// Returns placements of hosts of the own data centre, for those of others.
+    pub fn placements_near(
+        &self,
+        now: time::Duration,
+        rng: &mut impl rand::Rng,
+    ) -> Vec<placement::Placement> {
+        self.placements.tell_near(now, rng)
     }
 
-    /// Returns the newest placements of prompts to tell other hosts.
-    pub fn placements(&self, now: time::Duration) -> Vec<placement::Placement> {
-        self.placements.tell(now)
+    /// Keeps placements of another host of the own data centre for hosts of
+    /// other data centres.
+    pub fn relay_placements(&mut self, now: time::Duration, placements: &[placement::Placement]) {
+        for placement in placements {
+            self.placements.relay(now, *placement);
+        }
     }
 
     /// Takes the newest placements of another host.
@@ -329,58 +325,6 @@
             endpoint.cache.note(now, part, room);
         }
     }
-
-    /// Returns the demand to tell other hosts, by the hash of the service.
-    pub fn demands(&self, now: time::Duration) -> Vec<(u32, demand::Amounts)> {
-        self.demands
-            .iter()
-            .map(|(service, demand)| (endpoint::tag(service), demand.own(now)))
-            .collect()
-    }
-
-    /// Takes the demand that another host has seen.
-    pub fn hear_demands(
-        &mut self,
-        now: time::Duration,
-        peer: u64,
-        demands: &[(u32, demand::Amounts)],
-    ) {
-        let known: Vec<String> = self.services.keys().cloned().collect();
-        for (tag, amounts) in demands {
-            let service = known.iter().find(|name| endpoint::tag(name) == *tag);
-            if let Some(service) = service {
-                let demand = self.demands.entry(service.clone()).or_default();
-                demand.hear(now, peer, *amounts);
-            }
-        }
-    }
-
-    /// Takes the loads of another host. Endpoints that it leaves out have no
-    /// work of it.
-    pub fn hear(&mut self, now: time::Duration, peer: u64, loads: &[load::Load]) {
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.peers.remove(&peer);
-        }
-        for &load in loads {
-            let Some(endpoint) = self
-                .tags
-                .get(&load.tag)
-                .and_then(|key| self.endpoints.get_mut(*key))
-            else {
-                continue;
-            };
-            endpoint
-                .peers
-                .insert(peer, endpoint::PeerLoad { load, at: now });
-            let Some((report, age_ms)) = load.report else {
-                continue;
-            };
-            let at = now.saturating_sub(time::Duration::from_millis(age_ms.into()));
-            if endpoint.report.is_none_or(|(_, known)| known < at) {
-                endpoint.report = Some((report, at));
-            }
-        }
-    }
 }
 
 /// Returns the tokens of memory that cached parts may take.
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -18,3 +18,14 @@
     /// Newest report of the endpoint with its age in milliseconds.
     pub report: Option<(report::Report, u32)>,
 }
+
+impl Load {
+    /// Returns whether there is nothing to tell.
+    pub(crate) const fn is_silent(&self) -> bool {
+        self.running == 0
+            && self.unread_tokens == 0
+            && self.failed_percent == 0
+            && !self.is_down
+            && self.report.is_none()
+    }
+}
--- a/crates/steer/src/need.rs
+++ b/crates/steer/src/need.rs
@@ -18,6 +18,9 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub output_tokens: u32,
+    /// Tokens of the answer that the caller expects, if it says so; its
+    /// estimate is right on the mean.
+    pub expected_tokens: Option<u32>,
 }
 
 /// Prompt tokens for each token of the answer above which reading the prompt
@@ -32,8 +35,15 @@
 
     /// Returns whether reading the prompt dominates the work. Such a request
     /// delays the tokens of all that run beside it.
-    pub const fn is_bulk(&self) -> bool {
-        self.prompt_tokens > self.output_tokens.saturating_mul(BULK_RATIO)
+    pub fn is_bulk(&self) -> bool {
+        self.prompt_tokens > self.expected_output().saturating_mul(BULK_RATIO)
+    }
+
+    /// Returns the tokens that the answer probably has.
+    pub fn expected_output(&self) -> u32 {
+        self.expected_tokens.map_or(self.output_tokens, |expected| {
+            expected.min(self.output_tokens)
+        })
     }
 
     /// Returns the tokens that the request holds in memory at its end.
--- a/crates/steer/src/options.rs
+++ b/crates/steer/src/options.rs
@@ -39,10 +39,10 @@
         Self {
             data_centre: String::new(),
             far_penalty_ms: 25.0,
-            mix_penalty_ms: 150.0,
+            mix_penalty_ms: 600.0,
             reread_penalty_ms: 0.06,
-            backlog_targets: 1.0,
-            backlog_urgent_targets: 1.0,
+            backlog_targets: 0.5,
+            backlog_urgent_targets: 0.5,
             peer_load_age: time::Duration::from_millis(1_500),
             report_age: time::Duration::from_millis(400),
             wait_share: 0.8,
--- a/crates/steer/src/pick.rs
+++ b/crates/steer/src/pick.rs
@@ -16,6 +16,15 @@
     pub is_near: bool,
     /// Expected wait for the first event in milliseconds.
     pub wait_ms: f64,
+    /// Place in the order in which hosts place the prompt, from 0; nothing if
+    /// it is not among the first.
+    pub rank: Option<usize>,
+    /// Whether the shared parts of the prompt are known to be in memory.
+    pub is_cached: bool,
+    /// Share of the engines that is kept for interactive work.
+    pub share: f64,
+    /// Whether the endpoint is kept for this kind of work.
+    pub is_meant: bool,
     /// Prompt tokens that the endpoint probably has to read.
     pub unread_tokens: u32,
     /// Age of the newest report of the endpoint.
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -1,6 +1,8 @@
 use core::time;
 use std::collections;
 
+use rand::seq::IteratorRandom;
+
 use crate::need;
 
 /// Time for which a placement is told. Hosts far away hear only some of the
@@ -21,10 +23,18 @@
     pub endpoint: u32,
 }
 
-/// The newest own placements.
+/// Time for which a placement of another host is told.
+const RELAY_TIME: time::Duration = time::Duration::from_millis(900);
+
+/// Placements of other hosts that are kept.
+const RELAYED_MAX: usize = 200;
+
+/// The newest placements.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Placements {
-    newest: collections::VecDeque<(Placement, time::Duration)>,
+    own: collections::VecDeque<(Placement, time::Duration)>,
+    /// Those of other hosts of the data centre.
+    near: collections::VecDeque<(Placement, time::Duration)>,
 }
 
 impl Placements {
@@ -34,18 +44,45 @@
             tokens: part.tokens,
             endpoint,
         };
-        self.newest.retain(|(known, _)| *known != placement);
-        self.newest.push_back((placement, now));
-        if self.newest.len() > PLACEMENTS_MAX {
-            self.newest.pop_front();
+        self.own.retain(|(known, _)| *known != placement);
+        self.own.push_back((placement, now));
+        if self.own.len() > PLACEMENTS_MAX {
+            self.own.pop_front();
         }
     }
 
     pub(crate) fn tell(&self, now: time::Duration) -> Vec<Placement> {
-        self.newest
+        self.own
             .iter()
             .filter(|(_, at)| now.saturating_sub(*at) < TELL_TIME)
             .map(|(placement, _)| *placement)
             .collect()
     }
+
+    pub(crate) fn relay(&mut self, now: time::Duration, placement: Placement) {
+        // Each is told several times.
+        if self.near.iter().any(|(known, _)| *known == placement) {
+            return;
+        }
+        self.near.push_back((placement, now));
+        if self.near.len() > RELAYED_MAX {
+            self.near.pop_front();
+        }
+    }
+
+    /// Returns a random choice of the placements of the data centre. The hosts
+    /// of another one hear different choices.
+    pub(crate) fn tell_near(
+        &self,
+        now: time::Duration,
+        rng: &mut impl rand::Rng,
+    ) -> Vec<Placement> {
+        let near = self
+            .near
+            .iter()
+            .filter(|(_, at)| now.saturating_sub(*at) < RELAY_TIME)
+            .map(|(placement, _)| *placement);
+        let all = self.tell(now).into_iter().chain(near);
+        all.sample(rng, PLACEMENTS_MAX)
+    }
 }
