--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -105,9 +105,16 @@
         } else {
             reachable
         };
-        let candidates: Vec<Candidate> = self
-            .candidates(now, service, work, need, &list, rng)
+        let draws = self.draws(now, service);
+        let mut candidates: Vec<Candidate> = self
+            .candidates(now, service, work, need, &list, draws, rng)
             .collect();
+        if draws && !candidates.iter().any(Candidate::admits) {
+            // None is refused while another endpoint takes it.
+            candidates = self
+                .candidates(now, service, work, need, &list, false, rng)
+                .collect();
+        }
         let by_cost = |a: &&Candidate, b: &&Candidate| a.cost.total_cmp(&b.cost);
         let admitted = candidates.iter().filter(|candidate| candidate.admits());
         if let Some(best) = admitted.min_by(by_cost) {
@@ -124,6 +131,19 @@
         })
     }
 
+    /// Returns whether a request compares drawn engines only, because other
+    /// hosts choose among the same ones.
+    fn draws(&self, now: time::Duration, service: &str) -> bool {
+        let has_others = self
+            .heard
+            .is_some_and(|at| now.saturating_sub(at) < self.options.peer_load_age);
+        has_others && self.memories.contains_key(service)
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each is a part of the request or of the scene"
+    )]
     fn candidates(
         &self,
         now: time::Duration,
@@ -131,6 +151,7 @@
         work: &need::Work,
         need: need::Need,
         keys: &[key::Key],
+        draws: bool,
         rng: &mut impl rand::Rng,
     ) -> impl Iterator<Item = Candidate> {
         let pace = self.paces.get(service).copied().unwrap_or_default();
@@ -141,12 +162,9 @@
         let targets = self.options.backlog_targets + urgent_targets;
         let target_ms = need.target_first.as_secs_f64() * 1_000.0;
         let memory = self.memories.get(service).copied();
-        let has_others = self
-            .heard
-            .is_some_and(|at| now.saturating_sub(at) < self.options.peer_load_age);
-        let compared = match memory {
-            Some(_) if has_others => self.shortlist(work, keys, &border, rng),
-            _ => keys.to_vec(),
+        let compared = match draws {
+            true => self.shortlist(work, keys, &border, rng),
+            false => keys.to_vec(),
         };
         let fill = FILL_SHARE + FILL_URGENT_SHARE * need.urgency;
         let mean = self.mean_failed(now, keys);
@@ -177,7 +195,7 @@
             if is_full {
                 cost += FAILED_MS;
             }
-            if work.is_bulk() && has_others && !border.ranked.contains(&key) {
+            if work.is_bulk() && !border.ranked.contains(&key) {
                 cost += UNRANKED_MS;
             }
             let backlog_ms = total.unread_tokens / pace.tokens_per_ms;
--- a/crates/steer/tests/load.rs
+++ b/crates/steer/tests/load.rs
@@ -473,3 +473,26 @@
         "{ms} ms for 800 and 100 tokens"
     );
 }
+
+#[test]
+fn a_request_is_not_refused_while_any_engine_has_room() {
+    // Guards against refusals by hosts that compare only some of the engines.
+    let mut host = Host::new(1, "dc0", 20);
+    let mut other = Host::new(2, "dc0", 20);
+    for own in 0..400 {
+        other.send_as(0, &interactive(own), 1.0);
+        other.send_as(0, &bulk(own, own), 1.0);
+    }
+    let mut loads = other.fleet.loads(ms(0));
+    assert_eq!(loads.len(), 20, "every engine has work of the other host");
+    for load in &mut loads {
+        load.running = 64;
+    }
+    // One of twenty engines is free.
+    loads.truncate(19);
+    host.fleet.hear(ms(0), 7, &loads);
+    for own in 0..40 {
+        let outcome = host.pick(10, &interactive(own), 0.0);
+        assert!(matches!(outcome, steer::Outcome::Sent(_)), "{outcome:?}");
+    }
+}
