--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -30,6 +30,10 @@
 /// Milliseconds by which an engine without room ranks behind the others.
 const NO_ROOM_MS: f64 = 5_000.0;
 
+/// Share of the places of an engine for short prompts up to which it takes a
+/// long one.
+const QUIET_SHARE: f64 = 0.25;
+
 /// Milliseconds by which an endpoint ranks behind those at which other hosts
 /// would place the same prompt.
 const UNRANKED_MS: f64 = 30.0;
@@ -203,8 +207,7 @@
             let backlog_bound_ms = match (work.is_bulk(), border.meant.contains(&key)) {
                 (false, _) => f64::INFINITY,
                 (true, true) => target_ms * targets,
-                (true, false) if total.running < 1.0 => target_ms * targets,
-                // Reading a long prompt delays all answers there.
+                (true, false) if is_quiet(endpoint, total) => target_ms * targets,
                 (true, false) => f64::NEG_INFINITY,
             };
             Candidate {
@@ -293,6 +296,12 @@
     }
 }
 
+/// Returns whether one more long prompt delays few answers at an engine that is
+/// kept for short ones, and none of them twice in a row.
+fn is_quiet(endpoint: &endpoint::Endpoint, total: endpoint::Total) -> bool {
+    total.running < f64::from(endpoint.listed.slots) * QUIET_SHARE && total.unread_tokens < 1.0
+}
+
 /// Returns whether the request fits into this share of an engine's places and
 /// memory.
 fn has_room(
