--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -159,15 +159,15 @@
         rng: &mut impl rand::Rng,
     ) -> impl Iterator<Item = Candidate> {
         let pace = self.paces.get(service).copied().unwrap_or_default();
-        let border = self.border(now, service, work, keys);
-        let first = border.ranked.first().copied();
+        let partition = self.partition(now, service, work, keys);
+        let first = partition.ranked.first().copied();
         let wait_bound_ms = need.left.as_secs_f64() * 1_000.0 * self.options.wait_share;
         let urgent_targets = self.options.backlog_urgent_targets * need.urgency;
         let targets = self.options.backlog_targets + urgent_targets;
         let target_ms = need.target_first.as_secs_f64() * 1_000.0;
         let memory = self.memories.get(service).copied();
         let compared = match draws {
-            true => self.shortlist(work, keys, &border, rng),
+            true => self.shortlist(work, keys, &partition, rng),
             false => keys.to_vec(),
         };
         let fill = FILL_SHARE + FILL_URGENT_SHARE * need.urgency;
@@ -184,7 +184,7 @@
             if endpoint.listed.data_centre != self.options.data_centre {
                 cost += self.options.far_penalty_ms;
             }
-            cost += border.misplaced(key, work) * self.options.mix_penalty_ms;
+            cost += partition.misplaced(key, work) * self.options.mix_penalty_ms;
             let total = endpoint.total(now, &self.options);
             let has_room =
                 memory.is_none_or(|memory| has_room(endpoint, total, memory, work, fill));
@@ -199,12 +199,12 @@
             if is_full {
                 cost += FAILED_MS;
             }
-            if work.is_bulk() && !border.ranked.contains(&key) {
+            if work.is_bulk() && !partition.ranked.contains(&key) {
                 cost += UNRANKED_MS;
             }
             let backlog_ms = total.unread_tokens / pace.tokens_per_ms;
             // Short prompts hardly add to a backlog; long ones are refused first.
-            let backlog_bound_ms = match (work.is_bulk(), border.meant.contains(&key)) {
+            let backlog_bound_ms = match (work.is_bulk(), partition.meant.contains(&key)) {
                 (false, _) => f64::INFINITY,
                 (true, true) => target_ms * targets,
                 (true, false) if is_quiet(endpoint, total) => target_ms * targets,
@@ -216,9 +216,9 @@
                 wait_ms,
                 backlog_ms,
                 has_room: has_room && !is_full,
-                share: border.share,
-                is_meant: border.meant.contains(&key),
-                rank: border.ranked.iter().position(|ranked| *ranked == key),
+                share: partition.share,
+                is_meant: partition.meant.contains(&key),
+                rank: partition.ranked.iter().position(|ranked| *ranked == key),
                 is_cached: endpoint.cache.leading(work.shared()) == work.shared().len(),
                 excess_ms: (wait_ms - wait_bound_ms).max(backlog_ms - backlog_bound_ms),
                 unread_tokens: unread as u32,
--- a/crates/steer/src/position.rs
+++ b/crates/steer/src/position.rs
@@ -17,9 +17,9 @@
 /// work. A small change of the demand would otherwise move all its work.
 const RANGE_MIN: f64 = 0.05;
 
-/// How the engines of a service divide between kinds of work, for a request.
+/// How the engines of a service are partitioned between kinds of work, for a request.
 #[derive(Debug)]
-pub(crate) struct Border {
+pub(crate) struct Partition {
     /// Share that is kept for interactive work.
     pub(crate) share: f64,
     /// Engines that are kept for the kind of work of the request.
@@ -29,7 +29,7 @@
     positions: collections::HashMap<key::Key, Position>,
 }
 
-impl Border {
+impl Partition {
     /// Returns how much the engine is kept for the other kind of work, from 0
     /// to 1.
     pub(crate) fn misplaced(&self, key: key::Key, work: &need::Work) -> f64 {
@@ -63,14 +63,14 @@
 }
 
 impl fleet::Fleet {
-    /// Returns how engines divide between kinds of work.
-    pub(crate) fn border(
+    /// Returns how engines are partitioned between kinds of work.
+    pub(crate) fn partition(
         &self,
         now: time::Duration,
         service: &str,
         work: &need::Work,
         keys: &[key::Key],
-    ) -> Border {
+    ) -> Partition {
         let positions = self.positions(keys);
         let share = self
             .demands
@@ -94,7 +94,7 @@
             .copied()
             .filter(|key| is_bulk(key) == work.is_bulk())
             .collect();
-        Border {
+        Partition {
             share,
             meant,
             ranked,
--- a/crates/steer/src/shortlist.rs
+++ b/crates/steer/src/shortlist.rs
@@ -25,7 +25,7 @@
         &self,
         work: &need::Work,
         keys: &[key::Key],
-        border: &position::Border,
+        partition: &position::Partition,
         rng: &mut impl rand::Rng,
     ) -> Vec<key::Key> {
         let is_near =
@@ -38,16 +38,16 @@
         };
         let mut drawn: collections::BTreeSet<key::Key> = collections::BTreeSet::new();
         drawn.extend(draw(NEAR_DRAWN, &|key| {
-            border.meant.contains(&key) && is_near(key)
+            partition.meant.contains(&key) && is_near(key)
         }));
         drawn.extend(draw(FAR_DRAWN, &|key| {
-            border.meant.contains(&key) && !is_near(key)
+            partition.meant.contains(&key) && !is_near(key)
         }));
         let missing = NEAR_DRAWN + FAR_DRAWN - drawn.len();
         drawn.extend(draw(OTHER_DRAWN + missing, &|key| {
-            !border.meant.contains(&key)
+            !partition.meant.contains(&key)
         }));
-        drawn.extend(&border.ranked);
+        drawn.extend(&partition.ranked);
         let shared = work.shared();
         if work.is_bulk() && !shared.is_empty() {
             let knows = |key: &key::Key| self.endpoints[*key].cache.leading(shared) == shared.len();
