--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -36,7 +36,7 @@
 
 impl Drop for Flow {
     fn drop(&mut self) {
-        journal::write(&self.host, &self.job, self.outcome);
+        journal::write(&self.host, &mut self.job, self.outcome);
     }
 }
 
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Notes the first event, or the head of a plain answer.
+    pub(crate) fn begun(&self) {
+        let took = self.host.clock.now().saturating_sub(self.job.arrived);
+        let tags = [("service", self.job.service.as_str())];
+        self.host.meters.time("first_event_ms", &tags, took);
+    }
+
     /// Notes how the request ended.
     pub(crate) const fn conclude(&mut self, outcome: &'static str) {
         self.outcome = Some(outcome);
@@ -142,7 +149,7 @@
 
     fn pick(&mut self, now: time::Duration, left: time::Duration) -> Result<steer::Pick, Refusal> {
         let need = steer::Need {
-            tier: self.job.tier,
+            urgency: self.job.rank.urgency(),
             left,
             target_first: self.job.route.target_first,
         };
