--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admit;
 mod answered;
+mod belief;
 mod catch_up;
 mod crash;
 mod event;
@@ -44,6 +45,7 @@
 mod snapshot;
 mod step;
 mod stop;
+mod tell;
 mod watchers;
 
 pub use event::Splitter;
