--- a/crates/edge/tests/common/endpoint.rs
+++ b/crates/edge/tests/common/endpoint.rs
@@ -156,13 +156,15 @@
 }
 
 /// Makes closing the connection a reset.
-fn reset(stream: &tokio::net::TcpStream) {
+pub fn reset(stream: &tokio::net::TcpStream) {
     socket2::SockRef::from(stream)
         .set_linger(Some(time::Duration::ZERO))
         .expect("linger");
 }
 
-async fn read(
+/// Reads the next request of a connection; `bytes` holds what has arrived after
+/// the last one.
+pub async fn read(
     stream: &mut tokio::net::TcpStream,
     bytes: &mut Vec<u8>,
     connection: usize,
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -6,6 +6,7 @@
 )]
 
 pub mod endpoint;
+pub mod engine;
 
 use core::time;
 use std::net;
