fix(route): a conviction no longer clears other requests

Callers saw: a request that crashes engines was run again and again on busy fleets, and hosts that refused it forgot it. Cause: the verdict depended on the order of reports. When a request was convicted, all others that were in flight at the same crashes lost their evidence, also the one that caused them, and later reports about these crashes were ignored. A crash that was reported three times convicted a request that only ran beside it, which cleared the cause. Change: crashes of a request are a set of endpoints. The verdict depends on that set alone; a conviction explains the crashes of others for the choice of a lane but removes nothing. Repeated reports and failures within 2 s count once. Suspects do not displace poison requests. A completed run discounts the crashes so far.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -63,16 +63,15 @@
             mutex::lock(&self.quarantine).record_crash(now, crash.fingerprint, crash.endpoint);
         let name = match effect {
             route::Effect::Ignored => "ignored",
-            route::Effect::Suspected => "suspected",
-            route::Effect::Convicted { .. } => "convicted",
+            route::Effect::Counted => "counted",
+            route::Effect::Convicted => "convicted",
         };
         let tags = [("source", source), ("effect", name)];
         self.metrics.count("crash_reports", &tags);
-        if let route::Effect::Convicted { cleared } = effect {
+        if effect == route::Effect::Convicted {
             log::warn!(
                 target: "edge",
-                fingerprint = crash.fingerprint, endpoint = crash.endpoint, source = source,
-                cleared = cleared;
+                fingerprint = crash.fingerprint, endpoint = crash.endpoint, source = source;
                 "a request is refused because endpoints crashed while it ran"
             );
         }
--- a/crates/route/src/effect.rs
+++ b/crates/route/src/effect.rs
@@ -1,13 +1,10 @@
 /// Effect of a crash report on [`crate::Quarantine`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
-    /// The report does not count.
+    /// The crash was known before, or the request cannot be identified.
     Ignored,
-    /// The request is a suspect.
-    Suspected,
-    /// The request is poison.
-    Convicted {
-        /// Number of other suspects that were cleared by this.
-        cleared: usize,
-    },
+    /// The crash counts against the request.
+    Counted,
+    /// The crash counts and makes the request poison.
+    Convicted,
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 mod run;
 mod spec;
 mod speed;
+mod suspect;
 mod table;
 mod throughput;
 mod update;
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -2,35 +2,25 @@
 use std::collections;
 
 use crate::effect;
+use crate::suspect;
 use crate::verdict;
 
-/// Request that was in flight at a crash.
-#[derive(Debug)]
-struct Suspect {
-    /// Endpoint that crashed first.
-    first_endpoint: u64,
-    /// Time of the first crash.
-    first_crash_at: time::Duration,
-    /// Number of crashes; reset when the suspect has expired.
-    crashes: u32,
-    /// Time until which the request is refused; `None` if it is not poison.
-    poison_until: Option<time::Duration>,
-    /// Time from which the request is clear again.
-    expires_at: time::Duration,
-}
-
 /// Requests that were in flight at crashes of endpoints.
 ///
 /// After one crash a request is a suspect; after crashes of two endpoints it is
 /// poison and refused for a time. Requests are identified by a fingerprint, a
 /// hash of the whole request.
+///
+/// The verdict on a request depends only on the crashes recorded for it and not on
+/// the order in which they are recorded, so hosts that exchange crash reports
+/// agree. Evidence against one request never removes evidence against another.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    suspects: rustc_hash::FxHashMap<u64, Suspect>,
-    /// Suspects in the order of eviction, oldest first. Entries of cleared requests
-    /// are removed later.
+    suspects: rustc_hash::FxHashMap<u64, suspect::Suspect>,
+    /// Suspects in the order of eviction, oldest first. Expired entries are removed
+    /// later.
     order: collections::VecDeque<u64>,
-    /// Crashes that are attributed to a poison request.
+    /// Crashes that are attributed to a poison request: endpoint and time.
     explained: collections::VecDeque<(u64, time::Duration)>,
     /// Suspects that are running.
     running: rustc_hash::FxHashSet<u64>,
@@ -48,12 +38,23 @@
             return verdict::Verdict::Clear;
         };
         if suspect.poison_until.is_some_and(|until| now < until) {
-            verdict::Verdict::Poison
-        } else if now < suspect.expires_at {
-            verdict::Verdict::Suspect
-        } else {
-            verdict::Verdict::Clear
+            return verdict::Verdict::Poison;
+        }
+        if now >= suspect.expires_at || self.is_explained(suspect) {
+            return verdict::Verdict::Clear;
         }
+        verdict::Verdict::Suspect
+    }
+
+    /// Returns whether poison requests explain every crash of a suspect that is not
+    /// poison itself.
+    fn is_explained(&self, suspect: &suspect::Suspect) -> bool {
+        suspect.poison_until.is_none()
+            && suspect.crashes().all(|(endpoint, at)| {
+                self.explained.iter().any(|&(explained, time)| {
+                    explained == endpoint && suspect::is_same_crash(time, at)
+                })
+            })
     }
 
     /// Returns the time, which may have passed, until which a request is refused;
@@ -62,81 +63,122 @@
         self.suspects.get(&fingerprint)?.poison_until
     }
 
-    /// Records a crash of an endpoint while the request was in flight there.
+    /// Records a crash that this process observed: the endpoint crashed while the
+    /// request was in flight there. A later crash of the same endpoint counts again.
     ///
     /// `endpoint` is any value that differs between endpoints, including those of
-    /// other shards. A crash that is already attributed to a poison request is
-    /// ignored, unless this request is a running suspect.
+    /// other shards.
     pub fn record_crash(
         &mut self,
         now: time::Duration,
         fingerprint: u64,
         endpoint: u64,
     ) -> effect::Effect {
-        let mut explained = self.explained.iter();
-        let is_explained = explained.any(|&crash| is_same_crash(crash, (endpoint, now)));
-        if fingerprint == 0 || (is_explained && !self.running.contains(&fingerprint)) {
+        self.record(now, fingerprint, endpoint, true)
+    }
+
+    /// Records a crash that is reported any number of times and counts once.
+    ///
+    /// `endpoint` differs between endpoints and between the starts of one.
+    pub fn record_report(
+        &mut self,
+        now: time::Duration,
+        fingerprint: u64,
+        endpoint: u64,
+    ) -> effect::Effect {
+        self.record(now, fingerprint, endpoint, false)
+    }
+
+    fn record(
+        &mut self,
+        now: time::Duration,
+        fingerprint: u64,
+        endpoint: u64,
+        is_repeatable: bool,
+    ) -> effect::Effect {
+        if fingerprint == 0 {
             return effect::Effect::Ignored;
         }
+        if self
+            .suspects
+            .get(&fingerprint)
+            .is_none_or(|suspect| now >= suspect.expires_at)
+        {
+            self.insert(fingerprint);
+        }
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
-            self.insert(now, fingerprint, endpoint);
-            return effect::Effect::Suspected;
+            return effect::Effect::Ignored;
         };
-        if now >= suspect.expires_at {
-            suspect.first_endpoint = endpoint;
-            suspect.first_crash_at = now;
-            suspect.crashes = 0;
-            suspect.poison_until = None;
+        if !suspect.add(now, endpoint, is_repeatable) {
+            return effect::Effect::Ignored;
         }
-        suspect.crashes += 1;
-        suspect.expires_at = now + SUSPECT_TIME;
-        let is_other_endpoint = suspect.first_endpoint != endpoint;
-        if is_other_endpoint || suspect.crashes >= POISON_CRASHES {
-            suspect.poison_until = Some(now + POISON_TIME);
-            suspect.expires_at = now + POISON_TIME + SUSPECT_TIME;
-            let first = (suspect.first_endpoint, suspect.first_crash_at);
-            let before = self.suspects.len();
-            self.clear_explained(first);
-            self.clear_explained((endpoint, now));
-            let cleared = before - self.suspects.len();
-            return effect::Effect::Convicted { cleared };
+        suspect.expires_at = suspect.expires_at.max(now + SUSPECT_TIME);
+        if !suspect.is_convicted() {
+            return effect::Effect::Counted;
+        }
+        let was_poison = suspect.poison_until.is_some_and(|until| now < until);
+        suspect.poison_until = Some(now + POISON_TIME);
+        suspect.expires_at = now + POISON_TIME + SUSPECT_TIME;
+        self.explained.extend(suspect.crashes());
+        while self.explained.len() > EXPLAINED_MAX {
+            self.explained.pop_front();
+        }
+        match was_poison {
+            true => effect::Effect::Counted,
+            false => effect::Effect::Convicted,
         }
-        effect::Effect::Suspected
     }
 
-    fn insert(&mut self, now: time::Duration, fingerprint: u64, endpoint: u64) {
-        let suspect = Suspect {
-            first_endpoint: endpoint,
-            first_crash_at: now,
-            crashes: 1,
-            poison_until: None,
-            expires_at: now + SUSPECT_TIME,
-        };
-        self.suspects.insert(fingerprint, suspect);
-        self.order.push_back(fingerprint);
+    /// Adds a suspect without crashes, and evicts the oldest one that is not poison
+    /// if there are too many.
+    fn insert(&mut self, fingerprint: u64) {
+        let before = self
+            .suspects
+            .insert(fingerprint, suspect::Suspect::default());
+        if before.is_none() {
+            self.order.push_back(fingerprint);
+        }
         while self.order.len() > SUSPECTS_MAX {
-            if let Some(old) = self.order.pop_front() {
+            let suspects = &self.suspects;
+            let is_poison = |fingerprint: &u64| {
+                suspects
+                    .get(fingerprint)
+                    .is_some_and(|suspect| suspect.poison_until.is_some())
+            };
+            let oldest = self.order.iter().position(|old| !is_poison(old));
+            if let Some(old) = self.order.remove(oldest.unwrap_or(0)) {
                 self.suspects.remove(&old);
             }
         }
     }
 
-    /// Attributes a crash to a poison request and clears the other suspects whose
-    /// first crash it is.
-    fn clear_explained(&mut self, crash: (u64, time::Duration)) {
-        self.suspects.retain(|_, suspect| {
-            suspect.poison_until.is_some()
-                || !is_same_crash((suspect.first_endpoint, suspect.first_crash_at), crash)
-        });
-        self.explained.push_back(crash);
-        if self.explained.len() > EXPLAINED_MAX {
-            self.explained.pop_front();
+    /// Discounts the crashes of a request after it has completed.
+    pub fn clear(&mut self, fingerprint: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.clear();
         }
     }
 
-    /// Clears a request after it has completed.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.suspects.remove(&fingerprint);
+    /// Returns the poison requests with the endpoints whose crashes count against
+    /// them, the newest first.
+    pub fn poison(&self, now: time::Duration) -> Vec<(u64, Vec<u64>)> {
+        let mut poison: Vec<_> = self
+            .suspects
+            .iter()
+            .filter_map(|(&fingerprint, suspect)| {
+                let until = suspect.poison_until.filter(|&until| now < until)?;
+                Some((until, fingerprint, suspect))
+            })
+            .collect();
+        poison.sort_unstable_by_key(|&(until, fingerprint, _)| {
+            core::cmp::Reverse((until, fingerprint))
+        });
+        let endpoints =
+            |suspect: &suspect::Suspect| suspect.crashes().map(|(endpoint, _)| endpoint).collect();
+        poison
+            .into_iter()
+            .map(|(_, fingerprint, suspect)| (fingerprint, endpoints(suspect)))
+            .collect()
     }
 
     /// Records that a suspect starts to run; returns `false` if one with this
@@ -174,11 +216,6 @@
     }
 }
 
-/// Returns whether two failures, each an endpoint and a time, are one crash.
-fn is_same_crash(one: (u64, time::Duration), other: (u64, time::Duration)) -> bool {
-    one.0 == other.0 && one.1.abs_diff(other.1) <= SAME_CRASH_WINDOW
-}
-
 /// Time without a crash after which a suspect is clear.
 const SUSPECT_TIME: time::Duration = time::Duration::from_secs(120);
 
@@ -186,12 +223,6 @@
 /// so it can crash one more endpoint in each such period.
 const POISON_TIME: time::Duration = time::Duration::from_secs(600);
 
-/// Crashes of a single endpoint that make a request poison.
-const POISON_CRASHES: u32 = 3;
-
-/// Longest time between failures of one endpoint that count as one crash.
-const SAME_CRASH_WINDOW: time::Duration = time::Duration::from_secs(2);
-
 /// Maximum number of suspects, of about 100 bytes each.
 const SUSPECTS_MAX: usize = 4_096;
 
