fix(edge): crash reports reach every host and count once

Callers saw: a request that had crashed several engines was refused by some hosts and sent by others, and each of these lost another engine. Cause: reports shared a list of 16 with the reports of all others that were in flight at any crash. A host dropped its own report before it sent it, and took a report that had left the list as a new crash. Change: a host publishes the crashes that it detects to all hosts in a small message at once and twice again, and nothing that others detect. Crashes are identified by endpoint and start of its process, so a repeated report is known. Periodic messages carry the crashes that convict the newest poison requests, for hosts that were partitioned or have started since.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -1,4 +1,5 @@
 use core::time;
+use std::net;
 use std::sync;
 
 use base::mutex;
@@ -13,21 +14,35 @@
 /// Time-out of the probe.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
-/// Number of recent crashes that are kept and published to other hosts.
-pub(crate) const CRASHES_MAX: usize = 16;
+/// Most crashes of poison requests in a periodic message.
+const POISON_CRASHES_MAX: usize = 16;
+
+/// Most crashes of one poison request in a periodic message: as many as convict
+/// it.
+const REQUEST_CRASHES_MAX: usize = 2;
+
+/// Sign that an endpoint may have crashed with a request in flight.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sign {
+    /// The connection broke.
+    Broken,
+}
 
 impl host::Host {
-    /// Checks by a probe whether an endpoint that broke a connection has
-    /// crashed. If so, the request counts as a possible cause of the crash,
-    /// here and at other hosts.
-    pub(crate) fn check_for_crash(self: &sync::Arc<Self>, pick: &steer::Pick, fingerprint: u64) {
+    /// Checks by a probe whether an endpoint has crashed. If so, the request counts
+    /// as a possible cause of the crash, here and at other hosts.
+    pub(crate) fn check_for_crash(
+        self: &sync::Arc<Self>,
+        pick: &steer::Pick,
+        fingerprint: u64,
+        sign: Sign,
+    ) {
         let host = self.clone();
         let (address, key) = (pick.address, pick.key);
-        let endpoint = gossip::name_hash(&pick.id);
+        let endpoint = gossip::start_hash(&pick.id, pick.started_ms);
         tokio::spawn(async move {
             tokio::time::sleep(PROBE_DELAY).await;
-            let connecting = tokio::net::TcpStream::connect(address);
-            if let Ok(Ok(_)) = tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
+            if !has_crashed(address, sign).await {
                 host.metrics.count("crash_probes", &[("result", "alive")]);
                 return;
             }
@@ -44,23 +59,18 @@
                 endpoint,
             };
             host.record_crash(now, crash, "own");
+            if !mutex::lock(&host.reports).add(now, crash) {
+                host.metrics.count("crash_reports_dropped", &[]);
+            }
+            host.crashed.notify_one();
         });
     }
 
-    /// Records a crash that this host detected or another one reported, and
-    /// keeps it for publication. `source` is where the report comes from, for
-    /// the log and the metrics.
+    /// Records a crash that this host detected or another one reported. `source` is
+    /// where the report comes from, for the log and the metrics.
     pub(crate) fn record_crash(&self, now: time::Duration, crash: gossip::Crash, source: &str) {
-        {
-            let mut crashes = mutex::lock(&self.crashes);
-            crashes.push_back(crash);
-            if crashes.len() > CRASHES_MAX {
-                crashes.pop_front();
-                self.metrics.count("crash_reports_dropped", &[]);
-            }
-        }
         let effect =
-            mutex::lock(&self.quarantine).record_crash(now, crash.fingerprint, crash.endpoint);
+            mutex::lock(&self.quarantine).record_report(now, crash.fingerprint, crash.endpoint);
         let name = match effect {
             route::Effect::Ignored => "ignored",
             route::Effect::Counted => "counted",
@@ -76,4 +86,27 @@
             );
         }
     }
+
+    /// Returns the crashes that convict the newest poison requests, for hosts that
+    /// have missed reports or started since.
+    pub(crate) fn poison_crashes(&self, now: time::Duration) -> Vec<gossip::Crash> {
+        let poison = mutex::lock(&self.quarantine).poison(now);
+        let crashes = poison.into_iter().flat_map(|(fingerprint, endpoints)| {
+            let endpoints = endpoints.into_iter().take(REQUEST_CRASHES_MAX);
+            endpoints.map(move |endpoint| gossip::Crash {
+                fingerprint,
+                endpoint,
+            })
+        });
+        crashes.take(POISON_CRASHES_MAX).collect()
+    }
+}
+
+/// Returns whether an endpoint has crashed, judged by a connection attempt.
+async fn has_crashed(address: net::SocketAddr, sign: Sign) -> bool {
+    let connecting = tokio::net::TcpStream::connect(address);
+    match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => false,
+        Ok(Err(_)) | Err(_) => sign == Sign::Broken,
+    }
 }
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -4,6 +4,7 @@
 use answer::{Kind, Refusal};
 use base::mutex;
 
+use crate::crash;
 use crate::host;
 use crate::incoming;
 use crate::job;
@@ -136,6 +137,11 @@
         )
     }
 
+    /// Checks whether the endpoint has crashed with this request in flight.
+    pub(crate) fn check_for_crash(&self, pick: &steer::Pick, sign: crash::Sign) {
+        self.host.check_for_crash(pick, self.job.fingerprint, sign);
+    }
+
     fn refuse_quarantined(&mut self, now: time::Duration) -> Option<Refusal> {
         let quarantine = mutex::lock(&self.host.quarantine);
         if quarantine.verdict(now, self.job.fingerprint) != route::Verdict::Poison {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -39,7 +39,8 @@
     /// Time since the sender's configuration was last confirmed, in
     /// milliseconds.
     pub(crate) age_ms: u32,
-    /// Recent endpoint crashes that the sender has detected or received.
+    /// Endpoint crashes: those that the sender has just detected, or those that
+    /// convict poison requests.
     pub(crate) crashes: Vec<Crash>,
     /// Demand at the sender, or in its data centre.
     pub(crate) demands: steer::Demands,
@@ -62,6 +63,8 @@
         /// The sum of the loads, or a part of it.
         sum: steer::Sum,
     },
+    /// No loads; the message reports crashes.
+    None,
 }
 
 impl Message {
@@ -69,29 +72,31 @@
     /// this order: the loads with the least work down to the size of a part,
     /// then placements, then further loads.
     pub(crate) fn encode(&mut self) -> Result<Vec<u8>, postcard::Error> {
-        self.loads()
-            .sort_by_key(|load| core::cmp::Reverse((load.is_down, load.running)));
-        self.loads().truncate(LOADS_MAX);
+        if let Some(loads) = self.loads() {
+            loads.sort_by_key(|load| core::cmp::Reverse((load.is_down, load.running)));
+            loads.truncate(LOADS_MAX);
+        }
         loop {
             let bytes = postcard::to_allocvec(self)?;
             if bytes.len() <= DATAGRAM_MAX_BYTES {
                 return Ok(bytes);
             }
-            if self.loads().len() <= PART_LOADS_MAX && !self.placements.is_empty() {
+            let loads = self.loads().map_or(0, |loads| loads.len());
+            if loads <= PART_LOADS_MAX && !self.placements.is_empty() {
                 self.placements.truncate(self.placements.len() * 3 / 4);
-            } else if !self.loads().is_empty() {
-                let kept = self.loads().len() * 3 / 4;
-                self.loads().truncate(kept);
+            } else if let Some(loads) = self.loads().filter(|loads| !loads.is_empty()) {
+                loads.truncate(loads.len() * 3 / 4);
             } else {
                 return Ok(bytes);
             }
         }
     }
 
-    fn loads(&mut self) -> &mut Vec<steer::Load> {
+    fn loads(&mut self) -> Option<&mut Vec<steer::Load>> {
         match &mut self.work {
-            Work::Host(loads) => loads,
-            Work::DataCentre { sum, .. } => &mut sum.loads,
+            Work::Host(loads) => Some(loads),
+            Work::DataCentre { sum, .. } => Some(&mut sum.loads),
+            Work::None => None,
         }
     }
 
@@ -110,6 +115,11 @@
         .collect()
 }
 
+/// Returns the hash that identifies one start of an endpoint.
+pub(crate) fn start_hash(id: &str, started_ms: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(id.as_bytes(), started_ms)
+}
+
 /// Returns the hash that identifies a host, data centre or endpoint by name.
 pub(crate) fn name_hash(name: &str) -> u64 {
     xxh3::xxh3_64(name.as_bytes())
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -19,6 +19,7 @@
 use crate::options;
 use crate::peers;
 use crate::registry;
+use crate::reports;
 use crate::snapshot;
 use crate::watchers;
 
@@ -44,7 +45,9 @@
     pub(crate) registry: sync::Mutex<registry::Registry>,
     pub(crate) budgets: sync::Mutex<collections::HashMap<String, steer::Budget>>,
     pub(crate) quarantine: sync::Mutex<route::Quarantine>,
-    pub(crate) crashes: sync::Mutex<collections::VecDeque<gossip::Crash>>,
+    pub(crate) reports: sync::Mutex<reports::Reports>,
+    /// Signals a crash report that is to be published.
+    pub(crate) crashed: tokio::sync::Notify,
     pub(crate) rng: sync::Mutex<rand_pcg::Pcg64Mcg>,
     pub(crate) connections: connections::Pool,
     pub(crate) log_budget: log_budget::Budget,
@@ -93,7 +96,8 @@
             registry: sync::Mutex::new(registry::Registry::new(options.removal_grace)),
             budgets: sync::Mutex::default(),
             quarantine: sync::Mutex::new(route::Quarantine::new()),
-            crashes: sync::Mutex::default(),
+            reports: sync::Mutex::default(),
+            crashed: tokio::sync::Notify::new(),
             rng: sync::Mutex::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
             connections: connections::Pool::default(),
             log_budget: log_budget::Budget::default(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -54,6 +54,7 @@
 mod relay;
 mod remainder;
 mod reply;
+mod reports;
 mod request_log;
 mod send;
 mod snapshot;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -102,6 +102,7 @@
     tokio::spawn(mesh.clone().send_loads());
     tokio::spawn(mesh.clone().receive_loads());
     tokio::spawn(mesh.clone().publish_changes());
+    tokio::spawn(mesh.clone().publish_crashes());
     tokio::spawn(mesh.clone().fetch_from_seeds());
     tokio::spawn(upkeep(host.clone()));
     Ok(())
@@ -181,6 +182,21 @@
         }
     }
 
+    /// Publishes the crashes that this host detects to all hosts immediately, and
+    /// again after the delays of [`crate::reports::Reports`].
+    async fn publish_crashes(self) {
+        loop {
+            if mutex::lock(&self.host.reports).is_empty() {
+                self.host.crashed.notified().await;
+            }
+            tokio::time::sleep(CHANGE_PAUSE).await;
+            let due = mutex::lock(&self.host.reports).take_due(self.host.clock.now());
+            if !due.is_empty() {
+                self.publish_reports(due).await;
+            }
+        }
+    }
+
     async fn send_loads(self) {
         loop {
             let near = self.publish(false).await;
@@ -227,13 +243,16 @@
                     balancer.apply_sum(now, *name, sum);
                     balancer.apply_demands_sum(now, *name, &message.demands);
                 }
+                gossip::Work::None => {}
             }
             balancer.apply_placements(now, &message.placements);
         }
         if message.is_leaving {
             self.mark_leaving(message);
         }
-        self.record_crashes(now, message);
+        for crash in &message.crashes {
+            host.record_crash(now, *crash, "peer");
+        }
         mutex::lock(&host.watchers).record_capacity(now, message.sender, message.cpu_millicores);
         let own_plan = host.plan_revision().unwrap_or(0);
         let confirmed = now.saturating_sub(time::Duration::from_millis(message.age_ms.into()));
@@ -268,14 +287,4 @@
             membership.mark_leaving(&name, message.incarnation);
         }
     }
-
-    /// Records the endpoint crashes that another host reports. Each is repeated
-    /// in many datagrams and is counted once.
-    fn record_crashes(&self, now: time::Duration, message: &gossip::Message) {
-        for crash in &message.crashes {
-            if !mutex::lock(&self.host.crashes).contains(crash) {
-                self.host.record_crash(now, *crash, "peer");
-            }
-        }
-    }
 }
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -42,6 +42,16 @@
         near.len()
     }
 
+    /// Sends crash reports to all hosts.
+    pub(crate) async fn publish_reports(&self, crashes: Vec<gossip::Crash>) {
+        let (near, far) = self.targets();
+        let message = gossip::Message {
+            crashes,
+            ..self.message(gossip::Work::None)
+        };
+        self.send(message, &[near, far].concat()).await;
+    }
+
     async fn send(&self, mut message: gossip::Message, targets: &[net::SocketAddr]) {
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
@@ -90,13 +100,13 @@
                     let placements = balancer.sample_placements(now, &mut *rng);
                     (balancer.demands_sum(now), placements)
                 }
+                gossip::Work::None => Default::default(),
             }
         };
         let (endpoint_revision, is_platform_unreachable) = {
             let registry = mutex::lock(&host.registry);
             (registry.revision(), registry.is_unreachable())
         };
-        let crashes = mutex::lock(&host.crashes).iter().copied().collect();
         gossip::Message {
             sender: gossip::name_hash(&host.options.name),
             incarnation: host.incarnation,
@@ -108,7 +118,7 @@
             plan_revision: host.plan_revision().unwrap_or(0),
             endpoint_revision,
             age_ms: u32::try_from(host.plan_age(now).as_millis()).unwrap_or(u32::MAX),
-            crashes,
+            crashes: host.poison_crashes(now),
             demands,
             placements,
             work,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,6 +5,7 @@
 use http_body_util::BodyExt;
 use tokio::time::Instant;
 
+use crate::crash;
 use crate::event;
 use crate::exchange;
 use crate::flow;
@@ -190,9 +191,7 @@
             .job
             .log_step(now, "broken", format_args!("{inputs}"));
         if let Some(answer) = self.answer.take() {
-            self.flow
-                .host
-                .check_for_crash(&answer.pick, self.flow.job.fingerprint);
+            self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
             answer.guard.end(steer::End::Lost);
         }
         self.flow.failure = Some(cause);
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -7,6 +7,7 @@
 
 use crate::answered;
 use crate::connection;
+use crate::crash;
 use crate::flow;
 use crate::guard;
 use crate::headers;
@@ -118,7 +119,7 @@
                     request = *unsent;
                 }
                 Err(connection::Failure::Broken(cause)) => {
-                    self.host.check_for_crash(pick, self.job.fingerprint);
+                    self.check_for_crash(pick, crash::Sign::Broken);
                     return self.outcome_unknown(pick, guard, steer::End::Lost, cause);
                 }
             }
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -298,6 +298,7 @@
         pick::Pick {
             key: best.key,
             id: endpoint.listed.id.clone(),
+            started_ms: endpoint.listed.started_ms,
             address: endpoint.listed.address,
             is_local: endpoint.listed.data_centre == self.options.data_centre,
             wait_ms: best.wait_ms,
--- a/crates/steer/src/pick.rs
+++ b/crates/steer/src/pick.rs
@@ -11,6 +11,9 @@
     /// Identifier that is sent along with the request, so that another process
     /// at the same address refuses it.
     pub id: String,
+    /// When its process started, in Unix milliseconds. An endpoint may start again
+    /// under the same identifier.
+    pub started_ms: u64,
     /// Address that accepts requests.
     pub address: net::SocketAddr,
     /// Whether the endpoint is in the own data centre.
