fix(edge): every end of an endpoint with a request in flight is probed

Callers saw: some requests ended endpoints any number of times. Cause: only connections that broke before the head of an answer, and broken streams, were followed by a probe. An answer that broke in its body, an attempt that timed out and a stream that stalled were not. Change: all of these are. A silent endpoint may be partitioned from this host, so there only a refused connection counts as a crash.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -1,4 +1,5 @@
 use core::time;
+use std::io;
 use std::net;
 use std::sync;
 
@@ -26,6 +27,8 @@
 pub(crate) enum Sign {
     /// The connection broke.
     Broken,
+    /// The endpoint did not answer in time.
+    Silent,
 }
 
 impl host::Host {
@@ -102,11 +105,14 @@
     }
 }
 
-/// Returns whether an endpoint has crashed, judged by a connection attempt.
+/// Returns whether an endpoint has crashed, judged by a connection attempt. A
+/// silent endpoint may be partitioned from this host, so only a refused connection
+/// shows that its process has ended.
 async fn has_crashed(address: net::SocketAddr, sign: Sign) -> bool {
     let connecting = tokio::net::TcpStream::connect(address);
     match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
         Ok(Ok(_)) => false,
+        Ok(Err(cause)) if cause.kind() == io::ErrorKind::ConnectionRefused => true,
         Ok(Err(_)) | Err(_) => sign == Sign::Broken,
     }
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,6 +1,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 
+use crate::crash;
 use crate::exchange;
 use crate::flow;
 use crate::headers;
@@ -33,6 +34,7 @@
             Read::Part(body) => return remainder::serve(flow, answer, body),
             Read::Late => {
                 let refusal = flow.timed_out();
+                flow.check_for_crash(&answer.pick, crash::Sign::Silent);
                 answer.guard.end(steer::End::Lost);
                 return exchange::refused(flow, refusal);
             }
@@ -44,6 +46,7 @@
                     format_args!("endpoint={} cause={cause}", answer.pick.id),
                 );
                 flow.failure = Some(cause);
+                flow.check_for_crash(&answer.pick, crash::Sign::Broken);
                 answer.guard.end(steer::End::Lost);
                 if !flow.may_retry() {
                     let refusal = flow.failed("the answer was not complete");
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -41,6 +41,8 @@
     Events(Bytes),
     End,
     Broken(String),
+    /// No event arrived within the stall time-out.
+    Stalled,
     Late,
 }
 
@@ -90,7 +92,11 @@
                     return Ok(None);
                 }
                 Read::Late => return Err(self.time_out()),
-                Read::Broken(cause) => self.resume(cause).await?,
+                Read::Broken(cause) => self.resume(cause, crash::Sign::Broken).await?,
+                Read::Stalled => {
+                    let cause = "no event arrived within the stall time-out".to_owned();
+                    self.resume(cause, crash::Sign::Silent).await?;
+                }
             }
         }
     }
@@ -109,7 +115,7 @@
                     if wake >= due {
                         return Read::Late;
                     }
-                    return Read::Broken("no event arrived within the stall time-out".to_owned());
+                    return Read::Stalled;
                 }
             };
             match frame {
@@ -179,7 +185,7 @@
     }
 
     /// Resumes the stream at another endpoint after the last complete event.
-    async fn resume(&mut self, cause: String) -> Result<(), answer::Refusal> {
+    async fn resume(&mut self, cause: String, sign: crash::Sign) -> Result<(), answer::Refusal> {
         self.splitter = event::Splitter::default();
         let now = self.flow.host.clock.now();
         let endpoint = self
@@ -191,7 +197,7 @@
             .job
             .log_step(now, "broken", format_args!("{inputs}"));
         if let Some(answer) = self.answer.take() {
-            self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
+            self.flow.check_for_crash(&answer.pick, sign);
             answer.guard.end(steer::End::Lost);
         }
         self.flow.failure = Some(cause);
@@ -217,6 +223,7 @@
 
     fn time_out(&mut self) -> answer::Refusal {
         if let Some(answer) = self.answer.take() {
+            self.flow.check_for_crash(&answer.pick, crash::Sign::Silent);
             answer.guard.end(steer::End::Lost);
         }
         self.flow.timed_out()
--- a/crates/edge/src/remainder.rs
+++ b/crates/edge/src/remainder.rs
@@ -5,6 +5,7 @@
 use hyper::body::Body;
 use tokio::time;
 
+use crate::crash;
 use crate::exchange;
 use crate::flow;
 use crate::headers;
@@ -47,6 +48,7 @@
             let answer = self.answer.as_mut()?;
             let Ok(frame) = time::timeout(left, answer.body.frame()).await else {
                 let refusal = self.flow.timed_out();
+                self.flow.check_for_crash(&answer.pick, crash::Sign::Silent);
                 return Some(self.truncate(&refusal));
             };
             match frame {
@@ -56,6 +58,7 @@
                 }
                 Some(Err(cause)) => {
                     self.flow.failure = Some(cause.to_string());
+                    self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
                     let refusal = self.flow.failed("the answer was not complete");
                     return Some(self.truncate(&refusal));
                 }
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -283,6 +283,7 @@
 
     fn no_answer(&mut self, pick: &steer::Pick, guard: guard::Guard) -> Outcome {
         let now = self.host.clock.now();
+        self.check_for_crash(pick, crash::Sign::Silent);
         self.job
             .log_step(now, "silent", format_args!("endpoint={}", pick.id));
         guard.end(steer::End::Lost);
--- a/crates/edge/tests/common/endpoint.rs
+++ b/crates/edge/tests/common/endpoint.rs
@@ -18,6 +18,9 @@
     Hang,
     /// Resets the connection and closes the listener.
     Crash,
+    /// Closes the listener and sends nothing until the router closes the
+    /// connection, like a process whose last packets are lost.
+    Vanish,
 }
 
 /// A request as the endpoint received it.
@@ -144,7 +147,10 @@
                     tokio::time::sleep(time::Duration::from_millis(5)).await;
                     return reset(&stream);
                 }
-                Step::Hang => {
+                Step::Vanish | Step::Hang => {
+                    if matches!(step, Step::Vanish) {
+                        stop.notify_one();
+                    }
                     let mut buffer = [0; 64];
                     let _ = stream.read(&mut buffer).await;
                     cancelled.fetch_add(1, sync::atomic::Ordering::SeqCst);
--- a/crates/edge/tests/crashes.rs
+++ b/crates/edge/tests/crashes.rs
@@ -6,6 +6,8 @@
 use std::sync;
 
 use base::mutex;
+use common::endpoint;
+use common::endpoint::Step;
 use common::engine;
 use rstest::rstest;
 
@@ -128,3 +130,116 @@
     let crashes = fleet.crashes();
     assert!(crashes <= 3, "{crashes} engines ended in {RESENDS} sends");
 }
+
+/// Returns an answer of which only a part arrives, from an endpoint that ends then.
+fn partial(request: &endpoint::Request, length: usize, end: Step) -> Vec<Step> {
+    let whole = endpoint::text(request, 200, "x-signature: s\r\n", &"x".repeat(length));
+    let part = whole.len() - 100;
+    vec![Step::Bytes(whole[..part].into()), end]
+}
+
+/// How an endpoint ends that runs a request whose path contains `/bad`.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    InShortAnswer,
+    InLongAnswer,
+    NoReset,
+    InAnswerNoReset,
+    InStreamNoReset,
+}
+
+impl End {
+    fn steps(self, request: &endpoint::Request) -> Vec<Step> {
+        match self {
+            Self::InShortAnswer => partial(request, 400, Step::Crash),
+            Self::InLongAnswer => partial(request, 400_000, Step::Crash),
+            Self::NoReset => vec![Step::Vanish],
+            Self::InAnswerNoReset => partial(request, 400, Step::Vanish),
+            Self::InStreamNoReset => vec![
+                endpoint::stream_head(request),
+                endpoint::chunk(&endpoint::event(1)),
+                Step::Vanish,
+            ],
+        }
+    }
+}
+
+#[rstest]
+#[case::within_a_short_answer("/book/bad", End::InShortAnswer)]
+#[case::within_a_long_answer("/book/bad", End::InLongAnswer)]
+#[case::without_a_reset("/book/bad", End::NoReset)]
+#[case::within_an_answer_without_a_reset("/book/bad", End::InAnswerNoReset)]
+#[case::within_a_stream_without_a_reset("/live/bad", End::InStreamNoReset)]
+#[tokio::test]
+async fn every_end_of_an_endpoint_counts_as_a_crash(#[case] path: &str, #[case] end: End) {
+    // Guards against a request that is never suspected because its endpoints do
+    // not end with a reset before the answer.
+    let script = move |request: &endpoint::Request| match request.head.contains("/bad") {
+        true => end.steps(request),
+        false => endpoint::ok(request, "x"),
+    };
+    let mut endpoints = Vec::new();
+    for index in 0..4 {
+        endpoints.push(endpoint::Endpoint::start(&format!("e{index}"), script).await);
+    }
+    let listed: Vec<_> = endpoints.iter().collect();
+    let host = common::host(&listed).await;
+    for round in 0..4 {
+        let extra = "request-deadline: 400\r\n";
+        let text = common::request("POST", path, &format!("r{round}"), extra, "o");
+        let _ = common::call(&host, &text).await;
+        tokio::time::sleep(common::ms(400)).await;
+    }
+    let runs: usize = endpoints.iter().map(endpoint::Endpoint::count).sum();
+    assert_eq!(
+        runs, 2,
+        "the request ran again after it had ended two endpoints"
+    );
+}
+
+#[tokio::test]
+async fn a_host_that_starts_later_learns_which_requests_are_refused() {
+    // Guards against a request that ends two more endpoints at every host that was
+    // restarted or cut off when the crashes were reported.
+    let crash = |request: &endpoint::Request| match request.head.contains("/bad") {
+        true => vec![Step::Crash],
+        false => endpoint::ok(request, "x"),
+    };
+    let mut endpoints = Vec::new();
+    for index in 0..3 {
+        endpoints.push(endpoint::Endpoint::start(&format!("e{index}"), crash).await);
+    }
+    let listed: Vec<_> = endpoints.iter().collect();
+    let ports = [common::free(), common::free(), common::free()].map(|address| address.port());
+    let start = |host: u8| {
+        let address = |port: usize| net::SocketAddr::from(([127, 78, 9, host], ports[port]));
+        let options = edge::Options {
+            listen: address(0),
+            peer_listen: address(1),
+            load_listen: address(2),
+            ..common::options(
+                &format!("h{host}"),
+                vec![([127, 78, 9, 1], ports[1]).into()],
+            )
+        };
+        edge::Host::start(options)
+    };
+    let one = start(1).await.expect("host");
+    one.apply_plan(common::plan(1), "test");
+    common::list(&one, &listed, 1);
+    one.confirm_plan();
+    let bad = |id: &str| common::request("GET", "/look/bad", id, "", "");
+    for round in 0..3 {
+        let _ = common::call(&one, &bad(&format!("r{round}"))).await;
+        tokio::time::sleep(common::ms(400)).await;
+    }
+    let two = start(2).await.expect("host");
+    two.apply_plan(common::plan(1), "test");
+    common::list(&two, &listed, 1);
+    two.confirm_plan();
+    tokio::time::sleep(common::ms(3_000)).await;
+    let answer = common::call(&two, &bad("later")).await;
+    assert!(answer.text().contains("quarantined"), "{answer:?}");
+    let runs: usize = endpoints.iter().map(endpoint::Endpoint::count).sum();
+    assert_eq!(runs, 2);
+}
