fix(edge): a completed request is cleared of earlier crashes

Callers saw: a popular request that was in flight when two endpoints crashed for other reasons was refused by the host for 10 minutes. Cause: hosts on the platform never cleared a request, while serve does when a run completes. Change: a complete, framed answer clears the request. An answer without framing may have been cut by a crash and clears nothing.

--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -142,6 +142,14 @@
         self.host.check_for_crash(pick, self.job.fingerprint, sign);
     }
 
+    /// Clears the request of suspicion after a complete answer. An answer without
+    /// framing may have been cut by a crash.
+    pub(crate) fn record_completion(&self, answer: &incoming::Answer) {
+        if answer.status.is_success() && answer.is_framed() {
+            mutex::lock(&self.host.quarantine).clear(self.job.fingerprint);
+        }
+    }
+
     fn refuse_quarantined(&mut self, now: time::Duration) -> Option<Refusal> {
         let quarantine = mutex::lock(&self.host.quarantine);
         if quarantine.verdict(now, self.job.fingerprint) != route::Verdict::Poison {
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -84,6 +84,7 @@
 
 fn whole(flow: flow::Flow, answer: incoming::Answer, body: Bytes) -> exchange::Response {
     let status = answer.status;
+    flow.record_completion(&answer);
     let mut headers = answer.finish(&flow.host);
     headers::strip_connection(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -217,6 +217,7 @@
         self.is_over = true;
         self.flow.conclude("served");
         if let Some(answer) = self.answer.take() {
+            self.flow.record_completion(&answer);
             answer.finish(&self.flow.host);
         }
     }
--- a/crates/edge/src/remainder.rs
+++ b/crates/edge/src/remainder.rs
@@ -79,6 +79,7 @@
     fn finish(&mut self) {
         if let Some(answer) = self.answer.take() {
             self.flow.conclude(exchange::outcome(answer.status));
+            self.flow.record_completion(&answer);
             answer.finish(&self.flow.host);
         }
     }
--- a/crates/edge/tests/crashes.rs
+++ b/crates/edge/tests/crashes.rs
@@ -197,6 +197,31 @@
     );
 }
 
+#[tokio::test]
+async fn a_request_that_completes_is_not_refused_for_crashes_of_other_causes() {
+    // Guards against a popular request that is refused for minutes because it was
+    // in flight when two endpoints crashed.
+    let script = |request: &endpoint::Request| {
+        let is_first = request.header("x-request-id") == Some("ends");
+        match is_first {
+            true => vec![Step::Pause(common::ms(30)), Step::Crash],
+            false => endpoint::ok(request, "x"),
+        }
+    };
+    let one = endpoint::Endpoint::start("e1", script).await;
+    let two = endpoint::Endpoint::start("e2", script).await;
+    let three = endpoint::Endpoint::start("e3", script).await;
+    let host = common::host(&[&one]).await;
+    let look = |id: &str| common::request("GET", "/look/hot", id, "", "");
+    for (revision, next) in [(2, [&two]), (3, [&three])] {
+        let _ = common::call(&host, &look("ends")).await;
+        tokio::time::sleep(common::ms(400)).await;
+        common::list(&host, &next, revision);
+        let answer = common::call(&host, &look("completes")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_host_that_starts_later_learns_which_requests_are_refused() {
     // Guards against a request that ends two more endpoints at every host that was
