fix(host): a crash that the home observes and others report counts once

Callers saw: serve refused a request as poison (422) after a single crash of an endpoint, in pools of several shards. Cause: the home of a shard recorded its own observation under the number of the endpoint, and the reports of other hosts, which reach all shards of a host, under a hash of the name. Two names of one endpoint were two endpoints. Change: reports are recorded under the number of the endpoint if the settings list it.

--- a/crates/host/src/broker.rs
+++ b/crates/host/src/broker.rs
@@ -216,7 +216,7 @@
         if home.is_self {
             self.state
                 .shard(pool, index)
-                .record_crash(fingerprint, endpoint);
+                .record_crash(fingerprint, self.state.crash_number(endpoint));
             return;
         }
         let crash = wire::Crash {
--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -228,6 +228,7 @@
             from.name,
             crash.endpoint
         );
+        let number = self.state.crash_number(&crash.endpoint);
         let count = self
             .state
             .active()
@@ -239,7 +240,7 @@
             // the crash as well.
             if self.view.is_near_home(&crash.pool, index) {
                 let shard = self.state.shard(&crash.pool, index);
-                shard.record_crash(crash.fingerprint, &crash.endpoint);
+                shard.record_crash(crash.fingerprint, number);
             }
         }
     }
--- a/crates/host/src/shard.rs
+++ b/crates/host/src/shard.rs
@@ -5,7 +5,6 @@
 
 use pool::Action;
 use tokio::sync::oneshot;
-use xxhash_rust::xxh3;
 
 use base::clock;
 use base::mutex;
@@ -219,11 +218,10 @@
         }
     }
 
-    /// Records that a request was in flight when an endpoint of another shard
-    /// crashed.
-    pub(crate) fn record_crash(&self, fingerprint: u64, endpoint: &str) {
+    /// Records that a request was in flight when an endpoint crashed. `endpoint` is
+    /// its number from [`crate::state::State::crash_number`].
+    pub(crate) fn record_crash(&self, fingerprint: u64, endpoint: u64) {
         let now = self.clock.now();
-        let endpoint = xxh3::xxh3_64(endpoint.as_bytes());
         self.lock().policy.record_crash(now, fingerprint, endpoint);
     }
 
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -1,6 +1,9 @@
 use std::collections;
+use std::net;
 use std::sync;
 
+use xxhash_rust::xxh3;
+
 use crate::console;
 use crate::layout;
 use crate::names;
@@ -155,6 +158,19 @@
             .map(pool::EndpointId)
     }
 
+    /// Returns the number under which crashes of an endpoint count. It is the number
+    /// of the endpoint if the settings list its identity, `name@address`, and a hash
+    /// above all numbers otherwise.
+    pub(crate) fn crash_number(&self, identity: &str) -> u64 {
+        let name = identity.split('@').next().unwrap_or_default();
+        let active = self.active();
+        let listed = active.settings.endpoints.get(name);
+        if listed.is_some_and(|endpoint| identity == self::identity(name, endpoint.address)) {
+            return mutex::lock(&self.numbers).endpoints.intern(identity).into();
+        }
+        xxh3::xxh3_64(identity.as_bytes()) | 1 << 63
+    }
+
     fn configure(&self, key: &Key, shard: &shard::Shard) {
         let options = self.options(&key.0);
         let members = self.members(&key.0, key.1);
@@ -212,9 +228,7 @@
             let Some(endpoint) = active.settings.endpoints.get(name) else {
                 continue;
             };
-            // An endpoint at a new address counts as another endpoint, so that
-            // observations and load of the old address do not apply to it.
-            let identity = format!("{name}@{}", endpoint.address);
+            let identity = identity(name, endpoint.address);
             let id = pool::EndpointId(numbers.endpoints.intern(&identity));
             let phase = if endpoint.leaving || self.is_drained(name) {
                 pool::Phase::Draining
@@ -235,6 +249,13 @@
     }
 }
 
+/// Returns the identity of an endpoint across hosts. An endpoint at a new address
+/// counts as another endpoint, so that observations and load of the old address do
+/// not apply to it.
+fn identity(name: &str, address: net::SocketAddr) -> String {
+    format!("{name}@{address}")
+}
+
 fn derive(settings: sync::Arc<conf::Settings>) -> Active {
     Active {
         classes: class::Table::new(&settings),
--- a/crates/host/tests/fleet.rs
+++ b/crates/host/tests/fleet.rs
@@ -185,6 +185,46 @@
     common::shutdown(hosts).await;
 }
 
+/// Guards against one crash that convicts a request because the home of the shard
+/// observes it and other hosts report it as well.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_crash_of_one_engine_counts_once_in_a_pool_with_many_shards() {
+    let crash = engine::Crash {
+        marker: "fault".to_owned(),
+        after_tokens: 1,
+        restart_after: None,
+    };
+    let engines: Vec<_> = (0..6)
+        .map(|index| common::engine(8, (index == 0).then(|| crash.clone())))
+        .collect();
+    let addresses: Vec<_> = engines.iter().map(engine::Handle::address).collect();
+    let shards = "[pool braille]\nshard_endpoints = 1\n";
+    let hosts = common::fleet(3, &addresses, shards).await;
+    let client = common::client();
+    for number in 0..60 {
+        let mut call = common::call("r1", 8);
+        call.prompt = "fault".to_owned();
+        let host = hosts[number % 3].caller_addr();
+        let record = call.send(&client, host).await;
+        if engines[0].counters().crashes == 0 {
+            continue;
+        }
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        assert!(record.outcome.is_whole(), "{:?}", record.outcome);
+        // Only the shard of the crashed engine, which is unreachable, could refuse the
+        // request, and each request goes to a random shard.
+        for number in 0..40 {
+            let host = hosts[number % 3].caller_addr();
+            let record = call.send(&client, host).await;
+            if let load::Outcome::Refused { kind, .. } = record.outcome {
+                assert_ne!(kind, "poison");
+            }
+        }
+        return common::shutdown(hosts).await;
+    }
+    panic!("the engine never ran the request");
+}
+
 /// Guards against a rotation of the shared keys that requires a restart.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_host_with_the_new_shared_key_joins_after_the_rotation() {
--- a/crates/pool/src/current.rs
+++ b/crates/pool/src/current.rs
@@ -254,10 +254,7 @@
     }
 
     fn record_crash(&mut self, now: time::Duration, fingerprint: u64, endpoint: u64) {
-        // The highest bit keeps the hash apart from the identifiers of this shard's
-        // own endpoints, which have 32 bits.
-        self.quarantine
-            .record_crash(now, fingerprint, endpoint | 1 << 63);
+        self.quarantine.record_crash(now, fingerprint, endpoint);
     }
 
     fn tick(&mut self, now: time::Duration, out: &mut Vec<action::Action>) {
--- a/crates/pool/src/policy.rs
+++ b/crates/pool/src/policy.rs
@@ -65,8 +65,10 @@
     );
 
     /// Records that the request with this fingerprint was in flight when an
-    /// endpoint of another shard crashed. `endpoint` is a hash of the endpoint's
-    /// name.
+    /// endpoint crashed, as another host or shard reports. `endpoint` is the number
+    /// of the endpoint's [`EndpointId`](crate::EndpointId) if it has one, so that a
+    /// crash that this shard observes as well counts once, and otherwise a number
+    /// above all of these.
     ///
     /// Without this input, a request that crashes endpoints could crash two in
     /// each shard. The default implementation does nothing.
