feat(edge,platform): order versions by the platform's era, then by revision

Callers would see: after the platform's store is restored from an older copy, the operator's changes refused until their numbers pass the lost ones, and endpoints that vanish for the seconds in which they write themselves again. Cause: a host compared bare revisions, which go back and are given out again. What a host reads first in an era counts for the era before until it is settled (edge::Eras), so a copy does not replace what the store lost; a write after it counts at once. Missing endpoints are held for the removal grace, leaving ones stay leaving. Messages carry the era behind the fields of the older build, which ignores it; its own messages count for era 0.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -6,6 +6,7 @@
 
 use crate::mesh;
 use crate::peers;
+use crate::snapshot;
 
 /// Time for which a watcher waits for the platform to deliver a change that
 /// another host already has, before fetching it from that host.
@@ -21,8 +22,8 @@
     pub(crate) async fn catch_up(
         self,
         from: net::SocketAddr,
-        plan_revision: u64,
-        endpoint_revision: u64,
+        plan: plan::Version,
+        endpoints: plan::Version,
     ) {
         let Ok(_guard) = self.fetch_lock.try_lock() else {
             return;
@@ -31,8 +32,8 @@
         if !self.host.uses_peer_endpoints(now) {
             tokio::time::sleep(FETCH_DELAY).await;
         }
-        let lacks_plan = self.host.plan_revision().unwrap_or(0) < plan_revision;
-        let lacks_endpoints = self.host.endpoint_revision() < endpoint_revision
+        let lacks_plan = self.host.plan_version() < plan;
+        let lacks_endpoints = self.host.endpoint_version() < endpoints
             && self.host.uses_peer_endpoints(self.host.clock.now());
         if lacks_plan || lacks_endpoints {
             self.fetch(from).await;
@@ -41,7 +42,11 @@
 
     async fn fetch(&self, from: net::SocketAddr) {
         let requested_at = self.host.clock.now();
-        let known = self.host.plan_revision().unwrap_or(0);
+        let own = self.host.table.load_full();
+        let known = snapshot::Known {
+            version: self.host.plan_version(),
+            content: own.as_ref().map(|own| snapshot::content(own.plan())),
+        };
         let snapshot = match peers::fetch(&self.client, from, known).await {
             Ok(snapshot) => snapshot,
             Err(cause) => {
@@ -50,17 +55,31 @@
             }
         };
         let source = from.to_string();
-        if let Some(plan) = snapshot.plan {
+        let (plan_version, endpoint_version) =
+            (snapshot.plan_version(), snapshot.endpoint_version());
+        let read = mutex::lock(&self.host.eras).learn(plan_version);
+        if let Some(plan) = read {
+            self.host.apply_plan(plan, "platform");
+        }
+        // Without a plan, the other host has an older one, or the same in an era
+        // that is newer.
+        let same = own
+            .filter(|own| own.plan().revision == snapshot.plan_revision)
+            .map(|own| plan::Plan {
+                era: plan_version.era,
+                ..own.plan().clone()
+            });
+        if let Some(plan) = snapshot.plan.or(same) {
             self.host.apply_plan(plan, &source);
         }
         let follows = self.host.uses_peer_endpoints(requested_at);
         let mut registry = mutex::lock(&self.host.registry);
-        if follows && registry.revision() < snapshot.endpoint_revision {
-            registry.replace_from_peer(snapshot.endpoints, snapshot.endpoint_revision);
+        if follows && registry.version() < endpoint_version {
+            registry.replace_from_peer(snapshot.endpoints, endpoint_version);
             self.host.use_endpoints(&registry);
         }
-        let is_current = self.host.plan_revision() == Some(snapshot.plan_revision)
-            && registry.revision() >= snapshot.endpoint_revision;
+        let is_current =
+            self.host.plan_version() == plan_version && registry.version() >= endpoint_version;
         if is_current {
             let age = time::Duration::from_millis(snapshot.age_ms);
             self.host.confirm_plan_at(requested_at.saturating_sub(age));
--- a/crates/edge/src/gauge.rs
+++ b/crates/edge/src/gauge.rs
@@ -13,12 +13,13 @@
         let metrics = &self.metrics;
         // CAST: A process does not run long enough to exceed the range.
         metrics.set("plan_age_ms", &[], self.plan_age(now).as_millis() as u64);
-        let (is_unreachable, revision) = {
+        let (is_unreachable, version) = {
             let registry = mutex::lock(&self.registry);
-            (registry.is_unreachable(), registry.revision())
+            (registry.is_unreachable(), registry.version())
         };
         metrics.set("platform_lost", &[], is_unreachable.into());
-        metrics.set("endpoint_revision", &[], revision);
+        metrics.set("endpoint_revision", &[], version.revision);
+        metrics.set("endpoint_era", &[], version.era);
         let counts = mutex::lock(&self.balancer).counts(now);
         for (state, count) in [
             ("up", counts.up),
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,5 +1,7 @@
 use xxhash_rust::xxh3;
 
+use crate::extension;
+
 /// Largest datagram, in bytes; it fits into one packet on usual networks.
 const DATAGRAM_MAX_BYTES: usize = 1_350;
 
@@ -17,7 +19,8 @@
 }
 
 /// State that a host publishes to others several times a second. Encoded by
-/// position, so the order and types of the fields are the wire format.
+/// position, so the order and types of the fields are the wire format. The
+/// extension follows it.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Message {
     /// [`name_hash`] of the sender.
@@ -48,6 +51,8 @@
     pub(crate) placements: Vec<steer::Placement>,
     /// Loads of endpoints.
     pub(crate) work: Work,
+    #[serde(skip)]
+    pub(crate) extension: extension::Extension,
 }
 
 /// Loads of endpoints in a message.
@@ -78,6 +83,7 @@
         }
         loop {
             let bytes = postcard::to_allocvec(self)?;
+            let bytes = postcard::to_extend(&self.extension, bytes)?;
             if bytes.len() <= DATAGRAM_MAX_BYTES {
                 return Ok(bytes);
             }
@@ -100,9 +106,21 @@
         }
     }
 
-    /// Decodes a message.
+    /// Decodes a message, also one without an extension.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        message.extension = extension::Extension::decode(rest)?;
+        Ok(message)
+    }
+
+    /// Returns the version of the sender's configuration.
+    pub(crate) const fn plan_version(&self) -> plan::Version {
+        plan::Version::new(self.extension.plan_era, self.plan_revision)
+    }
+
+    /// Returns the version of the sender's list of endpoints.
+    pub(crate) const fn endpoint_version(&self) -> plan::Version {
+        plan::Version::new(self.extension.endpoint_era, self.endpoint_revision)
     }
 }
 
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -10,7 +10,9 @@
 use rand::SeedableRng;
 
 use crate::connections;
+use crate::eras;
 use crate::expose;
+use crate::extension;
 use crate::gossip;
 use crate::ingress;
 use crate::log_budget;
@@ -41,6 +43,9 @@
     pub(crate) clock: clock::Clock,
     pub(crate) incarnation: u64,
     pub(crate) table: arc_swap::ArcSwapOption<plan::Table>,
+    pub(crate) eras: sync::Mutex<eras::Eras>,
+    /// Newest era of the platform that is known.
+    era: atomic::AtomicU64,
     pub(crate) balancer: sync::Mutex<steer::Balancer>,
     pub(crate) registry: sync::Mutex<registry::Registry>,
     pub(crate) budgets: sync::Mutex<collections::HashMap<String, steer::Budget>>,
@@ -92,6 +97,8 @@
             clock,
             incarnation,
             table: arc_swap::ArcSwapOption::empty(),
+            eras: sync::Mutex::default(),
+            era: atomic::AtomicU64::new(0),
             balancer: sync::Mutex::new(steer::Balancer::new(options.steer.clone())),
             registry: sync::Mutex::new(registry::Registry::new(options.removal_grace)),
             budgets: sync::Mutex::default(),
@@ -130,19 +137,20 @@
         Ok(host)
     }
 
-    /// Puts a configuration in force if its revision is above the current one;
+    /// Puts a configuration in force if its version is above the current one;
     /// returns whether it did. `source` is where the configuration comes from,
     /// for the log.
     pub fn apply_plan(&self, plan: plan::Plan, source: &str) -> bool {
-        let known = self.plan_revision();
-        if known.is_some_and(|known| plan.revision <= known) {
+        let known = self.plan_version();
+        let version = plan.version();
+        if known.is_some() && version <= known {
             return false;
         }
-        let (revision, routes, teams) = (plan.revision, plan.routes.len(), plan.teams.len());
+        let (routes, teams) = (plan.routes.len(), plan.teams.len());
         let table = sync::Arc::new(plan::Table::new(plan));
-        // Two sources may call this concurrently; the higher revision wins.
+        // Two sources may call this concurrently; the higher version wins.
         self.table.rcu(|current| match current {
-            Some(current) if current.plan().revision >= revision => Some(current.clone()),
+            Some(current) if current.plan().version() >= version => Some(current.clone()),
             _ => Some(table.clone()),
         });
         if let Some(server) = &*mutex::lock(&self.server)
@@ -156,20 +164,63 @@
                 balancer.set_services(&current.plan().services);
             }
         }
-        if self.plan_revision() != Some(revision) {
+        if self.plan_version() != version {
             return false;
         }
-        mutex::lock(&self.membership).set_version(revision, [0; 32]);
-        self.metrics.set("plan_revision", &[], revision);
+        mutex::lock(&self.membership)
+            .set_version(version.revision, mesh::digest_content(version.era));
+        self.metrics.set("plan_revision", &[], version.revision);
+        self.metrics.set("plan_era", &[], version.era);
         self.changed.notify_one();
         log::info!(
             target: "edge",
-            revision = revision, before = known.unwrap_or(0), source = source;
+            version = version.to_string().as_str(), before = known.to_string().as_str(), source = source;
             "configuration in force with {routes} routes and {teams} teams"
         );
         true
     }
 
+    /// Takes a configuration that was read from the platform. `item` is the
+    /// platform's version of its last change. See [`Eras`](eras::Eras) for the
+    /// configuration of an older copy.
+    pub fn read_plan(&self, plan: plan::Plan, item: plan::Version) {
+        self.record_era(item.era, "platform");
+        let now = self.clock.now();
+        let plan = mutex::lock(&self.eras).read(now, plan, item);
+        if let Some(plan) = plan {
+            self.apply_plan(plan, "platform");
+        }
+    }
+
+    /// Records that the platform has just confirmed, in this era, the configuration
+    /// that was read last.
+    pub fn confirm_read(&self, era: u64) {
+        let plan = mutex::lock(&self.eras).confirm(self.clock.now(), era);
+        if let Some(plan) = plan {
+            self.apply_plan(plan, "platform");
+        }
+        self.confirm_plan();
+    }
+
+    /// Records the newest era of the platform; `source` is where it was learned.
+    /// Logs a change, because it means that the platform lost its newest changes.
+    pub fn record_era(&self, era: u64, source: &str) {
+        let before = self.era.fetch_max(era, atomic::Ordering::AcqRel);
+        if era <= before {
+            return;
+        }
+        self.metrics.set("platform_era", &[], era);
+        let (plan, endpoints) = (self.plan_version(), self.endpoint_version());
+        if before > 0 {
+            log::warn!(
+                target: "edge",
+                era = era, before = before, source = source,
+                plan = plan.to_string().as_str(), endpoints = endpoints.to_string().as_str();
+                "the platform was restored from an older copy"
+            );
+        }
+    }
+
     /// Changes the list of endpoints and puts the result in force. The closure
     /// gets the time since the start of the process.
     pub fn update_endpoints(&self, change: impl FnOnce(time::Duration, &mut registry::Registry)) {
@@ -250,15 +301,14 @@
     pub(crate) fn uses_peer_endpoints(&self, now: time::Duration) -> bool {
         let (is_unreachable, is_empty) = {
             let registry = mutex::lock(&self.registry);
-            (registry.is_unreachable(), registry.revision() == 0)
+            (registry.is_unreachable(), !registry.version().is_some())
         };
         is_unreachable || is_empty || !self.is_watcher(now)
     }
 
-    /// Returns the platform's revision of the endpoints in use, or 0 before
-    /// the first list.
-    pub fn endpoint_revision(&self) -> u64 {
-        mutex::lock(&self.registry).revision()
+    /// Returns the platform's version of the endpoints in use.
+    pub fn endpoint_version(&self) -> plan::Version {
+        mutex::lock(&self.registry).version()
     }
 
     /// Returns whether the host can serve callers: it has a configuration, has
@@ -300,9 +350,12 @@
         self.is_leaving.load(atomic::Ordering::Acquire)
     }
 
-    pub(crate) fn plan_revision(&self) -> Option<u64> {
+    /// Returns the version of the configuration in force.
+    pub(crate) fn plan_version(&self) -> plan::Version {
         let table = self.table.load();
-        table.as_ref().map(|table| table.plan().revision)
+        table
+            .as_ref()
+            .map_or_else(plan::Version::default, |table| table.plan().version())
     }
 
     /// Returns the time since the platform last confirmed the configuration in
@@ -328,7 +381,7 @@
         if !changes.is_empty() {
             self.changed.notify_one();
         }
-        let revision = registry.revision();
+        let version = registry.version().to_string();
         for change in changes {
             let (what, id) = match &change {
                 steer::Change::Added(id) => ("added", id),
@@ -338,7 +391,7 @@
             };
             log::info!(
                 target: "edge",
-                endpoint = id.as_str(), change = what, revision = revision;
+                endpoint = id.as_str(), change = what, version = version.as_str();
                 "endpoint {what}, {count} listed"
             );
         }
@@ -347,23 +400,25 @@
         }
     }
 
-    /// Returns the state for another host. It includes the configuration only
-    /// if its revision is above `known`, the one that the other host has.
-    pub(crate) fn snapshot(&self, known: u64) -> snapshot::Snapshot {
+    /// Returns the state for another host. It includes the configuration unless the
+    /// other host has it, or a newer one.
+    pub(crate) fn snapshot(&self, known: snapshot::Known) -> snapshot::Snapshot {
         let now = self.clock.now();
         let registry = mutex::lock(&self.registry);
         let table = self.table.load();
-        let plan_revision = table.as_ref().map_or(0, |table| table.plan().revision);
+        let plan = table.as_ref().map(|table| table.plan());
+        let plan_version = self.plan_version();
+        let is_known = |plan: &plan::Plan| {
+            plan_version <= known.version || known.content == Some(snapshot::content(plan))
+        };
         snapshot::Snapshot {
-            plan: table
-                .as_ref()
-                .filter(|_| plan_revision > known)
-                .map(|table| table.plan().clone()),
-            plan_revision,
-            endpoint_revision: registry.revision(),
+            plan: plan.filter(|plan| !is_known(plan)).cloned(),
+            plan_revision: plan_version.revision,
+            endpoint_revision: registry.version().revision,
             endpoints: registry.endpoints(),
             // CAST: A process does not run long enough to exceed the range.
             age_ms: self.plan_age(now).as_millis() as u64,
+            extension: extension::Extension::new(plan_version, registry.version()),
         }
     }
 
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -81,7 +81,7 @@
         job.team.as_deref().unwrap_or("-"),
         job.rank.level(),
         job.left(now).as_millis(),
-        job.revision,
+        job.plan,
     );
     job.log_step(now, "routed", format_args!("{inputs}"));
     let is_stream = job.route.kind.is_stream();
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -26,7 +26,8 @@
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) route: plan::Route,
-    pub(crate) revision: u64,
+    /// Version of the configuration by which the request was admitted.
+    pub(crate) plan: plan::Version,
     pub(crate) service: String,
     pub(crate) team: Option<String>,
     pub(crate) rank: plan::Rank,
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -123,6 +123,24 @@
     }
 }
 
+/// Returns the content field of a digest, which states the era of the
+/// configuration. Hosts of builds without eras send zeros.
+pub(crate) fn digest_content(era: u64) -> [u8; 32] {
+    let mut content = [0; 32];
+    content[..8].copy_from_slice(&era.to_le_bytes());
+    content
+}
+
+/// Returns the version of the configuration that a digest announces.
+fn digest_version(digest: &fleet::Digest) -> plan::Version {
+    let era = digest
+        .content
+        .first_chunk()
+        .copied()
+        .map(u64::from_le_bytes);
+    plan::Version::new(era.unwrap_or(0), digest.revision)
+}
+
 impl Mesh {
     async fn send_digests(self, _state: front::Server) {
         let mut was_leaving = false;
@@ -152,11 +170,15 @@
     async fn receive_digests(self) {
         loop {
             match self.digests.receive().await {
-                Ok((_, wire::Packet::Digest(digest))) => {
+                Ok((from, wire::Packet::Digest(digest))) => {
                     let now = self.host.clock.now();
-                    let received = mutex::lock(&self.host.membership).receive(now, &digest);
-                    if let Some(source) = received.newer {
-                        tokio::spawn(self.clone().catch_up(source.peer, source.revision, 0));
+                    // The bare revisions that membership compares are not ordered
+                    // across eras, so its result is not used.
+                    let _ = mutex::lock(&self.host.membership).receive(now, &digest);
+                    let version = digest_version(&digest);
+                    if version > self.host.plan_version() {
+                        let endpoints = plan::Version::default();
+                        tokio::spawn(self.clone().catch_up(from, version, endpoints));
                     }
                 }
                 Ok((from, wire::Packet::Claim(_))) => {
@@ -254,25 +276,26 @@
             host.record_crash(now, *crash, "peer");
         }
         mutex::lock(&host.watchers).record_capacity(now, message.sender, message.cpu_millicores);
-        let own_plan = host.plan_revision().unwrap_or(0);
+        let own_plan = host.plan_version();
+        let (plan, endpoints) = (message.plan_version(), message.endpoint_version());
+        if plan.era.max(endpoints.era) > 0 {
+            host.record_era(plan.era.max(endpoints.era), &from.to_string());
+        }
         let confirmed = now.saturating_sub(time::Duration::from_millis(message.age_ms.into()));
         let own_endpoints = {
             let mut registry = mutex::lock(&host.registry);
             registry.record_peer_contact(confirmed);
-            registry.revision()
+            registry.version()
         };
-        let is_current = own_plan > 0
-            && message.plan_revision == own_plan
-            && message.endpoint_revision <= own_endpoints;
+        let is_current = own_plan.is_some() && plan == own_plan && endpoints <= own_endpoints;
         if is_current && !message.is_platform_unreachable {
             host.confirm_plan_at(confirmed);
         }
-        let lacks_endpoints =
-            message.endpoint_revision > own_endpoints && host.uses_peer_endpoints(now);
-        if message.plan_revision > own_plan || lacks_endpoints {
+        let lacks_endpoints = endpoints > own_endpoints && host.uses_peer_endpoints(now);
+        if plan > own_plan || lacks_endpoints {
             let peer = net::SocketAddr::new(from.ip(), host.options.peer_listen.port());
             let mesh = self.clone();
-            tokio::spawn(mesh.catch_up(peer, message.plan_revision, message.endpoint_revision));
+            tokio::spawn(mesh.catch_up(peer, plan, endpoints));
         }
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -32,13 +32,8 @@
                 *response.status_mut() = http::StatusCode::NOT_FOUND;
                 return response;
             }
-            let known = request
-                .uri()
-                .query()
-                .and_then(|query| query.strip_prefix("plan="))
-                .and_then(|revision| revision.parse().ok())
-                .unwrap_or(0);
-            match postcard::to_allocvec(&host.snapshot(known)) {
+            let known = snapshot::Known::parse(request.uri().query().unwrap_or_default());
+            match host.snapshot(known).encode() {
                 Ok(bytes) => *response.body_mut() = axum::body::Body::from(bytes),
                 Err(cause) => {
                     log::error!(target: "edge", "state not encoded: {cause}");
@@ -50,8 +45,8 @@
     }
 }
 
-/// Fetches the state of another host. `known` is the revision of the
-/// configuration that this host has.
+/// Fetches the state of another host. `known` is the configuration that this host
+/// has.
 ///
 /// # Errors
 ///
@@ -60,9 +55,9 @@
 pub(crate) async fn fetch(
     client: &back::Client,
     from: net::SocketAddr,
-    known: u64,
+    known: snapshot::Known,
 ) -> Result<snapshot::Snapshot, String> {
-    let request = http::Request::get(format!("http://{from}{STATE_PATH}?plan={known}"))
+    let request = http::Request::get(format!("http://{from}{STATE_PATH}?{}", known.query()))
         .body(http_body_util::Full::default())
         .map_err(|cause| cause.to_string())?;
     let reading = async {
@@ -78,5 +73,5 @@
     let body = tokio::time::timeout(FETCH_TIMEOUT, reading)
         .await
         .map_err(|_| "no answer in time".to_owned())??;
-    postcard::from_bytes(&body.to_bytes()).map_err(|cause| cause.to_string())
+    snapshot::Snapshot::decode(&body.to_bytes()).map_err(|cause| cause.to_string())
 }
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -3,6 +3,7 @@
 use base::mutex;
 use rand::seq::IteratorRandom;
 
+use crate::extension;
 use crate::gossip;
 use crate::mesh;
 
@@ -103,10 +104,11 @@
                 gossip::Work::None => Default::default(),
             }
         };
-        let (endpoint_revision, is_platform_unreachable) = {
+        let (endpoints, is_platform_unreachable) = {
             let registry = mutex::lock(&host.registry);
-            (registry.revision(), registry.is_unreachable())
+            (registry.version(), registry.is_unreachable())
         };
+        let plan = host.plan_version();
         gossip::Message {
             sender: gossip::name_hash(&host.options.name),
             incarnation: host.incarnation,
@@ -115,13 +117,14 @@
             is_leaving: host.is_leaving(),
             cpu_millicores: host.options.cpu_millicores,
             is_platform_unreachable,
-            plan_revision: host.plan_revision().unwrap_or(0),
-            endpoint_revision,
+            plan_revision: plan.revision,
+            endpoint_revision: endpoints.revision,
             age_ms: u32::try_from(host.plan_age(now).as_millis()).unwrap_or(u32::MAX),
             crashes: host.poison_crashes(now),
             demands,
             placements,
             work,
+            extension: extension::Extension::new(plan, endpoints),
         }
     }
 }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -20,10 +20,10 @@
 pub struct Registry {
     removal_grace: time::Duration,
     endpoints: collections::BTreeMap<String, plan::Endpoint>,
-    /// Revision of the newest change of each entry, including removed ones.
+    /// Version of the newest change of each entry, including removed ones.
     /// The pages of a list are not one snapshot, so changes may arrive out of
     /// order.
-    revisions: collections::BTreeMap<String, u64>,
+    versions: collections::BTreeMap<String, plan::Version>,
     /// Endpoints whose removal is held back, with the time of the removal.
     held_removals: collections::BTreeMap<String, time::Duration>,
     /// Until when removals are held back after an outage.
@@ -33,7 +33,7 @@
     /// Whether another host was in contact with the platform during the
     /// current or last outage.
     has_peer_contact: bool,
-    revision: u64,
+    version: plan::Version,
 }
 
 impl Registry {
@@ -43,12 +43,12 @@
         Self {
             removal_grace,
             endpoints: collections::BTreeMap::new(),
-            revisions: collections::BTreeMap::new(),
+            versions: collections::BTreeMap::new(),
             held_removals: collections::BTreeMap::new(),
             hold_until: time::Duration::ZERO,
             unreachable_since: None,
             has_peer_contact: false,
-            revision: 0,
+            version: plan::Version::new(0, 0),
         }
     }
 
@@ -74,10 +74,16 @@
         }
     }
 
-    /// Adds or replaces one entry. A revision below that of the last known
+    /// Adds or replaces one entry. A version below that of the last known
     /// change of the entry is ignored.
-    pub fn put(&mut self, now: time::Duration, id: &str, entry: Entry, revision: u64) {
-        if !self.is_newer(id, revision) {
+    pub fn put(
+        &mut self,
+        now: time::Duration,
+        id: &str,
+        entry: Entry,
+        version: impl Into<plan::Version>,
+    ) {
+        if !self.is_newer(id, version.into()) {
             return;
         }
         match entry {
@@ -90,19 +96,35 @@
     }
 
     /// Removes an entry, or holds the removal back during and after an outage.
-    /// A revision below that of the last known change is ignored.
-    pub fn remove(&mut self, now: time::Duration, id: &str, revision: u64) {
-        if self.is_newer(id, revision) {
+    /// A version below that of the last known change is ignored.
+    pub fn remove(&mut self, now: time::Duration, id: &str, version: impl Into<plan::Version>) {
+        if self.is_newer(id, version.into()) {
             self.remove_or_hold(now, id, true);
         }
     }
 
     /// Replaces the whole list; each entry comes with the revision of its last
-    /// change. Entries that are no longer listed are removed or held back.
-    pub fn replace(&mut self, now: time::Duration, list: Vec<(String, Entry, u64)>, revision: u64) {
+    /// change. Entries that are no longer listed are removed or held back. In the
+    /// first list of a new era, entries may be missing that the platform has lost
+    /// and that endpoints are about to write again, so removals are held back, and
+    /// endpoints that are leaving stay so. A list of an earlier era is ignored.
+    pub fn replace(
+        &mut self,
+        now: time::Duration,
+        list: Vec<(String, Entry, u64)>,
+        version: impl Into<plan::Version>,
+    ) {
+        let version = version.into();
+        if version.era < self.version.era {
+            return;
+        }
+        let is_restored = version.era > self.version.era && self.version.is_some();
+        if is_restored {
+            self.hold_until = self.hold_until.max(now + self.removal_grace);
+        }
         let listed: collections::BTreeSet<String> =
             list.iter().map(|(id, _, _)| id.clone()).collect();
-        self.revisions.retain(|id, _| listed.contains(id));
+        self.versions.retain(|id, _| listed.contains(id));
         let missing: Vec<String> = self
             .endpoints
             .keys()
@@ -112,22 +134,30 @@
         for id in missing {
             self.remove_or_hold(now, &id, true);
         }
-        for (id, entry, changed) in list {
+        for (id, mut entry, changed) in list {
+            if is_restored {
+                self.keep_leaving(&mut entry);
+            }
+            let changed = plan::Version::new(version.era, changed);
             self.put(now, &id, entry, changed);
         }
-        self.revision = self.revision.max(revision);
+        self.version = self.version.max(version);
     }
 
     /// Replaces the whole list by that of another host, without holding back
     /// removals: the other host was in contact with the platform.
-    pub fn replace_from_peer(&mut self, list: Vec<plan::Endpoint>, revision: u64) {
+    pub fn replace_from_peer(
+        &mut self,
+        list: Vec<plan::Endpoint>,
+        version: impl Into<plan::Version>,
+    ) {
         self.held_removals.clear();
-        self.revisions.clear();
+        self.versions.clear();
         self.endpoints = list
             .into_iter()
             .map(|endpoint| (endpoint.id.clone(), endpoint))
             .collect();
-        self.revision = revision;
+        self.version = version.into();
     }
 
     /// Carries out the removals that were held back if the grace period is
@@ -149,9 +179,9 @@
         self.endpoints.values().cloned().collect()
     }
 
-    /// Returns the platform's revision of the newest change, or 0 for none.
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the platform's version of the newest change.
+    pub const fn version(&self) -> plan::Version {
+        self.version
     }
 
     /// Returns whether the platform is unreachable.
@@ -159,16 +189,33 @@
         self.unreachable_since.is_some()
     }
 
-    /// Records the revision of a change of an entry; returns whether no newer
+    /// Records the version of a change of an entry; returns whether no newer
     /// change of the entry is known.
-    fn is_newer(&mut self, id: &str, revision: u64) -> bool {
-        self.revision = self.revision.max(revision);
-        let known = self.revisions.entry(id.to_owned()).or_insert(0);
-        let is_newer = revision >= *known;
-        *known = revision.max(*known);
+    fn is_newer(&mut self, id: &str, version: plan::Version) -> bool {
+        if version.era < self.version.era {
+            return false;
+        }
+        self.version = self.version.max(version);
+        let known = self.versions.entry(id.to_owned()).or_default();
+        let is_newer = version >= *known;
+        *known = version.max(*known);
         is_newer
     }
 
+    /// Marks an endpoint of an older copy as leaving if it was when the copy was
+    /// restored and its process is the same.
+    fn keep_leaving(&self, entry: &mut Entry) {
+        let Entry::Endpoint(listed) = entry else {
+            return;
+        };
+        let is_leaving = self.endpoints.get(&listed.id).is_some_and(|known| {
+            known.phase == plan::Phase::Leaving && known.started_ms == listed.started_ms
+        });
+        if is_leaving {
+            listed.phase = plan::Phase::Leaving;
+        }
+    }
+
     fn remove_or_hold(&mut self, now: time::Duration, id: &str, may_hold: bool) {
         let is_holding = self.is_unreachable() || now < self.hold_until;
         let was_up = self
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -1,9 +1,13 @@
+use xxhash_rust::xxh3;
+
+use crate::extension;
+
 /// Configuration and endpoints of one host, for a host that does not read the
 /// platform itself. Encoded by position, so the order and types of the fields
-/// are the wire format.
+/// are the wire format. The extension follows it.
 #[derive(Debug, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Snapshot {
-    /// The configuration, unless the other host already has this revision.
+    /// The configuration, unless the other host already has it.
     pub(crate) plan: Option<plan::Plan>,
     pub(crate) plan_revision: u64,
     /// Platform revision of the list of endpoints.
@@ -11,4 +15,71 @@
     pub(crate) endpoints: Vec<plan::Endpoint>,
     /// Time since the configuration was last confirmed, in milliseconds.
     pub(crate) age_ms: u64,
+    #[serde(skip)]
+    pub(crate) extension: extension::Extension,
+}
+
+impl Snapshot {
+    /// Encodes the snapshot and its extension.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = postcard::to_allocvec(self)?;
+        postcard::to_extend(&self.extension, bytes)
+    }
+
+    /// Decodes a snapshot, also one without an extension.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut snapshot, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        snapshot.extension = extension::Extension::decode(rest)?;
+        if let Some(plan) = &mut snapshot.plan {
+            plan.era = snapshot.extension.plan_era;
+        }
+        Ok(snapshot)
+    }
+
+    /// Returns the version of the configuration.
+    pub(crate) const fn plan_version(&self) -> plan::Version {
+        plan::Version::new(self.extension.plan_era, self.plan_revision)
+    }
+
+    /// Returns the version of the list of endpoints.
+    pub(crate) const fn endpoint_version(&self) -> plan::Version {
+        plan::Version::new(self.extension.endpoint_era, self.endpoint_revision)
+    }
+}
+
+/// Configuration that a host has when it asks for a snapshot.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Known {
+    pub(crate) version: plan::Version,
+    /// Hash of the configuration; absent without one.
+    pub(crate) content: Option<u64>,
+}
+
+impl Known {
+    /// Returns the query that states it.
+    pub(crate) fn query(&self) -> String {
+        let plan::Version { era, revision } = self.version;
+        let content = self.content.map(|content| format!("&content={content}"));
+        format!("plan={revision}&era={era}{}", content.unwrap_or_default())
+    }
+
+    /// Parses a query; missing fields have the defaults.
+    pub(crate) fn parse(query: &str) -> Self {
+        let field = |name: &str| {
+            let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+            let (_, value) = fields.find(|(key, _)| *key == name)?;
+            value.parse().ok()
+        };
+        let version = |name| field(name).unwrap_or(0);
+        Self {
+            version: plan::Version::new(version("era"), version("plan")),
+            content: field("content"),
+        }
+    }
+}
+
+/// Returns the hash of the content of a configuration, without its era.
+pub(crate) fn content(plan: &plan::Plan) -> u64 {
+    // A plan holds nothing that cannot be encoded.
+    postcard::to_allocvec(plan).map_or(0, |bytes| xxh3::xxh3_64(&bytes))
 }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -81,6 +81,7 @@
 
 pub fn plan(revision: u64) -> plan::Plan {
     plan::Plan {
+        era: 0,
         revision,
         routes: vec![
             route("/look/", plan::Kind::Idempotent),
--- a/crates/edge/tests/configuration.rs
+++ b/crates/edge/tests/configuration.rs
@@ -147,3 +147,50 @@
     assert_eq!(places.len(), 2);
     assert!(places[0] < places[1], "{places:?}");
 }
+
+/// Waits until a host admits requests with this key.
+async fn wait_for_key(host: &edge::Host, key: &str) {
+    let text = common::request("GET", "/look/a", "r", "", "")
+        .replace("Bearer k1", &format!("Bearer {key}"));
+    let accepted = async {
+        while common::call(host, &text).await.status != 200 {
+            tokio::time::sleep(common::ms(50)).await;
+        }
+    };
+    tokio::time::timeout(common::ms(10_000), accepted)
+        .await
+        .unwrap_or_else(|_| panic!("{key} is not accepted"));
+}
+
+#[tokio::test]
+async fn the_era_decides_between_hosts_before_the_revision() {
+    // Guards against a host that was cut off while the platform was restored: it
+    // keeps, and passes on, a configuration that is no longer valid.
+    let one = endpoint::Endpoint::start("e1", |request| endpoint::ok(request, "x")).await;
+    let version = |era, revision, key: &str| {
+        let mut plan = plan::Plan {
+            era,
+            ..common::plan(revision)
+        };
+        plan.teams[0].keys = vec![key.into()];
+        plan
+    };
+    let first = common::host(&[&one]).await;
+    first.apply_plan(version(1, 9, "old"), "test");
+    let seed = first.peer_address();
+    let second = edge::Host::start(common::options("b", vec![seed]))
+        .await
+        .expect("host");
+    common::list(&second, &[&one], 1);
+    second.apply_plan(version(2, 5, "new"), "test");
+    second.confirm_plan();
+    for host in [&first, &second] {
+        wait_for_key(host, "new").await;
+    }
+    assert!(!first.apply_plan(version(1, 12, "old"), "test"));
+    // The same content in a newer era needs no transfer, only its version.
+    second.apply_plan(version(3, 5, "new"), "test");
+    wait_for_key(&first, "new").await;
+    second.apply_plan(version(3, 6, "newer"), "test");
+    wait_for_key(&first, "newer").await;
+}
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -117,3 +117,46 @@
     registry.remove(ms(20_010), "a", 6);
     assert_eq!(ids(&registry), ["a", "b"]);
 }
+
+#[test]
+fn entries_missing_from_an_older_copy_are_used_until_they_are_written_again() {
+    // Guards against a fleet without endpoints after the platform is restored.
+    let mut registry = registry();
+    registry.replace(ms(10_000), Vec::new(), plan::Version::new(1, 3));
+    assert_eq!(ids(&registry), ["a", "b"]);
+    let up = entry("b", plan::Phase::Up);
+    registry.put(ms(11_000), "b", up, plan::Version::new(1, 4));
+    assert!(registry.expire(ms(12_100)));
+    assert_eq!(ids(&registry), ["b"]);
+}
+
+#[test]
+fn a_revision_that_is_given_out_again_is_newer_in_its_era() {
+    // Guards against changes that are ignored because the number of an earlier era
+    // is higher, and against late changes of the earlier era.
+    let mut registry = registry();
+    let list = vec![("a".to_owned(), entry("a", plan::Phase::Up), 2)];
+    registry.replace(ms(10_000), list, plan::Version::new(1, 3));
+    registry.remove(ms(13_000), "a", plan::Version::new(1, 4));
+    assert!(!ids(&registry).contains(&"a".to_owned()));
+    let late = entry("late", plan::Phase::Up);
+    registry.put(ms(13_100), "late", late, plan::Version::new(0, 90));
+    registry.replace(ms(13_200), Vec::new(), plan::Version::new(0, 90));
+    assert!(!ids(&registry).contains(&"late".to_owned()));
+    assert_eq!(registry.version(), plan::Version::new(1, 4));
+}
+
+#[test]
+fn a_leaving_endpoint_stays_so_when_an_older_copy_lists_it_as_up() {
+    // Guards against new requests to an endpoint whose leaving the platform lost.
+    let mut registry = registry();
+    registry.put(ms(9_000), "a", entry("a", plan::Phase::Leaving), 6);
+    let list = ["a", "b"].map(|id| (id.to_owned(), entry(id, plan::Phase::Up), 5));
+    registry.replace(ms(10_000), list.to_vec(), plan::Version::new(1, 5));
+    let phases: Vec<_> = registry
+        .endpoints()
+        .iter()
+        .map(|listed| listed.phase)
+        .collect();
+    assert_eq!(phases, [plan::Phase::Leaving, plan::Phase::Up]);
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -19,6 +19,7 @@
 mod service;
 mod table;
 mod team;
+mod version;
 
 pub use endpoint::{Endpoint, Phase};
 pub use engine::Engine;
@@ -30,3 +31,4 @@
 pub use service::Service;
 pub use table::{Caller, Table};
 pub use team::Team;
+pub use version::Version;
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -2,11 +2,16 @@
 use crate::route;
 use crate::service;
 use crate::team;
+use crate::version;
 
 /// One revision of the configuration of routes, services and teams.
 #[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Plan {
-    /// Revision number; a higher revision replaces a lower one.
+    /// Era of the platform to which the plan counts. Snapshots between hosts state it
+    /// beside the plan, because hosts of earlier builds do not expect it here.
+    #[serde(skip)]
+    pub era: u64,
+    /// Revision number; a higher revision replaces a lower one of the same era.
     pub revision: u64,
     /// Routes in the order of the configuration; with equal prefixes, the first
     /// one applies.
@@ -18,3 +23,10 @@
     /// Teams. If there are none, no request needs a key.
     pub teams: Vec<team::Team>,
 }
+
+impl Plan {
+    /// Returns the version by which plans are ordered.
+    pub const fn version(&self) -> version::Version {
+        version::Version::new(self.era, self.revision)
+    }
+}
--- a/crates/plan/tests/table.rs
+++ b/crates/plan/tests/table.rs
@@ -29,6 +29,7 @@
 
 fn table() -> plan::Table {
     plan::Table::new(plan::Plan {
+        era: 0,
         revision: 1,
         routes: vec![
             route("short", "/a/", &[("one", 1)]),
@@ -111,6 +112,7 @@
         ..route(name, &format!("/{name}/"), &[("engine", 1)])
     };
     plan::Plan {
+        era: 0,
         revision: 1,
         routes: vec![ranked("chat", 0), ranked("draft", 1)],
         teams: vec![team("north", Some(0)), team("south", Some(1))],
