--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -36,16 +36,23 @@
         let lacks_endpoints = self.host.endpoint_version() < endpoints
             && self.host.uses_peer_endpoints(self.host.clock.now());
         if lacks_plan || lacks_endpoints {
-            self.fetch(from).await;
+            self.fetch(from, plan).await;
         }
     }
 
-    async fn fetch(&self, from: net::SocketAddr) {
+    /// Fetches the state of a host that announces this version of the configuration.
+    async fn fetch(&self, from: net::SocketAddr, announced: plan::Version) {
         let requested_at = self.host.clock.now();
         let own = self.host.table.load_full();
+        let version = self.host.plan_version();
+        // The same revision in a newer era mostly has the same content.
+        let may_be_same = announced.era > version.era && announced.revision == version.revision;
         let known = snapshot::Known {
-            version: self.host.plan_version(),
-            content: own.as_ref().map(|own| snapshot::content(own.plan())),
+            version,
+            content: own
+                .as_ref()
+                .filter(|_| may_be_same)
+                .map(|own| snapshot::content(own.plan())),
         };
         let snapshot = match peers::fetch(&self.client, from, known).await {
             Ok(snapshot) => snapshot,
@@ -64,7 +71,7 @@
         // Without a plan, the other host has an older one, or the same in an era
         // that is newer.
         let same = own
-            .filter(|own| own.plan().revision == snapshot.plan_revision)
+            .filter(|_| may_be_same && plan_version.revision == version.revision)
             .map(|own| plan::Plan {
                 era: plan_version.era,
                 ..own.plan().clone()
@@ -101,7 +108,7 @@
                 others.choose(&mut *rng).copied()
             };
             if let Some(seed) = seed {
-                self.fetch(seed).await;
+                self.fetch(seed, plan::Version::default()).await;
             }
         }
     }
