--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -44,7 +44,9 @@
     async fn fetch(&self, from: net::SocketAddr, announced: plan::Version) {
         let requested_at = self.host.clock.now();
         let own = self.host.table.load_full();
-        let version = self.host.plan_version();
+        let version = own
+            .as_ref()
+            .map_or_else(plan::Version::default, |own| own.plan().version());
         // The same revision in a newer era mostly has the same content.
         let may_be_same = announced.era > version.era && announced.revision == version.revision;
         let known = snapshot::Known {
