--- a/crates/edge/src/eras.rs
+++ b/crates/edge/src/eras.rs
@@ -22,7 +22,7 @@
 /// for the last settled era, so that it does not replace a newer configuration which
 /// the platform has lost. A host that knows of no era counts it for era 0, below what
 /// any other host has settled. It counts for the new era once the platform has stood by it
-/// for [`SETTLE_TIME`], once another host has settled the era, or if it was written
+/// for the settle time, once another host has settled the era, or if it was written
 /// after the first read.
 #[derive(Debug, Default)]
 pub struct Eras {
