--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -407,7 +407,7 @@
         let registry = mutex::lock(&self.registry);
         let table = self.table.load();
         let plan = table.as_ref().map(|table| table.plan());
-        let plan_version = self.plan_version();
+        let plan_version = plan.map_or_else(plan::Version::default, plan::Plan::version);
         let is_known = |plan: &plan::Plan| {
             plan_version <= known.version || known.content == Some(snapshot::content(plan))
         };
--- a/crates/edge/tests/configuration.rs
+++ b/crates/edge/tests/configuration.rs
@@ -194,3 +194,28 @@
     second.apply_plan(version(3, 6, "newer"), "test");
     wait_for_key(&first, "newer").await;
 }
+
+#[tokio::test]
+async fn a_host_without_the_platform_follows_a_restore_through_the_others() {
+    // Guards against a host that is cut off during a restore and takes the older copy
+    // from a host that has read it, or misses what is written afterwards.
+    let one = endpoint::Endpoint::start("e1", |request| endpoint::ok(request, "x")).await;
+    let with_key = |revision, key: &str| {
+        let mut plan = common::plan(revision);
+        plan.teams[0].keys = vec![key.into()];
+        plan
+    };
+    let first = common::host(&[&one]).await;
+    let second = edge::Host::start(common::options("b", vec![first.peer_address()]))
+        .await
+        .expect("host");
+    second.mark_platform_unreachable("test");
+    first.read_plan(with_key(7, "k7"), plan::Version::new(1, 20));
+    first.read_plan(with_key(9, "k9"), plan::Version::new(1, 40));
+    wait_for_key(&second, "k9").await;
+    first.read_plan(with_key(7, "k7"), plan::Version::new(2, 20));
+    tokio::time::sleep(common::ms(2_500)).await;
+    wait_for_key(&second, "k9").await;
+    first.read_plan(with_key(8, "k8"), plan::Version::new(2, 26));
+    wait_for_key(&second, "k8").await;
+}
