feat(edge): count cut answers by cause and change of the configuration

Cause: after a cut, logs and metrics did not tell whether the configuration had changed while the request was open, nor whether connections of callers were closed for idleness. Two of the three hypotheses on lost answers could not be told apart. Change: the step cut states the version in force; carobbay.answers_cut, carobbay.caller_connections and carobbay.caller_connections_closed. Conclusion: the hypotheses can be told apart by logs and metrics.

--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -68,12 +68,21 @@
         self.outcome = Some(outcome);
     }
 
-    /// Records that an answer was truncated after its head had been sent.
+    /// Records that an answer was truncated after its head had been sent, and
+    /// whether the configuration has changed since the request arrived.
     pub(crate) fn mark_truncated(&mut self, refusal: &Refusal) {
         let now = self.host.clock.now();
-        self.job
-            .log_step(now, "cut", format_args!("{}", refusal.message));
-        self.conclude(refusal.kind.entry().name);
+        let name = refusal.kind.entry().name;
+        let current = self.host.plan_version();
+        self.job.log_step(
+            now,
+            "cut",
+            format_args!("{} plan={current}", refusal.message),
+        );
+        let has_changed = bool_name(current != self.job.plan);
+        let tags = [("cause", name), ("plan_changed", has_changed)];
+        self.host.metrics.count("answers_cut", &tags);
+        self.conclude(name);
     }
 
     /// Attempts the request until an endpoint sends the head of an answer that
--- a/crates/edge/src/gauge.rs
+++ b/crates/edge/src/gauge.rs
@@ -32,6 +32,7 @@
         let buffered = self.buffered_bytes.load(atomic::Ordering::Relaxed);
         metrics.set("body_bytes", &[], buffered as u64);
         self.update_host_gauges();
+        self.update_connection_gauges();
         let share = self.retry_share();
         for (service, budget) in &*mutex::lock(&self.budgets) {
             // CAST: The value is not negative, and fractions do not count.
@@ -40,6 +41,22 @@
         }
     }
 
+    fn update_connection_gauges(&self) {
+        let server = mutex::lock(&self.server);
+        let Some(counters) = server.as_ref().map(front::Server::counters) else {
+            return;
+        };
+        self.metrics.set("caller_connections", &[], counters.open);
+        for (reason, count) in [
+            ("idle", counters.idle_closed),
+            ("slow_head", counters.slow_heads),
+            ("stalled", counters.stalled),
+        ] {
+            let tags = [("reason", reason)];
+            self.metrics.set("caller_connections_closed", &tags, count);
+        }
+    }
+
     fn update_host_gauges(&self) {
         let mut states: collections::BTreeMap<&str, u64> = ["live", "suspect", "leaving", "dead"]
             .map(|state| (state, 0))
--- a/crates/edge/tests/metrics.rs
+++ b/crates/edge/tests/metrics.rs
@@ -55,6 +55,8 @@
         ("carobbay.hosts{state=\"live\"}", 1, 1),
         ("carobbay.repeats_left{service=\"s\"}", 1, 100),
         ("carobbay.plan_revision", 1, 1),
+        ("carobbay.caller_connections", 0, 2),
+        ("carobbay.caller_connections_closed{reason=\"idle\"}", 0, 0),
         ("carobbay.plan_age_ms", 0, 20_000),
         ("carobbay.platform_lost", 0, 0),
         ("carobbay.requests_at_endpoints", 0, 0),
@@ -94,3 +96,36 @@
     drop(stream);
     in_time(0).await;
 }
+
+#[tokio::test]
+async fn a_cut_answer_is_counted_with_its_cause_and_a_change_of_the_configuration() {
+    // Guards against an investigation that cannot tell a cut by a change of the
+    // configuration from one by the endpoint.
+    let one = endpoint::Endpoint::start("e1", |request| {
+        vec![
+            endpoint::stream_head(request),
+            endpoint::chunk(&endpoint::event(1)),
+            Step::Pause(common::ms(300)),
+            Step::Reset,
+        ]
+    })
+    .await;
+    let host = common::host(&[&one]).await;
+    let listen = common::free();
+    let _server = host.serve_metrics(listen).await.expect("metrics");
+    let text = common::request("GET", "/live/a", "r1", "", "");
+    assert!(!common::call(&host, &text).await.is_whole);
+    let changing = async {
+        while one.count() < 2 {
+            tokio::time::sleep(common::ms(5)).await;
+        }
+        host.apply_plan(common::plan(2), "test");
+    };
+    let (answer, ()) = tokio::join!(common::call(&host, &text), changing);
+    assert!(!answer.is_whole);
+    for changed in ["no", "yes"] {
+        let tags = format!("{{cause=\"endpoint_failed\",plan_changed=\"{changed}\"}}");
+        let name = format!("carobbay.answers_cut{tags}");
+        assert_eq!(value(listen, &name).await, Some(1), "{name}");
+    }
+}
