test(edge): answers that end because their endpoint is silent for a second

What callers see: a stream that breaks off, or a 502, although the endpoint would have completed the answer within the time-out of the route. Cause, as far as the test shows it: the router ends the run at hand after a silence, and looks for another endpoint afterwards. With one endpoint, or with another one that rejects the request, fails, resets or hangs, nothing is left.

--- /dev/null
+++ b/crates/edge/tests/silence.rs
@@ -0,0 +1,226 @@
+//! Guards against answers that end because their endpoint is silent for a while,
+//! although it goes on within the time-out of the route.
+
+mod common;
+
+use std::sync::atomic;
+
+use common::endpoint::{self, Step};
+use rstest::rstest;
+
+/// Longer than each time without data after which the router tries another
+/// endpoint, and shorter than the time-out of the routes.
+const SILENCE_MS: u64 = 1_300;
+
+/// Deadline that leaves room for the silence on a busy machine.
+const DEADLINE: &str = "request-deadline: 8000\r\n";
+
+type Script = fn(&endpoint::Request) -> Vec<Step>;
+
+fn whole(from: u64, to: u64) -> String {
+    (from..=to).map(endpoint::event).collect()
+}
+
+fn silence() -> Step {
+    Step::Pause(common::ms(SILENCE_MS))
+}
+
+/// Sends all events, and is silent after two of them.
+fn silent_after_events(request: &endpoint::Request) -> Vec<Step> {
+    vec![
+        endpoint::stream_head(request),
+        endpoint::chunk(&whole(1, 2)),
+        silence(),
+        endpoint::chunk(&whole(3, 6)),
+        endpoint::stream_end(),
+    ]
+}
+
+/// Sends all events, and is silent before the first one.
+fn silent_after_head(request: &endpoint::Request) -> Vec<Step> {
+    vec![
+        endpoint::stream_head(request),
+        silence(),
+        endpoint::chunk(&whole(1, 6)),
+        endpoint::stream_end(),
+    ]
+}
+
+/// Sends a whole stream, and is silent before its head.
+fn silent_before_head(request: &endpoint::Request) -> Vec<Step> {
+    vec![
+        silence(),
+        endpoint::stream_head(request),
+        endpoint::chunk(&whole(1, 6)),
+        endpoint::stream_end(),
+    ]
+}
+
+/// Sends an answer that is no stream, and is silent before its head.
+fn silent_before_answer(request: &endpoint::Request) -> Vec<Step> {
+    let mut steps = vec![silence()];
+    steps.extend(endpoint::ok(request, &whole(1, 6)));
+    steps
+}
+
+fn not_run(request: &endpoint::Request) -> Vec<Step> {
+    let text = endpoint::text(request, 503, "x-not-run: 1\r\n", "");
+    vec![Step::Bytes(text)]
+}
+
+fn failure(request: &endpoint::Request) -> Vec<Step> {
+    let text = endpoint::text(request, 500, "x-signature: sig\r\n", "no");
+    vec![Step::Bytes(text)]
+}
+
+fn reset(_: &endpoint::Request) -> Vec<Step> {
+    vec![Step::Reset]
+}
+
+fn hang(_: &endpoint::Request) -> Vec<Step> {
+    vec![Step::Hang]
+}
+
+fn hang_after_head(request: &endpoint::Request) -> Vec<Step> {
+    vec![endpoint::stream_head(request), Step::Hang]
+}
+
+fn break_after_head(request: &endpoint::Request) -> Vec<Step> {
+    vec![
+        endpoint::stream_head(request),
+        Step::Pause(common::ms(50)),
+        Step::Reset,
+    ]
+}
+
+/// Returns the plan of the tests with time-outs that leave room for the silence
+/// on a busy machine.
+fn plan() -> plan::Plan {
+    let mut plan = common::plan(2);
+    for route in &mut plan.routes {
+        route.timeout = common::ms(8_000);
+    }
+    plan
+}
+
+/// Starts an endpoint that answers the first request by `first` and later ones
+/// by `later`. Endpoints that share `served` count requests together, so the
+/// endpoint that is picked first is the silent one.
+async fn endpoint(
+    id: &str,
+    served: &std::sync::Arc<atomic::AtomicUsize>,
+    first: Script,
+    later: Script,
+) -> endpoint::Endpoint {
+    let served = served.clone();
+    endpoint::Endpoint::start(id, move |request| {
+        match served.fetch_add(1, atomic::Ordering::SeqCst) {
+            0 => first(request),
+            _ => later(request),
+        }
+    })
+    .await
+}
+
+#[rstest]
+#[case::stream_after_events("/long/a", silent_after_events)]
+#[case::stream_after_head("/long/a", silent_after_head)]
+#[case::stream_before_head("/long/a", silent_before_head)]
+#[case::not_resumable("/live/a", silent_after_events)]
+#[case::idempotent("/look/a", silent_before_answer)]
+#[case::once("/book/a", silent_before_answer)]
+#[tokio::test]
+async fn a_silent_endpoint_completes_its_answer_if_no_other_one_is_listed(
+    #[case] path: &str,
+    #[case] script: Script,
+) {
+    let one = endpoint::Endpoint::start("e1", script).await;
+    let host = common::host(&[&one]).await;
+    host.apply_plan(plan(), "test");
+    let text = common::request("POST", path, "r1", DEADLINE, "p");
+    let answer = common::call(&host, &text).await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(answer.text(), whole(1, 6));
+    assert_eq!(one.count(), 1);
+}
+
+#[rstest]
+#[case::stream_after_events("/long/a", silent_after_events)]
+#[case::stream_after_head("/long/a", silent_after_head)]
+#[case::stream_before_head("/long/a", silent_before_head)]
+#[case::idempotent("/look/a", silent_before_answer)]
+#[tokio::test]
+async fn a_silent_endpoint_completes_its_answer_if_the_other_one_does_not(
+    #[case] path: &str,
+    #[case] silent: Script,
+    #[values(not_run, failure, reset, hang)] other: Script,
+) {
+    let served = std::sync::Arc::default();
+    let one = endpoint("e1", &served, silent, other).await;
+    let two = endpoint("e2", &served, silent, other).await;
+    let host = common::host(&[&one, &two]).await;
+    host.apply_plan(plan(), "test");
+    let text = common::request("POST", path, "r1", DEADLINE, "p");
+    let answer = common::call(&host, &text).await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(answer.text(), whole(1, 6));
+    assert_eq!(one.count() + two.count(), 2, "the other one was not tried");
+}
+
+#[rstest]
+#[case(hang_after_head)]
+#[case(break_after_head)]
+#[tokio::test]
+async fn a_silent_stream_is_kept_until_the_other_endpoint_sends_an_event(#[case] other: Script) {
+    let served = std::sync::Arc::default();
+    let one = endpoint("e1", &served, silent_after_events, other).await;
+    let two = endpoint("e2", &served, silent_after_events, other).await;
+    let host = common::host(&[&one, &two]).await;
+    host.apply_plan(plan(), "test");
+    let text = common::request("POST", "/long/a", "r1", DEADLINE, "p");
+    let answer = common::call(&host, &text).await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(answer.text(), whole(1, 6));
+}
+
+#[tokio::test]
+async fn a_silent_answer_is_completed_without_a_budget_for_retries() {
+    let mut options = common::options("a", Vec::new());
+    options.retry_budget.slack = 0.0;
+    let one = endpoint::Endpoint::start("e1", silent_after_events).await;
+    let two = endpoint::Endpoint::start("e2", silent_after_events).await;
+    let host = edge::Host::start(options).await.expect("host");
+    host.apply_plan(plan(), "test");
+    common::list(&host, &[&one, &two], 1);
+    let text = common::request("POST", "/long/a", "r1", DEADLINE, "p");
+    let answer = common::call(&host, &text).await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(one.count() + two.count(), 1);
+}
+
+#[tokio::test]
+async fn a_silent_answer_that_is_taken_over_ends_at_its_first_endpoint() {
+    // Guards against two endpoints that work on the same request side by side
+    // after one of them has answered.
+    let served = std::sync::Arc::default();
+    let answer = |request: &endpoint::Request| endpoint::ok(request, "good");
+    let one = endpoint("e1", &served, hang, answer).await;
+    let two = endpoint("e2", &served, hang, answer).await;
+    let host = common::host(&[&one, &two]).await;
+    let text = common::request("GET", "/look/a", "r1", "", "");
+    let answer = common::call(&host, &text).await;
+    assert_eq!((answer.status, answer.text().as_str()), (200, "good"));
+    let cancelled = || {
+        let count =
+            |endpoint: &endpoint::Endpoint| endpoint.cancelled.load(atomic::Ordering::SeqCst);
+        count(&one) + count(&two)
+    };
+    let waiting = async {
+        while cancelled() == 0 {
+            tokio::time::sleep(common::ms(5)).await;
+        }
+    };
+    tokio::time::timeout(common::ms(400), waiting)
+        .await
+        .expect("the silent run is cancelled");
+}
