test(edge): requests in flight and idle connections during a change of the configuration

What callers see: after a change that raises the idle time-out of connections, a request on an idle connection crosses its close and gets neither an answer nor a refusal. Cause, as far as the test shows it: the deadline of an idle connection is computed when its last request ends and is not computed again. Change: tests only.

--- a/crates/edge/tests/configuration.rs
+++ b/crates/edge/tests/configuration.rs
@@ -4,6 +4,8 @@
 mod common;
 
 use common::endpoint::{self, Step};
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
 
 #[tokio::test]
 async fn without_configuration_requests_are_refused_with_retry_after() {
@@ -219,3 +221,85 @@
     first.read_plan(with_key(8, "k8"), plan::Version::new(2, 26));
     wait_for_key(&second, "k8").await;
 }
+
+#[rstest]
+#[case::route_removed(|plan: &mut plan::Plan| plan.routes.retain(|route| route.prefix != "/long/"))]
+#[case::route_moved(|plan: &mut plan::Plan| plan.routes[2].targets[0].service = "t".into())]
+#[case::service_removed(|plan: &mut plan::Plan| plan.services.clear())]
+#[case::shorter_timeout(|plan: &mut plan::Plan| plan.routes[2].timeout = common::ms(300))]
+#[case::fewer_attempts(|plan: &mut plan::Plan| plan.routes[2].attempts_max = 1)]
+#[case::key_revoked(|plan: &mut plan::Plan| plan.teams[0].keys = vec!["k2".into()])]
+#[case::smaller_limits(|plan: &mut plan::Plan| plan.limits = plan::Limits {
+    header_bytes: 64,
+    body_bytes: 1,
+    header_timeout: common::ms(100),
+    idle_timeout: common::ms(100),
+})]
+#[tokio::test]
+async fn an_open_request_is_completed_under_the_configuration_that_admitted_it(
+    #[case] change: fn(&mut plan::Plan),
+    #[values(false, true)] has_begun: bool,
+) {
+    // Guards against a change of the configuration that cuts requests in flight.
+    let one = endpoint::Endpoint::start("e1", move |request| {
+        let first = match has_begun {
+            true => vec![
+                endpoint::stream_head(request),
+                endpoint::chunk(&endpoint::event(1)),
+                Step::Pause(common::ms(600)),
+            ],
+            false => vec![
+                Step::Pause(common::ms(600)),
+                endpoint::stream_head(request),
+                endpoint::chunk(&endpoint::event(1)),
+            ],
+        };
+        let rest = [endpoint::chunk(&endpoint::event(2)), endpoint::stream_end()];
+        first.into_iter().chain(rest).collect()
+    })
+    .await;
+    let host = common::host(&[&one]).await;
+    let text = common::request("POST", "/long/a", "r1", "", "prompt");
+    let changing = async {
+        while one.count() == 0 {
+            tokio::time::sleep(common::ms(5)).await;
+        }
+        tokio::time::sleep(common::ms(100)).await;
+        let mut plan = common::plan(2);
+        change(&mut plan);
+        assert!(host.apply_plan(plan, "test"));
+    };
+    let (answer, ()) = tokio::join!(common::call(&host, &text), changing);
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    let events = [endpoint::event(1), endpoint::event(2)].concat();
+    assert_eq!(answer.text(), events);
+}
+
+#[tokio::test]
+async fn a_longer_idle_timeout_holds_for_connections_that_are_idle_already() {
+    // Guards against a connection that is closed by the previous time-out while a
+    // caller that knows the new one sends a request on it.
+    let one = endpoint::Endpoint::start("e1", |request| endpoint::ok(request, "x")).await;
+    let host = common::host(&[&one]).await;
+    let limits = |idle_ms| plan::Limits {
+        idle_timeout: common::ms(idle_ms),
+        ..plan::Limits::default()
+    };
+    let mut plan = common::plan(2);
+    plan.limits = limits(600);
+    host.apply_plan(plan.clone(), "test");
+    let mut stream = tokio::net::TcpStream::connect(host.address())
+        .await
+        .expect("connect");
+    let first = common::request("GET", "/look/a", "r1", "", "");
+    stream.write_all(first.as_bytes()).await.expect("send");
+    assert_eq!(common::read(&mut stream).await.status, 200);
+    tokio::time::sleep(common::ms(200)).await;
+    plan.revision = 3;
+    plan.limits = limits(5_000);
+    host.apply_plan(plan, "test");
+    tokio::time::sleep(common::ms(900)).await;
+    let second = common::request("GET", "/look/a", "r2", "", "");
+    stream.write_all(second.as_bytes()).await.expect("send");
+    assert_eq!(common::read(&mut stream).await.status, 200);
+}
