fix(front): close idle connections by the limits in force

What callers saw: after a change that raises the idle time-out, a request on a connection that was idle for longer than the previous time-out allows got neither an answer nor a refusal. Cause: the deadline of a connection was computed when its state changed, and acted on when it passed, without a look at the limits in force by then. Class: a decision taken on a copy of the configuration that is out of date. Change: a deadline that passes is computed again first. Bytes that have arrived are read before a deadline takes effect.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -191,6 +191,8 @@
         let state = *changes.borrow_and_update();
         let (deadline, reason) = next_deadline(&state, closing_since, &shared.options.load());
         tokio::select! {
+            // A request that has arrived is read before the deadline takes effect.
+            biased;
             ended = connection.as_mut() => {
                 if let Err(cause) = ended {
                     log::debug!(target: "front", "connection of {remote} ended: {cause}");
@@ -203,6 +205,11 @@
             }
             _ = changes.changed() => {}
             () = sleep_until(deadline) => {
+                // The limits may have changed since the deadline was computed.
+                let current = next_deadline(&state, closing_since, &shared.options.load());
+                if current.0.is_none_or(|at| at > Instant::now()) {
+                    continue;
+                }
                 if reason == activity::Reason::Idle && closing_since.is_none() {
                     counters::increment(&shared.counters.idle_closed);
                     closing_since = Some(Instant::now());
