fix(edge): keep a silent run until another endpoint answers

What callers saw: streams that broke off, and 502, although the endpoint would have completed the answer within the time-out of the route. Cause: after a silence the router ended the run at hand, and looked for another endpoint afterwards. When none was left, or the other one rejected the request, failed, was reset or hung, or the budget for retries was used up, the answer was lost. Class: giving up what works before the replacement is certain. Change: an attempt or run that is silent stays open while another endpoint is asked. The first head, or within a stream the first event, counts; the other runs are cancelled at that moment, so no two endpoints go on with one request. If no endpoint takes the request, the silent one has until the deadline. Attempts are now values of their own (edge::attempt, edge::source). The test a_stalled_stream_is_resumed_at_another_endpoint looked for the cancelled run at the instant at which the answer ended. The run now ends when the other one delivers its first event, so the test looks 400 ms later, for exactly one cancelled run as before.

--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -3,7 +3,9 @@
 
 use answer::{Kind, Refusal};
 use base::mutex;
+use tokio::time::Instant;
 
+use crate::attempt;
 use crate::crash;
 use crate::host;
 use crate::incoming;
@@ -18,6 +20,18 @@
 /// Retry delay sent to callers when no endpoint accepts work.
 const NO_ENDPOINT_RETRY_AFTER: time::Duration = time::Duration::from_millis(400);
 
+/// Change of the open attempts of a request.
+enum Turn {
+    /// Another attempt was begun, or none can be.
+    Begun(Result<attempt::Attempt, Refusal>),
+    /// The attempt at this place of the list has ended; it was removed.
+    Ended(usize, attempt::Ended),
+    /// No endpoint has answered for the time after which another one is tried.
+    Silent,
+    /// The deadline has passed.
+    Late,
+}
+
 /// One request and the state of its attempts.
 #[derive(Debug)]
 pub(crate) struct Flow {
@@ -89,13 +103,86 @@
     /// can be passed on. `after` is the id of the last event that the caller
     /// has received.
     ///
+    /// A silent endpoint may go on, so its attempt stays open while others are
+    /// tried; the first answer counts.
+    ///
     /// # Errors
     ///
-    /// Returns the refusal for the caller if no further attempt is possible.
+    /// Returns the refusal for the caller if no attempt is open and no further one
+    /// is possible.
     pub(crate) async fn next_answer(
         &mut self,
         after: Option<u64>,
     ) -> Result<incoming::Answer, Refusal> {
+        let mut open = Vec::new();
+        let mut is_asking = true;
+        loop {
+            is_asking = match self.turn(&mut open, is_asking, after).await {
+                Turn::Begun(Ok(attempt)) => {
+                    open.push(attempt);
+                    false
+                }
+                Turn::Begun(Err(refusal)) if open.is_empty() => return Err(refusal),
+                Turn::Begun(Err(refusal)) => {
+                    self.log_kept(open.len(), &refusal);
+                    false
+                }
+                Turn::Ended(index, ended) => match self.judge(ended, open.is_empty()) {
+                    send::Outcome::Answer(answer) => {
+                        // The endpoints of earlier attempts were silent for longer.
+                        for earlier in open.drain(..index) {
+                            earlier.guard.end(steer::End::Lost);
+                        }
+                        return Ok(*answer);
+                    }
+                    send::Outcome::Retry => true,
+                    send::Outcome::Final(refusal) if open.is_empty() => return Err(refusal),
+                    send::Outcome::Final(_) => false,
+                },
+                Turn::Silent => {
+                    open.iter_mut()
+                        .for_each(|attempt| self.mark_silent(attempt));
+                    self.can_retry(self.host.clock.now())
+                }
+                Turn::Late => {
+                    for mut attempt in open {
+                        self.mark_silent(&mut attempt);
+                        attempt.guard.end(steer::End::Lost);
+                    }
+                    return Err(self.timed_out());
+                }
+            };
+        }
+    }
+
+    /// Waits for the next change of the open attempts. If `is_asking`, begins
+    /// another attempt meanwhile.
+    async fn turn(
+        &mut self,
+        open: &mut Vec<attempt::Attempt>,
+        is_asking: bool,
+        after: Option<u64>,
+    ) -> Turn {
+        let start = Instant::now();
+        let due = start + self.job.left(self.host.clock.now());
+        let silence = self.attempt_timeout().filter(|_| !is_asking);
+        let wake = silence.map_or(due, |silence| (start + silence).min(due));
+        tokio::select! {
+            biased;
+            (index, ended) = attempt::next_ended(open) => Turn::Ended(index, ended),
+            begun = self.begin(after), if is_asking => Turn::Begun(begun),
+            () = tokio::time::sleep_until(wake) => {
+                if wake < due { Turn::Silent } else { Turn::Late }
+            }
+        }
+    }
+
+    /// Sends the request to the first endpoint that takes a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if no endpoint may be tried.
+    async fn begin(&mut self, after: Option<u64>) -> Result<attempt::Attempt, Refusal> {
         loop {
             let now = self.host.clock.now();
             let left = self.job.left(now);
@@ -109,14 +196,20 @@
             if self.sends > 0 && !self.spend_retry(now) {
                 return Err(self.failed("the retry budget is exhausted"));
             }
-            match self.attempt(&pick, after).await {
-                send::Outcome::Answer(answer) => return Ok(*answer),
-                send::Outcome::Retry => {}
-                send::Outcome::Final(refusal) => return Err(refusal),
+            if let Some(attempt) = self.send(pick, after).await {
+                return Ok(attempt);
             }
         }
     }
 
+    /// Records that `open` silent attempts go on, because no other endpoint takes
+    /// the request.
+    pub(crate) fn log_kept(&mut self, open: usize, refusal: &Refusal) {
+        let now = self.host.clock.now();
+        let inputs = format_args!("open={open} {}", refusal.message);
+        self.job.log_step(now, "kept", inputs);
+    }
+
     /// Returns whether the route allows another attempt after a failed one.
     /// A request that no endpoint can have run may always be attempted again.
     pub(crate) fn may_retry(&self) -> bool {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,14 +18,16 @@
 //!
 //! Modules with similar words: `connection` is one connection to an endpoint and
 //! `connections` the pool of idle ones; `ingress` accepts requests, `flow`
-//! directs the attempts and `send` makes one; `plain` and `relay` pass on
-//! answers with one body and streams of events, and `remainder` passes on what
-//! `plain` does not buffer; `exchange` builds the answers for callers, and
+//! directs the attempts, `send` makes one and `attempt` is one that is open;
+//! `plain` and `relay` pass on answers with one body and streams of events,
+//! `source` is one run of a stream, and `remainder` passes on what `plain` does
+//! not buffer; `exchange` builds the answers for callers, and
 //! `reply` the HTTP form of refusals; `mesh`, `gossip`, `publish`, `catch_up`
 //! and `peers` exchange state with other hosts.
 
 mod admit;
 mod answered;
+mod attempt;
 mod catch_up;
 mod connection;
 mod connections;
@@ -60,6 +62,7 @@
 mod request_log;
 mod send;
 mod snapshot;
+mod source;
 mod step;
 mod stop;
 mod transition;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,16 +1,17 @@
+use core::future;
+use core::task;
 use core::time;
 use std::io;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use crate::crash;
-use crate::event;
 use crate::exchange;
 use crate::flow;
 use crate::headers;
 use crate::incoming;
+use crate::source;
 
 /// Multiple of the route's target gap between events after which a resumable
 /// stream counts as stalled.
@@ -26,26 +27,39 @@
 /// A stream of events that is being relayed to the caller.
 struct Relay {
     flow: flow::Flow,
-    answer: Option<incoming::Answer>,
-    splitter: event::Splitter,
+    /// Runs of the request, oldest first. There is more than one while a silent run
+    /// may still go on; the next one that delivers an event replaces the others.
+    sources: Vec<source::Source>,
     /// Id of the last event that was passed on.
     last: Option<u64>,
     has_begun: bool,
     is_over: bool,
     /// When the last event arrived.
     progress: Instant,
+    /// Since when the silence of the runs counts.
+    silent_since: Instant,
 }
 
-/// Result of reading the next events.
-enum Read {
-    Events(Bytes),
-    End,
-    Broken(String),
+/// Change of the runs of a stream.
+enum Turn {
+    /// The run at this place of the list delivered events; the id is that of the
+    /// last one.
+    Events(usize, Bytes, Option<u64>),
+    /// The run at this place of the list is complete.
+    End(usize),
+    /// Runs broke and no other endpoint is being asked.
+    Broken,
     /// No event arrived within the stall time-out.
     Stalled,
+    /// Another endpoint answered, or none can be asked.
+    Found(Result<Box<incoming::Answer>, answer::Refusal>),
+    /// The deadline has passed.
     Late,
 }
 
+/// A run that broke, with the cause.
+type Lost = (source::Source, String);
+
 /// Serves a request whose answer is a stream of events.
 pub(crate) async fn serve(mut flow: flow::Flow) -> exchange::Response {
     let last = flow.job.last_event;
@@ -59,12 +73,12 @@
     headers.remove(http::header::CONTENT_LENGTH);
     let mut relay = Relay {
         flow,
-        answer: Some(answer),
-        splitter: event::Splitter::default(),
+        sources: vec![source::Source::new(answer)],
         last,
         has_begun: false,
         is_over: false,
         progress: Instant::now(),
+        silent_since: Instant::now(),
     };
     if !status.is_success() {
         relay.has_begun = true;
@@ -84,90 +98,154 @@
     /// Returns a refusal if the deadline passes, or if the stream breaks and
     /// cannot be resumed.
     async fn next(&mut self) -> Result<Option<Bytes>, answer::Refusal> {
+        let mut is_asking = false;
         loop {
-            match self.read().await {
-                Read::Events(events) => return Ok(Some(events)),
-                Read::End => {
+            let mut lost = Vec::new();
+            let turn = match is_asking {
+                // The future is large and rarely needed.
+                true => Box::pin(self.ask(&mut lost)).await,
+                false => self.read(&mut lost).await,
+            };
+            for (source, cause) in lost {
+                self.record_lost(source, cause);
+            }
+            is_asking = match turn {
+                Turn::Events(index, events, last) => {
+                    self.keep_only(index);
+                    self.record_events();
+                    self.last = last;
+                    return Ok(Some(events));
+                }
+                Turn::End(index) => {
+                    self.keep_only(index);
                     self.finish();
                     return Ok(None);
                 }
-                Read::Late => return Err(self.time_out()),
-                Read::Broken(cause) => self.resume(cause, crash::Sign::Broken).await?,
-                Read::Stalled => {
-                    let cause = "no event arrived within the stall time-out".to_owned();
-                    self.resume(cause, crash::Sign::Silent).await?;
+                Turn::Late => return Err(self.time_out()),
+                Turn::Stalled => {
+                    self.record_stall();
+                    true
+                }
+                Turn::Broken if !self.sources.is_empty() => false,
+                Turn::Broken if self.flow.may_retry() => true,
+                Turn::Broken => return Err(self.flow.failed("the stream broke")),
+                Turn::Found(Ok(answer)) if answer.status.is_success() => {
+                    self.sources.push(source::Source::new(*answer));
+                    self.silent_since = Instant::now();
+                    false
+                }
+                Turn::Found(found) => {
+                    let text = "the stream could not be resumed";
+                    let refusal = found.err().unwrap_or_else(|| self.flow.failed(text));
+                    if self.sources.is_empty() {
+                        return Err(refusal);
+                    }
+                    self.flow.log_kept(self.sources.len(), &refusal);
+                    self.silent_since = Instant::now();
+                    false
                 }
+            };
+        }
+    }
+
+    /// Waits for the next change of the runs. Runs that break are moved to `lost`.
+    async fn read(&mut self, lost: &mut Vec<Lost>) -> Turn {
+        let due = self.due();
+        let wake = self
+            .stall()
+            .map_or(due, |stall| (self.silent_since + stall).min(due));
+        tokio::select! {
+            biased;
+            turn = next_turn(&mut self.sources, self.last, lost) => turn,
+            () = tokio::time::sleep_until(wake) => {
+                if wake < due { Turn::Stalled } else { Turn::Late }
             }
         }
     }
 
-    async fn read(&mut self) -> Read {
-        let due = Instant::now() + self.flow.job.left(self.flow.host.clock.now());
-        let stall = self.stall();
-        let Some(answer) = &mut self.answer else {
-            return Read::End;
-        };
+    /// Asks another endpoint for the rest of the stream, and waits for the runs
+    /// meanwhile. Runs that break are moved to `lost`.
+    async fn ask(&mut self, lost: &mut Vec<Lost>) -> Turn {
+        let due = self.due();
+        let last = self.last;
+        let mut found = core::pin::pin!(self.flow.next_answer(last));
         loop {
-            let wake = stall.map_or(due, |stall| (self.progress + stall).min(due));
-            let frame = tokio::select! {
-                frame = answer.body.frame() => frame,
-                () = tokio::time::sleep_until(wake) => {
-                    if wake >= due {
-                        return Read::Late;
-                    }
-                    return Read::Stalled;
-                }
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Some(data) = frame.data_ref() else {
-                        continue;
-                    };
-                    self.splitter.push(data);
-                    match take_events(&mut self.splitter, &mut self.last) {
-                        Ok(events) if events.is_empty() => {}
-                        Ok(events) => {
-                            let gap = self.progress.elapsed();
-                            self.progress = Instant::now();
-                            if self.has_begun {
-                                let tags = [("service", self.flow.job.service.as_str())];
-                                self.flow.host.metrics.time("event_gap_ms", &tags, gap);
-                                let longest = &mut self.flow.job.longest_gap;
-                                *longest = gap.max(*longest);
-                            } else {
-                                self.has_begun = true;
-                                answer.guard.record_first_event();
-                                self.flow.record_first_event();
-                                let now = self.flow.host.clock.now();
-                                self.flow.job.log_step(
-                                    now,
-                                    "begun",
-                                    format_args!("endpoint={}", answer.pick.id),
-                                );
-                            }
-                            return Read::Events(events);
-                        }
-                        Err(cause) => return Read::Broken(cause),
-                    }
-                }
-                Some(Err(cause)) => return Read::Broken(cause.to_string()),
-                None => {
-                    let rest = self.splitter.rest();
-                    if rest.is_empty() {
-                        return Read::End;
-                    }
-                    if answer.is_framed() {
-                        return Read::Events(rest);
-                    }
-                    return Read::Broken("the connection ended within an event".to_owned());
-                }
+            tokio::select! {
+                biased;
+                turn = next_turn(&mut self.sources, last, lost) => match turn {
+                    Turn::Broken => {}
+                    turn => return turn,
+                },
+                found = found.as_mut() => return Turn::Found(found.map(Box::new)),
+                () = tokio::time::sleep_until(due) => return Turn::Late,
             }
         }
     }
 
-    /// Returns the time without an event after which the stream counts as
-    /// stalled, or `None` if it cannot be resumed at another endpoint; then
-    /// only the deadline bounds the wait.
+    fn due(&self) -> Instant {
+        Instant::now() + self.flow.job.left(self.flow.host.clock.now())
+    }
+
+    /// Ends all runs but the one at this place of the list. Earlier ones were
+    /// silent.
+    fn keep_only(&mut self, index: usize) {
+        self.sources.truncate(index + 1);
+        for silent in self.sources.drain(..index) {
+            silent.answer.guard.end(steer::End::Lost);
+        }
+    }
+
+    /// Records that events arrived from the only run.
+    fn record_events(&mut self) {
+        let gap = self.progress.elapsed();
+        self.progress = Instant::now();
+        self.silent_since = self.progress;
+        let now = self.flow.host.clock.now();
+        if self.has_begun {
+            let tags = [("service", self.flow.job.service.as_str())];
+            self.flow.host.metrics.time("event_gap_ms", &tags, gap);
+            let longest = &mut self.flow.job.longest_gap;
+            *longest = gap.max(*longest);
+        } else {
+            self.has_begun = true;
+            self.flow.record_first_event();
+        }
+        for source in self.sources.iter_mut().filter(|source| !source.has_begun) {
+            source.has_begun = true;
+            source.answer.guard.record_first_event();
+            let endpoint = &source.answer.pick.id;
+            let inputs = format_args!("endpoint={endpoint}");
+            self.flow.job.log_step(now, "begun", inputs);
+        }
+    }
+
+    fn record_stall(&mut self) {
+        let now = self.flow.host.clock.now();
+        let last = self.last;
+        for source in &self.sources {
+            let pick = &source.answer.pick;
+            self.flow.check_for_crash(pick, crash::Sign::Silent);
+            let inputs = format_args!("endpoint={} last={last:?}", pick.id);
+            self.flow.job.log_step(now, "stalled", inputs);
+        }
+    }
+
+    fn record_lost(&mut self, source: source::Source, cause: String) {
+        let now = self.flow.host.clock.now();
+        let answer = source.answer;
+        let inputs = format_args!(
+            "endpoint={} last={:?} cause={cause}",
+            answer.pick.id, self.last
+        );
+        self.flow.job.log_step(now, "broken", inputs);
+        self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
+        answer.guard.end(steer::End::Lost);
+        self.flow.failure = Some(cause);
+    }
+
+    /// Returns the time without an event after which another endpoint is asked for
+    /// the rest of the stream, or `None` if none may be; then only the deadline
+    /// bounds the wait.
     fn stall(&self) -> Option<time::Duration> {
         let route = &self.flow.job.route;
         let now = self.flow.host.clock.now();
@@ -184,48 +262,21 @@
         Some(pause.max(STALL_MIN))
     }
 
-    /// Resumes the stream at another endpoint after the last complete event.
-    async fn resume(&mut self, cause: String, sign: crash::Sign) -> Result<(), answer::Refusal> {
-        self.splitter = event::Splitter::default();
-        let now = self.flow.host.clock.now();
-        let endpoint = self
-            .answer
-            .as_ref()
-            .map_or("", |answer| answer.pick.id.as_str());
-        let inputs = format!("endpoint={endpoint} last={:?} cause={cause}", self.last);
-        self.flow
-            .job
-            .log_step(now, "broken", format_args!("{inputs}"));
-        if let Some(answer) = self.answer.take() {
-            self.flow.check_for_crash(&answer.pick, sign);
-            answer.guard.end(steer::End::Lost);
-        }
-        self.flow.failure = Some(cause);
-        if !self.flow.may_retry() {
-            return Err(self.flow.failed("the stream broke"));
-        }
-        let answer = self.flow.next_answer(self.last).await?;
-        if !answer.status.is_success() {
-            return Err(self.flow.failed("the stream could not be resumed"));
-        }
-        self.answer = Some(answer);
-        self.progress = Instant::now();
-        Ok(())
-    }
-
+    /// Ends the stream with its only run.
     fn finish(&mut self) {
         self.is_over = true;
         self.flow.conclude("served");
-        if let Some(answer) = self.answer.take() {
-            self.flow.record_completion(&answer);
-            answer.finish(&self.flow.host);
+        for source in self.sources.drain(..) {
+            self.flow.record_completion(&source.answer);
+            source.answer.finish(&self.flow.host);
         }
     }
 
     fn time_out(&mut self) -> answer::Refusal {
-        if let Some(answer) = self.answer.take() {
-            self.flow.check_for_crash(&answer.pick, crash::Sign::Silent);
-            answer.guard.end(steer::End::Lost);
+        for source in self.sources.drain(..) {
+            let pick = &source.answer.pick;
+            self.flow.check_for_crash(pick, crash::Sign::Silent);
+            source.answer.guard.end(steer::End::Lost);
         }
         self.flow.timed_out()
     }
@@ -241,27 +292,31 @@
     }
 }
 
-/// Takes the complete events from the buffer and updates the last event id.
+/// Waits for the next change of the runs. Runs that break are moved to `lost`.
 ///
-/// # Errors
-///
-/// Fails if an id does not increase: the endpoint sent an event that was
-/// passed on before.
-fn take_events(splitter: &mut event::Splitter, last: &mut Option<u64>) -> Result<Bytes, String> {
-    let mut events = BytesMut::new();
-    while let Some(whole) = splitter.next_event() {
-        if let Some(id) = event::id(&whole) {
-            if last.is_some_and(|last| id <= last) {
-                return Err(format!(
-                    "event {id} comes after event {}",
-                    last.unwrap_or(0)
-                ));
+/// It never returns if the list is empty. Cancelling it loses nothing.
+async fn next_turn(
+    sources: &mut Vec<source::Source>,
+    last: Option<u64>,
+    lost: &mut Vec<Lost>,
+) -> Turn {
+    let (index, read) = future::poll_fn(|context| {
+        for (index, source) in sources.iter_mut().enumerate() {
+            if let task::Poll::Ready(read) = source.poll_read(context, last) {
+                return task::Poll::Ready((index, read));
             }
-            *last = Some(id);
         }
-        events.extend_from_slice(&whole);
+        task::Poll::Pending
+    })
+    .await;
+    match read {
+        source::Read::Events(events, last) => Turn::Events(index, events, last),
+        source::Read::End => Turn::End(index),
+        source::Read::Broken(cause) => {
+            lost.push((sources.remove(index), cause));
+            Turn::Broken
+        }
     }
-    Ok(events.freeze())
 }
 
 struct Body {
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -3,9 +3,9 @@
 use answer::Refusal;
 use base::mutex;
 use http::header;
-use tokio::time::Instant;
 
 use crate::answered;
+use crate::attempt;
 use crate::connection;
 use crate::crash;
 use crate::flow;
@@ -15,10 +15,6 @@
 use crate::request_log;
 use crate::step;
 
-/// Longest wait for a connection. Data centres of a region are milliseconds
-/// apart, so an endpoint that does not accept within this time is down.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-
 /// Time-out of an attempt at plain work, as a share of the route's target for
 /// the first event, if another endpoint can be tried.
 const PLAIN_TIMEOUT_SHARE: f64 = 0.9;
@@ -36,19 +32,25 @@
     Answer(Box<incoming::Answer>),
     /// The attempt failed and another endpoint may be tried.
     Retry,
-    /// The request is refused without further attempts.
+    /// The attempt failed and no other endpoint may be tried. This is the refusal
+    /// unless another attempt is still open.
     Final(Refusal),
 }
 
 impl flow::Flow {
-    /// Sends the request to one endpoint and waits for the head of its answer.
+    /// Sends the request to one endpoint. Returns `None` if nothing was sent.
     /// `after` is the id of the last event that the caller has received.
-    pub(crate) async fn attempt(&mut self, pick: &steer::Pick, after: Option<u64>) -> Outcome {
-        let guard = guard::Guard::start(&self.host, pick, &self.job.work);
+    pub(crate) async fn send(
+        &mut self,
+        pick: steer::Pick,
+        after: Option<u64>,
+    ) -> Option<attempt::Attempt> {
+        let guard = guard::Guard::start(&self.host, &pick, &self.job.work);
+        let connection = self.connect(&pick).await;
         self.tried.push(pick.key);
-        let Some(connection) = self.connect(pick).await else {
+        let Some(connection) = connection else {
             guard.end(steer::End::Unreachable);
-            return Outcome::Retry;
+            return None;
         };
         // The endpoint may have started to drain during the connect.
         let now = self.host.clock.now();
@@ -58,9 +60,17 @@
                 "skipped",
                 format_args!("endpoint={} is leaving", pick.id),
             );
-            return Outcome::Retry;
+            return None;
         }
-        self.exchange(pick, after, connection, guard).await
+        let request = self.request(&pick, after);
+        self.sends += 1;
+        self.possible_runs += 1;
+        request_log::start(&self.host, &mut self.job);
+        let host = self.host.clone();
+        let due = self.job.due;
+        Some(attempt::Attempt::start(
+            host, due, pick, guard, connection, request,
+        ))
     }
 
     async fn connect(&mut self, pick: &steer::Pick) -> Option<connection::Connection> {
@@ -73,7 +83,7 @@
         }
         let left = self.job.left(self.host.clock.now());
         self.host.metrics.count("connections", &[]);
-        match connection::Connection::open(pick.address, CONNECT_TIMEOUT.min(left)).await {
+        match connection::Connection::open(pick.address, attempt::CONNECT_TIMEOUT.min(left)).await {
             Ok(connection) => {
                 mutex::lock(&self.host.balancer).mark_reachable(pick.key);
                 Some(connection)
@@ -91,84 +101,43 @@
         }
     }
 
-    async fn exchange(
-        &mut self,
-        pick: &steer::Pick,
-        after: Option<u64>,
-        mut connection: connection::Connection,
-        guard: guard::Guard,
-    ) -> Outcome {
-        let mut request = self.request(pick, after);
-        self.sends += 1;
-        self.possible_runs += 1;
-        request_log::start(&self.host, &mut self.job);
-        loop {
-            let answer = self.head(&mut connection, request).await;
-            match answer {
-                Ok(Some(response)) => return self.handle_answer(pick, response, connection, guard),
-                Ok(None) => return self.no_answer(pick, guard),
-                Err(connection::Failure::NotSent(unsent)) => {
-                    // The endpoint had already closed the reused connection.
-                    let Some(fresh) = self.reconnect(pick).await else {
-                        self.sends -= 1;
-                        self.possible_runs -= 1;
-                        guard.end(steer::End::Unreachable);
-                        return Outcome::Retry;
-                    };
-                    connection = fresh;
-                    request = *unsent;
-                }
-                Err(connection::Failure::Broken(cause)) => {
-                    self.check_for_crash(pick, crash::Sign::Broken);
-                    return self.outcome_unknown(pick, guard, steer::End::Lost, cause);
-                }
+    /// Decides on an attempt that has ended. `is_last` tells that no other attempt
+    /// is open.
+    pub(crate) fn judge(&mut self, ended: attempt::Ended, is_last: bool) -> Outcome {
+        let attempt::Ended { pick, guard, head } = ended;
+        match head {
+            Ok((response, connection)) => {
+                self.handle_answer(&pick, response, connection, guard, is_last)
             }
-        }
-    }
-
-    async fn reconnect(&mut self, pick: &steer::Pick) -> Option<connection::Connection> {
-        self.host.metrics.count("connections", &[]);
-        let left = self.job.left(self.host.clock.now());
-        match connection::Connection::open(pick.address, CONNECT_TIMEOUT.min(left)).await {
-            Ok(connection) => Some(connection),
-            Err(cause) => {
+            Err(attempt::Failure::Unreachable(cause)) => {
+                self.sends -= 1;
+                self.possible_runs -= 1;
                 self.failure = Some(cause);
-                None
+                guard.end(steer::End::Unreachable);
+                Outcome::Retry
+            }
+            Err(attempt::Failure::Broken(cause)) => {
+                self.check_for_crash(&pick, crash::Sign::Broken);
+                self.outcome_unknown(&pick, guard, steer::End::Lost, cause)
             }
         }
     }
 
-    /// Waits for the head of the answer. Returns `None` if the attempt timed
-    /// out and a retry is available, or if the deadline has passed.
-    async fn head(
-        &mut self,
-        connection: &mut connection::Connection,
-        request: connection::Request,
-    ) -> Result<Option<connection::Response>, connection::Failure> {
-        let start = Instant::now();
-        let left = self.job.left(self.host.clock.now());
-        let due = start + left;
-        let mut wake = self
-            .attempt_timeout()
-            .map_or(due, |timeout| (start + timeout).min(due));
-        let mut sending = core::pin::pin!(connection.send(request));
-        loop {
-            tokio::select! {
-                sent = sending.as_mut() => return sent.map(Some),
-                () = tokio::time::sleep_until(wake) => {
-                    let now = self.host.clock.now();
-                    if wake >= due || self.host.has_retry(now, &self.job.service) {
-                        return Ok(None);
-                    }
-                    wake = due;
-                }
-            }
+    /// Records that the endpoint of an attempt is silent. The attempt stays open.
+    pub(crate) fn mark_silent(&mut self, attempt: &mut attempt::Attempt) {
+        if core::mem::replace(&mut attempt.is_silent, true) {
+            return;
         }
+        let now = self.host.clock.now();
+        self.check_for_crash(&attempt.pick, crash::Sign::Silent);
+        self.job
+            .log_step(now, "silent", format_args!("endpoint={}", attempt.pick.id));
+        self.failure = Some("the endpoint did not answer in time".to_owned());
     }
 
-    /// Returns how long this attempt may wait before another endpoint is
-    /// tried, or `None` if the route allows no further attempt.
-    fn attempt_timeout(&self) -> Option<time::Duration> {
+    /// Returns how long the endpoints may be silent before another one is tried as
+    /// well, or `None` if the route allows no further attempt.
+    pub(crate) fn attempt_timeout(&self) -> Option<time::Duration> {
         let route = &self.job.route;
         if !route.kind.is_retryable() || self.possible_runs >= route.attempts_max {
             return None;
@@ -186,6 +155,7 @@
         response: connection::Response,
         connection: connection::Connection,
         guard: guard::Guard,
+        is_last: bool,
     ) -> Outcome {
         let now = self.host.clock.now();
         let names = &self.host.options.headers;
@@ -225,7 +195,7 @@
                 self.failure = Some(format!("status {}", status.as_u16()));
                 Outcome::Retry
             }
-            answered::Answered::Failed if self.must_hide(&response) => {
+            answered::Answered::Failed if !is_last || self.must_hide(&response) => {
                 guard.end(steer::End::Failed);
                 self.failure = Some(format!("status {}", status.as_u16()));
                 Outcome::Final(self.failed("the endpoint failed"))
@@ -255,7 +225,7 @@
     }
 
     /// Ends an attempt after which it is unknown whether the request ran.
-    pub(crate) fn outcome_unknown(
+    fn outcome_unknown(
         &mut self,
         pick: &steer::Pick,
         guard: guard::Guard,
@@ -277,23 +247,10 @@
     }
 
     /// Returns whether the route and the retry budget allow another attempt.
-    fn can_retry(&self, now: time::Duration) -> bool {
+    pub(crate) fn can_retry(&self, now: time::Duration) -> bool {
         self.may_retry() && self.host.has_retry(now, &self.job.service)
     }
 
-    fn no_answer(&mut self, pick: &steer::Pick, guard: guard::Guard) -> Outcome {
-        let now = self.host.clock.now();
-        self.check_for_crash(pick, crash::Sign::Silent);
-        self.job
-            .log_step(now, "silent", format_args!("endpoint={}", pick.id));
-        guard.end(steer::End::Lost);
-        self.failure = Some("the endpoint did not answer in time".to_owned());
-        if self.can_retry(now) {
-            return Outcome::Retry;
-        }
-        Outcome::Final(self.timed_out())
-    }
-
     fn request(&self, pick: &steer::Pick, after: Option<u64>) -> connection::Request {
         let names = &self.host.options.headers;
         let mut request = http::Request::new(http_body_util::Full::new(self.job.body.clone()));
--- /dev/null
+++ b/crates/edge/src/source.rs
@@ -0,0 +1,99 @@
+use core::pin;
+use core::task;
+
+use bytes::{Bytes, BytesMut};
+use hyper::body::Body;
+
+use crate::event;
+use crate::incoming;
+
+/// Result of reading the next events of a run.
+pub(crate) enum Read {
+    /// Complete events, and the id of the last one that has an id.
+    Events(Bytes, Option<u64>),
+    End,
+    Broken(String),
+}
+
+/// The events of one run of a stream.
+pub(crate) struct Source {
+    pub(crate) answer: incoming::Answer,
+    splitter: event::Splitter,
+    /// Whether the run has delivered an event.
+    pub(crate) has_begun: bool,
+}
+
+impl Source {
+    /// Returns the events of an answer whose head has arrived.
+    pub(crate) fn new(answer: incoming::Answer) -> Self {
+        Self {
+            answer,
+            splitter: event::Splitter::default(),
+            has_begun: false,
+        }
+    }
+
+    /// Reads the next events. `after` is the id of the last event that the caller
+    /// has received.
+    pub(crate) fn poll_read(
+        &mut self,
+        context: &mut task::Context<'_>,
+        after: Option<u64>,
+    ) -> task::Poll<Read> {
+        loop {
+            let body = pin::Pin::new(&mut self.answer.body);
+            let read = match task::ready!(body.poll_frame(context)) {
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else {
+                        continue;
+                    };
+                    self.splitter.push(data);
+                    match self.take_events(after) {
+                        Ok((events, _)) if events.is_empty() => continue,
+                        Ok((events, last)) => Read::Events(events, last),
+                        Err(cause) => Read::Broken(cause),
+                    }
+                }
+                Some(Err(cause)) => Read::Broken(cause.to_string()),
+                None => self.read_rest(after),
+            };
+            return task::Poll::Ready(read);
+        }
+    }
+
+    /// Reads what follows the last complete event at the end of the answer.
+    fn read_rest(&mut self, after: Option<u64>) -> Read {
+        let rest = self.splitter.rest();
+        if rest.is_empty() {
+            return Read::End;
+        }
+        if self.answer.is_framed() {
+            return Read::Events(rest, after);
+        }
+        Read::Broken("the connection ended within an event".to_owned())
+    }
+
+    /// Takes the complete events from the buffer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an id does not increase: the endpoint sent an event that was
+    /// passed on before.
+    fn take_events(&mut self, after: Option<u64>) -> Result<(Bytes, Option<u64>), String> {
+        let mut events = BytesMut::new();
+        let mut last = after;
+        while let Some(whole) = self.splitter.next_event() {
+            if let Some(id) = event::id(&whole) {
+                if last.is_some_and(|last| id <= last) {
+                    return Err(format!(
+                        "event {id} comes after event {}",
+                        last.unwrap_or(0)
+                    ));
+                }
+                last = Some(id);
+            }
+            events.extend_from_slice(&whole);
+        }
+        Ok((events.freeze(), last))
+    }
+}
--- a/crates/edge/tests/streams.rs
+++ b/crates/edge/tests/streams.rs
@@ -134,6 +134,8 @@
     let answer = common::call(&host, &common::request("POST", "/long/a", "r1", "", "p")).await;
     assert!(answer.is_whole, "{}", answer.text());
     assert_eq!(answer.text(), whole(1, 6));
+    // The first run is cancelled once the second one has delivered an event.
+    tokio::time::sleep(common::ms(400)).await;
     let cancelled = |endpoint: &endpoint::Endpoint| {
         endpoint.cancelled.load(std::sync::atomic::Ordering::SeqCst)
     };
