test(edge,platform): ports outside the range of outgoing connections

Cause: tests found a free port in the range from which the system assigns ports to outgoing connections, released it and let the host bind it. Another connection could take it in between: 'Address already in use'. Change: ports are taken between 10,000 and 30,000, as the soak does. Conclusion: traced for edge.

--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -12,18 +12,24 @@
 use std::net;
 use std::sync;
 
+use rand::RngExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 pub fn ms(ms: u64) -> time::Duration {
     time::Duration::from_millis(ms)
 }
 
+/// Ports outside the range that the system assigns to outgoing connections, which
+/// could take a port before the host binds it.
+const PORTS: core::ops::Range<u16> = 10_000..30_000;
+
 /// Returns an address whose port is free for TCP and UDP.
 pub fn free() -> net::SocketAddr {
     loop {
-        let tcp = net::TcpListener::bind("127.0.0.1:0").expect("port");
-        let address = tcp.local_addr().expect("address");
-        if net::UdpSocket::bind(address).is_ok() {
+        let address = net::SocketAddr::from(([127, 0, 0, 1], rand::rng().random_range(PORTS)));
+        let is_free =
+            net::TcpListener::bind(address).is_ok() && net::UdpSocket::bind(address).is_ok();
+        if is_free {
             return address;
         }
     }
