feat(edge,platform): logs state the builds of endpoints and resumed streams

Cause: the logs did not say which version of the software an endpoint runs, nor that a request takes a stream up again, so the hypotheses on streams of two builds could not be told apart. The lines endpoint added and picked state the build, the step resumes the request that began the stream and the last event. No choice depends on it yet. Conclusion: observability only.

--- a/crates/edge/src/extension.rs
+++ b/crates/edge/src/extension.rs
@@ -24,15 +24,18 @@
         }
     }
 
-    /// Decodes the extension from the bytes after a message.
+    /// Decodes the extension from the bytes after a message, and returns the bytes
+    /// after it. Without bytes it stays as it is.
     ///
     /// # Errors
     ///
     /// Fails if there are bytes and they are malformed.
-    pub(crate) fn decode(rest: &[u8]) -> Result<Self, postcard::Error> {
+    pub(crate) fn take<'a>(&mut self, rest: &'a [u8]) -> Result<&'a [u8], postcard::Error> {
         if rest.is_empty() {
-            return Ok(Self::default());
+            return Ok(rest);
         }
-        postcard::from_bytes(rest)
+        let (extension, rest) = postcard::take_from_bytes(rest)?;
+        *self = extension;
+        Ok(rest)
     }
 }
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -294,8 +294,8 @@
                     now,
                     "picked",
                     format_args!(
-                        "endpoint={} near={} rank={rank} cached={} share={:.2} meant={} wait_ms={:.0} unread={} report_age_ms={age}",
-                        pick.id, pick.is_local, pick.is_cached, pick.interactive_share, pick.is_reserved, pick.wait_ms, pick.prefill_tokens
+                        "endpoint={} build={} near={} rank={rank} cached={} share={:.2} meant={} wait_ms={:.0} unread={} report_age_ms={age}",
+                        pick.id, pick.build.as_deref().unwrap_or("-"), pick.is_local, pick.is_cached, pick.interactive_share, pick.is_reserved, pick.wait_ms, pick.prefill_tokens
                     ),
                 );
                 Ok(pick)
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -109,7 +109,7 @@
     /// Decodes a message, also one without an extension.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        message.extension = extension::Extension::decode(rest)?;
+        message.extension.take(rest)?;
         Ok(message)
     }
 
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -30,6 +30,8 @@
     pub prompt: HeaderName,
     /// Id of the last event that the caller of a resumed stream has received.
     pub last_event: HeaderName,
+    /// Id of the request that brought the first event of a resumed stream.
+    pub origin: HeaderName,
     /// Further headers that callers must not set; they are removed from
     /// requests.
     pub reserved: Vec<HeaderName>,
@@ -52,6 +54,7 @@
             tokens: name("x-tokens"),
             prompt: name("x-prompt"),
             last_event: name("last-event-id"),
+            origin: name("x-resumes"),
             reserved: Vec::new(),
         }
     }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -382,6 +382,11 @@
             self.changed.notify_one();
         }
         let version = registry.version().to_string();
+        let build = |id: &str| {
+            let endpoint = endpoints.iter().find(|endpoint| endpoint.id == id);
+            let build = endpoint.and_then(|endpoint| endpoint.build.as_deref());
+            build.unwrap_or("-")
+        };
         for change in changes {
             let (what, id) = match &change {
                 steer::Change::Added(id) => ("added", id),
@@ -391,7 +396,7 @@
             };
             log::info!(
                 target: "edge",
-                endpoint = id.as_str(), change = what, version = version.as_str();
+                endpoint = id.as_str(), build = build(id), change = what, version = version.as_str();
                 "endpoint {what}, {count} listed"
             );
         }
@@ -415,6 +420,11 @@
             plan: plan.filter(|plan| !is_known(plan)).cloned(),
             plan_revision: plan_version.revision,
             endpoint_revision: registry.version().revision,
+            builds: registry
+                .endpoints()
+                .into_iter()
+                .map(|endpoint| endpoint.build)
+                .collect(),
             endpoints: registry.endpoints(),
             // CAST: A process does not run long enough to exceed the range.
             age_ms: self.plan_age(now).as_millis() as u64,
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -84,6 +84,11 @@
         job.plan,
     );
     job.log_step(now, "routed", format_args!("{inputs}"));
+    if let Some(last) = job.last_event {
+        let origin = job::printable(job.origin.as_ref());
+        let inputs = format_args!("origin={origin} last={last}");
+        job.log_step(now, "resumes", inputs);
+    }
     let is_stream = job.route.kind.is_stream();
     let flow = flow::Flow::new(host.clone(), job);
     if is_stream {
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -36,6 +36,8 @@
     pub(crate) fingerprint: u64,
     /// Id of the last event that the caller has already received.
     pub(crate) last_event: Option<u64>,
+    /// Request that brought the first event of the stream, if the caller resumes it.
+    pub(crate) origin: Option<http::HeaderValue>,
     pub(crate) record: record::Record,
     /// Longest gap between two events that were passed on.
     pub(crate) longest_gap: time::Duration,
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -153,10 +153,17 @@
     ) {
         self.held_removals.clear();
         self.versions.clear();
-        self.endpoints = list
-            .into_iter()
-            .map(|endpoint| (endpoint.id.clone(), endpoint))
-            .collect();
+        let known = core::mem::take(&mut self.endpoints);
+        for mut endpoint in list {
+            // Hosts of earlier builds do not state the builds of endpoints.
+            if endpoint.build.is_none()
+                && let Some(known) = known.get(&endpoint.id)
+                && known.started_ms == endpoint.started_ms
+            {
+                endpoint.build.clone_from(&known.build);
+            }
+            self.endpoints.insert(endpoint.id.clone(), endpoint);
+        }
         self.version = version.into();
     }
 
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -17,19 +17,30 @@
     pub(crate) age_ms: u64,
     #[serde(skip)]
     pub(crate) extension: extension::Extension,
+    /// Versions of the software of the endpoints, in their order. They follow the
+    /// extension; hosts of builds without them ignore the bytes.
+    #[serde(skip)]
+    pub(crate) builds: Vec<Option<String>>,
 }
 
 impl Snapshot {
-    /// Encodes the snapshot and its extension.
+    /// Encodes the snapshot, its extension and the builds of the endpoints.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = postcard::to_allocvec(self)?;
-        postcard::to_extend(&self.extension, bytes)
+        let bytes = postcard::to_extend(&self.extension, bytes)?;
+        postcard::to_extend(&self.builds, bytes)
     }
 
-    /// Decodes a snapshot, also one without an extension.
+    /// Decodes a snapshot, also one without an extension or without builds.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut snapshot, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        snapshot.extension = extension::Extension::decode(rest)?;
+        let rest = snapshot.extension.take(rest)?;
+        if !rest.is_empty() {
+            snapshot.builds = postcard::from_bytes(rest)?;
+        }
+        for (endpoint, build) in snapshot.endpoints.iter_mut().zip(&mut snapshot.builds) {
+            endpoint.build = build.take();
+        }
         if let Some(plan) = &mut snapshot.plan {
             plan.era = snapshot.extension.plan_era;
         }
--- a/crates/edge/tests/common/endpoint.rs
+++ b/crates/edge/tests/common/endpoint.rs
@@ -109,6 +109,7 @@
             slots: 8,
             phase: plan::Phase::Up,
             started_ms: 1,
+            build: Some("v1".into()),
         }
     }
 
--- a/crates/edge/tests/common/engine.rs
+++ b/crates/edge/tests/common/engine.rs
@@ -98,6 +98,7 @@
             slots: 24,
             phase: plan::Phase::Up,
             started_ms: started,
+            build: Some("v1".into()),
         }
     }
 }
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -16,6 +16,7 @@
         slots: 1,
         phase,
         started_ms: 0,
+        build: Some("v1".into()),
     })
 }
 
--- a/crates/plan/src/endpoint.rs
+++ b/crates/plan/src/endpoint.rs
@@ -28,4 +28,9 @@
     pub phase: Phase,
     /// Start of the process in Unix milliseconds; 0 if it is not published.
     pub started_ms: u64,
+    /// Version of the endpoint's software; `None` if it is not known. Snapshots
+    /// between hosts state it beside the endpoint, because hosts of earlier builds
+    /// do not expect it here.
+    #[serde(skip)]
+    pub build: Option<String>,
 }
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -299,6 +299,7 @@
             key: best.key,
             id: endpoint.listed.id.clone(),
             started_ms: endpoint.listed.started_ms,
+            build: endpoint.listed.build.clone(),
             address: endpoint.listed.address,
             is_local: endpoint.listed.data_centre == self.options.data_centre,
             wait_ms: best.wait_ms,
--- a/crates/steer/src/pick.rs
+++ b/crates/steer/src/pick.rs
@@ -14,6 +14,8 @@
     /// When its process started, in Unix milliseconds. An endpoint may start again
     /// under the same identifier.
     pub started_ms: u64,
+    /// Version of its software; `None` if it is not known.
+    pub build: Option<String>,
     /// Address that accepts requests.
     pub address: net::SocketAddr,
     /// Whether the endpoint is in the own data centre.
--- a/crates/steer/tests/common/mod.rs
+++ b/crates/steer/tests/common/mod.rs
@@ -24,6 +24,7 @@
         slots: 64,
         phase: plan::Phase::Up,
         started_ms: 0,
+        build: Some("v1".into()),
     }
 }
 
--- a/crates/steer/tests/faults.rs
+++ b/crates/steer/tests/faults.rs
@@ -21,6 +21,7 @@
             slots: 6,
             phase: plan::Phase::Up,
             started_ms: 1,
+            build: Some("v1".into()),
         })
         .collect()
 }
--- a/crates/steer/tests/wide.rs
+++ b/crates/steer/tests/wide.rs
@@ -47,6 +47,7 @@
             slots: SLOTS,
             phase: plan::Phase::Up,
             started_ms: 0,
+            build: Some("v1".into()),
         })
         .collect();
     balancer.replace(&list);
