test(edge): runs, retries and limits that are given up or out of date

A stream that follows a failure is sent under the status of the failure. The HTTP library keeps the limit of heads that was in force at the start.

--- a/crates/edge/tests/configuration.rs
+++ b/crates/edge/tests/configuration.rs
@@ -303,3 +303,17 @@
     stream.write_all(second.as_bytes()).await.expect("send");
     assert_eq!(common::read(&mut stream).await.status, 200);
 }
+
+// Guards against a limit of the listener that stays as it was at its start.
+#[tokio::test]
+async fn a_longer_head_is_accepted_by_the_limit_in_force() {
+    let one = endpoint::Endpoint::start("e1", |request| endpoint::ok(request, "x")).await;
+    let host = common::host(&[&one]).await;
+    let mut plan = common::plan(2);
+    plan.limits.header_bytes = 256 << 10;
+    host.apply_plan(plan, "test");
+    let long = format!("x-long: {}\r\n", "x".repeat(200 << 10));
+    let text = common::request("GET", "/look/a", "r1", &long, "");
+    let answer = common::call(&host, &text).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
--- a/crates/edge/tests/streams.rs
+++ b/crates/edge/tests/streams.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::endpoint::{self, Step};
+use rstest::rstest;
 
 fn whole(from: u64, to: u64) -> String {
     (from..=to).map(endpoint::event).collect()
@@ -146,6 +147,39 @@
     );
 }
 
+// Guards against events of one run under the status of a failure of another one.
+#[rstest]
+#[case::breaks(Step::Reset)]
+#[case::hangs(Step::Hang)]
+#[tokio::test]
+async fn a_failure_that_breaks_is_not_continued_by_a_stream(#[case] end: Step) {
+    let served = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let script = move |served: &std::sync::atomic::AtomicUsize, request: &endpoint::Request| {
+        if served.fetch_add(1, std::sync::atomic::Ordering::SeqCst) > 0 {
+            return rest(request);
+        }
+        let text = endpoint::text(
+            request,
+            404,
+            "x-signature: sig\r\n",
+            "there is no such thing",
+        );
+        vec![
+            Step::Bytes(text[..text.len() - 9].into()),
+            Step::Pause(common::ms(50)),
+            end.clone(),
+        ]
+    };
+    let (first, second) = (script.clone(), script);
+    let counts = (served.clone(), served);
+    let one = endpoint::Endpoint::start("e1", move |request| first(&counts.0, request)).await;
+    let two = endpoint::Endpoint::start("e2", move |request| second(&counts.1, request)).await;
+    let host = common::host(&[&one, &two]).await;
+    let answer = common::call(&host, &common::request("POST", "/long/a", "r1", "", "p")).await;
+    let is_mixed = answer.status != 200 && answer.text().contains("data: word");
+    assert!(!is_mixed, "{answer:?}");
+}
+
 #[test]
 fn events_are_split_wherever_reads_end() {
     let text = format!(
