fix(edge): keep silent attempts open until an answer is complete or has begun

What callers saw: 502 or 504 although a silent endpoint would have answered. An attempt that ended while another one was connecting dropped that one with the retry that was paid for it. A run that broke while another endpoint was asked was not probed until that endpoint answered, and a long silence was probed once a second. Class: giving up what works before the replacement is certain. Change: open attempts belong to the request (flow::Flow::open) and stay until commit: the first event of a stream, the whole body or the full buffer of another answer. Connecting is part of an attempt, so beginning one needs no await and nothing is dropped half way. Each broken run is handled at once, each silence is noticed once. Conclusion: the cause is removed from the path of a request in edge.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,22 +1,27 @@
+use core::fmt;
 use core::future;
 use core::pin;
 use core::task;
 use core::time;
 use std::sync;
 
+use base::mutex;
+
 use crate::connection;
 use crate::guard;
 use crate::host;
 
 /// Longest wait for a connection. Data centres of a region are milliseconds
 /// apart, so an endpoint that does not accept within this time is down.
-pub(crate) const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
 /// Why an attempt ended without the head of an answer.
 #[derive(Debug)]
 pub(crate) enum Failure {
-    /// The request was not sent, because a connection could not be opened.
+    /// A connection could not be opened; nothing was sent.
     Unreachable(String),
+    /// The endpoint began to leave before the request was sent.
+    Leaving,
     /// The request may have reached the endpoint.
     Broken(String),
 }
@@ -24,9 +29,23 @@
 /// The head of the answer to an attempt, and the connection on which it arrived.
 type Head = Result<(connection::Response, connection::Connection), Failure>;
 
-/// A request that was sent to an endpoint whose answer has not begun. Dropping it
+/// A request on its way to one endpoint.
+pub(crate) struct Dispatch {
+    pub(crate) host: sync::Arc<host::Host>,
+    /// Deadline of the answer, since the start of the process.
+    pub(crate) due: time::Duration,
+    pub(crate) pick: steer::Pick,
+    /// An idle connection to the endpoint.
+    pub(crate) connection: Option<connection::Connection>,
+    /// The request, without the time that is left.
+    pub(crate) request: connection::Request,
+}
+
+/// A request that is sent to an endpoint whose answer has not begun. Dropping it
 /// cancels the request.
 pub(crate) struct Attempt {
+    /// Number of the attempt within its request.
+    pub(crate) number: u32,
     pub(crate) pick: steer::Pick,
     pub(crate) guard: guard::Guard,
     /// Whether the silence of the endpoint was noticed.
@@ -34,38 +53,41 @@
     exchange: pin::Pin<Box<dyn Future<Output = Head> + Send>>,
 }
 
+impl fmt::Debug for Attempt {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Attempt")
+            .field("number", &self.number)
+            .field("pick", &self.pick)
+            .finish_non_exhaustive()
+    }
+}
+
 /// An attempt that has ended.
 pub(crate) struct Ended {
+    pub(crate) number: u32,
     pub(crate) pick: steer::Pick,
     pub(crate) guard: guard::Guard,
     pub(crate) head: Head,
 }
 
 impl Attempt {
-    /// Sends the request on a connection. `due` is the deadline of the answer,
-    /// since the start of the process.
-    pub(crate) fn start(
-        host: sync::Arc<host::Host>,
-        due: time::Duration,
-        pick: steer::Pick,
-        guard: guard::Guard,
-        connection: connection::Connection,
-        request: connection::Request,
-    ) -> Self {
+    /// Begins to connect and to send.
+    pub(crate) fn start(number: u32, guard: guard::Guard, dispatch: Dispatch) -> Self {
         Self {
-            pick,
+            number,
+            pick: dispatch.pick.clone(),
             guard,
             is_silent: false,
-            exchange: Box::pin(exchange(host, due, connection, request)),
+            exchange: Box::pin(dispatch.exchange()),
         }
     }
 }
 
-/// Waits until one of the attempts ends, removes it from the list and returns it
-/// with its place there.
+/// Waits until one of the attempts ends and removes it from the list.
 ///
 /// It never returns if the list is empty. Cancelling it loses nothing.
-pub(crate) async fn next_ended(open: &mut Vec<Attempt>) -> (usize, Ended) {
+pub(crate) async fn next_ended(open: &mut Vec<Attempt>) -> Ended {
     let (index, head) = future::poll_fn(|context| {
         for (index, attempt) in open.iter_mut().enumerate() {
             if let task::Poll::Ready(head) = attempt.exchange.as_mut().poll(context) {
@@ -76,32 +98,55 @@
     })
     .await;
     let attempt = open.remove(index);
-    let ended = Ended {
+    Ended {
+        number: attempt.number,
         pick: attempt.pick,
         guard: attempt.guard,
         head,
-    };
-    (index, ended)
+    }
 }
 
-async fn exchange(
-    host: sync::Arc<host::Host>,
-    due: time::Duration,
-    mut connection: connection::Connection,
-    mut request: connection::Request,
-) -> Head {
-    loop {
-        match connection.send(request).await {
-            Ok(response) => return Ok((response, connection)),
-            Err(connection::Failure::Broken(cause)) => return Err(Failure::Broken(cause)),
-            // The endpoint had already closed the reused connection.
-            Err(connection::Failure::NotSent(unsent)) => request = *unsent,
+impl Dispatch {
+    async fn exchange(mut self) -> Head {
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
+        // The endpoint may have started to drain during the connect.
+        if !mutex::lock(&self.host.balancer).is_accepting(self.pick.key) {
+            return Err(Failure::Leaving);
         }
-        host.metrics.count("connections", &[]);
-        let left = due.saturating_sub(host.clock.now());
-        let timeout = CONNECT_TIMEOUT.min(left);
-        connection = connection::Connection::open(connection.address, timeout)
+        let mut request = self.request.clone();
+        loop {
+            let left = self.left();
+            if left.is_zero() {
+                return Err(Failure::Unreachable("the deadline has passed".to_owned()));
+            }
+            let name = self.host.options.headers.deadline_ms.clone();
+            // CAST: A deadline is far below the range.
+            let left = left.as_millis() as u64;
+            request.headers_mut().insert(name, left.into());
+            match connection.send(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(connection::Failure::Broken(cause)) => return Err(Failure::Broken(cause)),
+                // The endpoint had already closed the reused connection.
+                Err(connection::Failure::NotSent(unsent)) => request = *unsent,
+            }
+            connection = self.connect().await?;
+        }
+    }
+
+    async fn connect(&self) -> Result<connection::Connection, Failure> {
+        self.host.metrics.count("connections", &[]);
+        let timeout = CONNECT_TIMEOUT.min(self.left());
+        let connection = connection::Connection::open(self.pick.address, timeout)
             .await
             .map_err(Failure::Unreachable)?;
+        mutex::lock(&self.host.balancer).mark_reachable(self.pick.key);
+        Ok(connection)
+    }
+
+    fn left(&self) -> time::Duration {
+        self.due.saturating_sub(self.host.clock.now())
     }
 }
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -22,10 +22,7 @@
 
 /// Change of the open attempts of a request.
 enum Turn {
-    /// Another attempt was begun, or none can be.
-    Begun(Result<attempt::Attempt, Refusal>),
-    /// The attempt at this place of the list has ended; it was removed.
-    Ended(usize, attempt::Ended),
+    Ended(Box<attempt::Ended>),
     /// No endpoint has answered for the time after which another one is tried.
     Silent,
     /// The deadline has passed.
@@ -37,6 +34,15 @@
 pub(crate) struct Flow {
     pub(crate) host: sync::Arc<host::Host>,
     pub(crate) job: job::Job,
+    /// Attempts whose answer has not begun. A silent endpoint may go on, so its
+    /// attempt stays open until another answer is certain.
+    pub(crate) open: Vec<attempt::Attempt>,
+    /// Number of attempts that were begun.
+    pub(crate) attempts: u32,
+    /// When another endpoint is tried as well, unless one has answered.
+    silent_at: Option<Instant>,
+    /// Whether it was logged that no other endpoint takes the request.
+    is_kept: bool,
     /// Endpoints that were attempted; they are not picked again.
     pub(crate) tried: Vec<steer::Key>,
     /// Number of endpoints that may have run the request.
@@ -61,6 +67,10 @@
         Self {
             host,
             job,
+            open: Vec::new(),
+            attempts: 0,
+            silent_at: None,
+            is_kept: false,
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
@@ -99,12 +109,12 @@
         self.conclude(name);
     }
 
-    /// Attempts the request until an endpoint sends the head of an answer that
-    /// can be passed on. `after` is the id of the last event that the caller
-    /// has received.
+    /// Returns the next answer whose head arrives from an open attempt. Begins an
+    /// attempt if none is open, and further ones if endpoints are silent or fail.
+    /// `after` is the id of the last event that the caller has received.
     ///
-    /// A silent endpoint may go on, so its attempt stays open while others are
-    /// tried; the first answer counts.
+    /// The other attempts stay open until [`Flow::commit`]. Cancelling loses
+    /// nothing.
     ///
     /// # Errors
     ///
@@ -114,97 +124,99 @@
         &mut self,
         after: Option<u64>,
     ) -> Result<incoming::Answer, Refusal> {
-        let mut open = Vec::new();
-        let mut is_asking = true;
+        if self.open.is_empty() {
+            self.ask(after)?;
+        }
         loop {
-            is_asking = match self.turn(&mut open, is_asking, after).await {
-                Turn::Begun(Ok(attempt)) => {
-                    open.push(attempt);
-                    false
-                }
-                Turn::Begun(Err(refusal)) if open.is_empty() => return Err(refusal),
-                Turn::Begun(Err(refusal)) => {
-                    self.log_kept(open.len(), &refusal);
-                    false
-                }
-                Turn::Ended(index, ended) => match self.judge(ended, open.is_empty()) {
-                    send::Outcome::Answer(answer) => {
-                        // The endpoints of earlier attempts were silent for longer.
-                        for earlier in open.drain(..index) {
-                            earlier.guard.end(steer::End::Lost);
-                        }
-                        return Ok(*answer);
-                    }
-                    send::Outcome::Retry => true,
-                    send::Outcome::Final(refusal) if open.is_empty() => return Err(refusal),
-                    send::Outcome::Final(_) => false,
+            let (can_ask, refusal) = match self.turn().await {
+                Turn::Ended(ended) => match self.judge(*ended) {
+                    send::Outcome::Answer(answer) => return Ok(*answer),
+                    send::Outcome::Retry => (true, None),
+                    send::Outcome::Final(refusal) => (false, Some(refusal)),
                 },
                 Turn::Silent => {
-                    open.iter_mut()
-                        .for_each(|attempt| self.mark_silent(attempt));
-                    self.can_retry(self.host.clock.now())
+                    self.mark_silent();
+                    self.silent_at = self.next_silence();
+                    (self.can_retry(self.host.clock.now()), None)
                 }
                 Turn::Late => {
-                    for mut attempt in open {
-                        self.mark_silent(&mut attempt);
-                        attempt.guard.end(steer::End::Lost);
+                    self.mark_silent();
+                    for late in self.open.drain(..) {
+                        late.guard.end(steer::End::Lost);
                     }
                     return Err(self.timed_out());
                 }
             };
-        }
-    }
-
-    /// Waits for the next change of the open attempts. If `is_asking`, begins
-    /// another attempt meanwhile.
-    async fn turn(
-        &mut self,
-        open: &mut Vec<attempt::Attempt>,
-        is_asking: bool,
-        after: Option<u64>,
-    ) -> Turn {
-        let start = Instant::now();
-        let due = start + self.job.left(self.host.clock.now());
-        let silence = self.attempt_timeout().filter(|_| !is_asking);
-        let wake = silence.map_or(due, |silence| (start + silence).min(due));
-        tokio::select! {
-            biased;
-            (index, ended) = attempt::next_ended(open) => Turn::Ended(index, ended),
-            begun = self.begin(after), if is_asking => Turn::Begun(begun),
-            () = tokio::time::sleep_until(wake) => {
-                if wake < due { Turn::Silent } else { Turn::Late }
+            let refusal = match can_ask {
+                true => self.ask(after).err(),
+                false => refusal,
+            };
+            let Some(refusal) = refusal else { continue };
+            if self.open.is_empty() {
+                return Err(refusal);
             }
+            self.log_kept(self.open.len(), &refusal);
+            self.silent_at = self.next_silence();
         }
     }
 
-    /// Sends the request to the first endpoint that takes a connection.
+    /// Begins another attempt.
     ///
     /// # Errors
     ///
     /// Returns the refusal if no endpoint may be tried.
-    async fn begin(&mut self, after: Option<u64>) -> Result<attempt::Attempt, Refusal> {
-        loop {
-            let now = self.host.clock.now();
-            let left = self.job.left(now);
-            if left < ATTEMPT_MIN {
-                return Err(self.timed_out());
-            }
-            if let Some(refusal) = self.refuse_quarantined(now) {
-                return Err(refusal);
-            }
-            let pick = self.pick(now, left)?;
-            if self.sends > 0 && !self.spend_retry(now) {
-                return Err(self.failed("the retry budget is exhausted"));
+    pub(crate) fn ask(&mut self, after: Option<u64>) -> Result<(), Refusal> {
+        let now = self.host.clock.now();
+        let left = self.job.left(now);
+        if left < ATTEMPT_MIN {
+            return Err(self.timed_out());
+        }
+        if let Some(refusal) = self.refuse_quarantined(now) {
+            return Err(refusal);
+        }
+        let pick = self.pick(now, left)?;
+        if self.sends > 0 && !self.spend_retry(now) {
+            return Err(self.failed("the retry budget is exhausted"));
+        }
+        self.send(pick, after);
+        self.silent_at = self.next_silence();
+        Ok(())
+    }
+
+    /// Ends the open attempts, because the answer of the attempt with this number
+    /// is passed on. Earlier attempts were silent for longer.
+    pub(crate) fn commit(&mut self, number: u32) {
+        for attempt in self.open.drain(..) {
+            if attempt.number < number {
+                attempt.guard.end(steer::End::Lost);
             }
-            if let Some(attempt) = self.send(pick, after).await {
-                return Ok(attempt);
+        }
+    }
+
+    /// Waits for the next change of the open attempts.
+    async fn turn(&mut self) -> Turn {
+        let due = Instant::now() + self.job.left(self.host.clock.now());
+        let wake = self.silent_at.map_or(due, |at| at.min(due));
+        tokio::select! {
+            biased;
+            ended = attempt::next_ended(&mut self.open) => Turn::Ended(Box::new(ended)),
+            () = tokio::time::sleep_until(wake) => {
+                if wake < due { Turn::Silent } else { Turn::Late }
             }
         }
     }
 
+    fn next_silence(&self) -> Option<Instant> {
+        let timeout = self.attempt_timeout()?;
+        Some(Instant::now() + timeout)
+    }
+
     /// Records that `open` silent attempts go on, because no other endpoint takes
-    /// the request.
+    /// the request. Only the first time is logged.
     pub(crate) fn log_kept(&mut self, open: usize, refusal: &Refusal) {
+        if core::mem::replace(&mut self.is_kept, true) {
+            return;
+        }
         let now = self.host.clock.now();
         let inputs = format_args!("open={open} {}", refusal.message);
         self.job.log_step(now, "kept", inputs);
--- a/crates/edge/src/incoming.rs
+++ b/crates/edge/src/incoming.rs
@@ -6,9 +6,36 @@
 use crate::guard;
 use crate::host;
 
+/// An attempt whose head of the answer has arrived.
+pub(crate) struct Run {
+    /// Number of the attempt within its request.
+    pub(crate) number: u32,
+    pub(crate) connection: connection::Connection,
+    pub(crate) guard: guard::Guard,
+    pub(crate) pick: steer::Pick,
+}
+
+impl Run {
+    /// Returns the answer with this head.
+    pub(crate) fn into_answer(self, response: connection::Response) -> Answer {
+        let (parts, body) = response.into_parts();
+        Answer {
+            number: self.number,
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            connection: self.connection,
+            guard: self.guard,
+            pick: self.pick,
+        }
+    }
+}
+
 /// An answer whose head has arrived and whose body is still being read.
 #[derive(Debug)]
 pub(crate) struct Answer {
+    /// Number of the attempt within its request.
+    pub(crate) number: u32,
     pub(crate) status: http::StatusCode,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: hyper::body::Incoming,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -50,6 +50,7 @@
 mod mesh;
 pub mod metrics;
 mod options;
+mod partial;
 mod peers;
 mod plain;
 mod publish;
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,85 +1,138 @@
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use core::future;
+use core::task;
+
+use bytes::Bytes;
+use tokio::time::Instant;
 
 use crate::crash;
 use crate::exchange;
 use crate::flow;
 use crate::headers;
 use crate::incoming;
+use crate::partial;
 use crate::remainder;
 
-/// Bytes of an answer that are buffered before its head is passed on. A broken
-/// answer of up to this size can still be replaced by a retry.
-const BUFFER_MAX_BYTES: usize = 256 * 1024;
+/// A request whose answer is a single body rather than a stream of events.
+struct Plain {
+    flow: flow::Flow,
+    /// Answers that have begun. The first one that is complete is passed on.
+    answers: Vec<partial::Answer>,
+}
 
-/// Result of reading an answer.
-enum Read {
-    Whole(Bytes),
-    /// The answer exceeds the buffer; this is its beginning.
-    Part(Bytes),
-    Broken(String),
+/// Change of the answers.
+enum Turn {
+    /// The answer at this place of the list was read, or broke.
+    Read(usize, partial::Read),
+    /// Another endpoint answered, or no attempt is left.
+    Found(Result<Box<incoming::Answer>, answer::Refusal>),
+    /// The deadline has passed.
     Late,
 }
 
 /// Serves a request whose answer is a single body rather than a stream of
 /// events.
-pub(crate) async fn serve(mut flow: flow::Flow) -> exchange::Response {
+pub(crate) async fn serve(flow: flow::Flow) -> exchange::Response {
+    let mut plain = Plain {
+        flow,
+        answers: Vec::new(),
+    };
     loop {
-        let mut answer = match flow.next_answer(None).await {
-            Ok(answer) => answer,
-            Err(refusal) => return exchange::refused(flow, refusal),
-        };
-        match read(&mut flow, &mut answer).await {
-            Read::Whole(body) => return whole(flow, answer, body),
-            Read::Part(body) => return remainder::serve(flow, answer, body),
-            Read::Late => {
-                let refusal = flow.timed_out();
-                flow.check_for_crash(&answer.pick, crash::Sign::Silent);
-                answer.guard.end(steer::End::Lost);
-                return exchange::refused(flow, refusal);
+        match plain.turn().await {
+            Turn::Found(Ok(mut answer)) => {
+                answer.guard.record_first_event();
+                plain.flow.record_first_event();
+                plain.answers.push(partial::Answer::new(*answer));
+            }
+            Turn::Found(Err(refusal)) if plain.answers.is_empty() => {
+                return exchange::refused(plain.flow, refusal);
             }
-            Read::Broken(cause) => {
-                let now = flow.host.clock.now();
-                flow.job.log_step(
-                    now,
-                    "spoiled",
-                    format_args!("endpoint={} cause={cause}", answer.pick.id),
-                );
-                flow.failure = Some(cause);
-                flow.check_for_crash(&answer.pick, crash::Sign::Broken);
-                answer.guard.end(steer::End::Lost);
-                if !flow.may_retry() {
-                    let refusal = flow.failed("the answer was not complete");
-                    return exchange::refused(flow, refusal);
+            Turn::Found(Err(_)) => {}
+            Turn::Read(index, partial::Read::Whole(body)) => {
+                let (flow, answer) = plain.commit(index);
+                return whole(flow, answer, body);
+            }
+            Turn::Read(index, partial::Read::Part(body)) => {
+                let (flow, answer) = plain.commit(index);
+                return remainder::serve(flow, answer, body);
+            }
+            Turn::Read(index, partial::Read::Broken(cause)) => {
+                if let Some(refusal) = plain.record_lost(index, cause) {
+                    return exchange::refused(plain.flow, refusal);
                 }
             }
+            Turn::Late => {
+                let refusal = plain.time_out();
+                return exchange::refused(plain.flow, refusal);
+            }
         }
     }
 }
 
-async fn read(flow: &mut flow::Flow, answer: &mut incoming::Answer) -> Read {
-    answer.guard.record_first_event();
-    flow.record_first_event();
-    let due = tokio::time::Instant::now() + flow.job.left(flow.host.clock.now());
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = tokio::select! {
-            frame = answer.body.frame() => frame,
-            () = tokio::time::sleep_until(due) => return Read::Late,
-        };
-        match frame {
-            None => return Read::Whole(buffer.freeze()),
-            Some(Err(cause)) => return Read::Broken(cause.to_string()),
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    buffer.extend_from_slice(data);
-                }
+impl Plain {
+    async fn turn(&mut self) -> Turn {
+        let due = Instant::now() + self.flow.job.left(self.flow.host.clock.now());
+        let is_asking = self.answers.is_empty() || !self.flow.open.is_empty();
+        tokio::select! {
+            biased;
+            (index, read) = next_read(&mut self.answers) => Turn::Read(index, read),
+            found = self.flow.next_answer(None), if is_asking => {
+                Turn::Found(found.map(Box::new))
             }
+            () = tokio::time::sleep_until(due), if !is_asking => Turn::Late,
         }
-        if buffer.len() > BUFFER_MAX_BYTES {
-            return Read::Part(buffer.freeze());
+    }
+
+    /// Ends all attempts but the one whose answer is passed on.
+    fn commit(mut self, index: usize) -> (flow::Flow, incoming::Answer) {
+        let answer = self.answers.swap_remove(index).incoming;
+        for other in self.answers {
+            if other.incoming.number < answer.number {
+                other.incoming.guard.end(steer::End::Lost);
+            }
         }
+        self.flow.commit(answer.number);
+        (self.flow, answer)
     }
+
+    /// Records that an answer broke. Returns the refusal if nothing can replace it.
+    fn record_lost(&mut self, index: usize, cause: String) -> Option<answer::Refusal> {
+        let now = self.flow.host.clock.now();
+        let answer = self.answers.remove(index).incoming;
+        let inputs = format_args!("endpoint={} cause={cause}", answer.pick.id);
+        self.flow.job.log_step(now, "spoiled", inputs);
+        self.flow.failure = Some(cause);
+        self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
+        answer.guard.end(steer::End::Lost);
+        let is_last = self.answers.is_empty() && self.flow.open.is_empty();
+        if !is_last || self.flow.may_retry() {
+            return None;
+        }
+        Some(self.flow.failed("the answer was not complete"))
+    }
+
+    fn time_out(&mut self) -> answer::Refusal {
+        for answer in self.answers.drain(..) {
+            let answer = answer.incoming;
+            self.flow.check_for_crash(&answer.pick, crash::Sign::Silent);
+            answer.guard.end(steer::End::Lost);
+        }
+        self.flow.timed_out()
+    }
+}
+
+/// Waits until an answer was read, and returns its place in the list.
+///
+/// It never returns if the list is empty. Cancelling it loses nothing.
+async fn next_read(answers: &mut [partial::Answer]) -> (usize, partial::Read) {
+    future::poll_fn(|context| {
+        for (index, answer) in answers.iter_mut().enumerate() {
+            if let task::Poll::Ready(read) = answer.poll_read(context) {
+                return task::Poll::Ready((index, read));
+            }
+        }
+        task::Poll::Pending
+    })
+    .await
 }
 
 fn whole(flow: flow::Flow, answer: incoming::Answer, body: Bytes) -> exchange::Response {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -47,19 +47,16 @@
     Events(usize, Bytes, Option<u64>),
     /// The run at this place of the list is complete.
     End(usize),
-    /// Runs broke and no other endpoint is being asked.
-    Broken,
+    /// The run at this place of the list broke.
+    Broken(usize, String),
     /// No event arrived within the stall time-out.
     Stalled,
-    /// Another endpoint answered, or none can be asked.
+    /// Another endpoint answered, or no attempt is left.
     Found(Result<Box<incoming::Answer>, answer::Refusal>),
     /// The deadline has passed.
     Late,
 }
 
-/// A run that broke, with the cause.
-type Lost = (source::Source, String);
-
 /// Serves a request whose answer is a stream of events.
 pub(crate) async fn serve(mut flow: flow::Flow) -> exchange::Response {
     let last = flow.job.last_event;
@@ -75,14 +72,11 @@
         flow,
         sources: vec![source::Source::new(answer)],
         last,
-        has_begun: false,
+        has_begun: !status.is_success(),
         is_over: false,
         progress: Instant::now(),
         silent_since: Instant::now(),
     };
-    if !status.is_success() {
-        relay.has_begun = true;
-    }
     // Until the first event arrives, a refusal can still replace the answer.
     match relay.next().await {
         Ok(first) => exchange::streamed(status, headers, relay.into_body(first)),
@@ -98,18 +92,8 @@
     /// Returns a refusal if the deadline passes, or if the stream breaks and
     /// cannot be resumed.
     async fn next(&mut self) -> Result<Option<Bytes>, answer::Refusal> {
-        let mut is_asking = false;
         loop {
-            let mut lost = Vec::new();
-            let turn = match is_asking {
-                // The future is large and rarely needed.
-                true => Box::pin(self.ask(&mut lost)).await,
-                false => self.read(&mut lost).await,
-            };
-            for (source, cause) in lost {
-                self.record_lost(source, cause);
-            }
-            is_asking = match turn {
+            match self.turn().await {
                 Turn::Events(index, events, last) => {
                     self.keep_only(index);
                     self.record_events();
@@ -122,17 +106,20 @@
                     return Ok(None);
                 }
                 Turn::Late => return Err(self.time_out()),
+                Turn::Broken(index, cause) => {
+                    self.record_lost(index, cause);
+                    self.replace_lost()?;
+                }
                 Turn::Stalled => {
                     self.record_stall();
-                    true
+                    if let Err(refusal) = self.flow.ask(self.last) {
+                        self.flow.log_kept(self.sources.len(), &refusal);
+                    }
+                    self.silent_since = Instant::now();
                 }
-                Turn::Broken if !self.sources.is_empty() => false,
-                Turn::Broken if self.flow.may_retry() => true,
-                Turn::Broken => return Err(self.flow.failed("the stream broke")),
                 Turn::Found(Ok(answer)) if answer.status.is_success() => {
                     self.sources.push(source::Source::new(*answer));
                     self.silent_since = Instant::now();
-                    false
                 }
                 Turn::Found(found) => {
                     let text = "the stream could not be resumed";
@@ -141,58 +128,57 @@
                         return Err(refusal);
                     }
                     self.flow.log_kept(self.sources.len(), &refusal);
-                    self.silent_since = Instant::now();
-                    false
                 }
-            };
+            }
         }
     }
 
-    /// Waits for the next change of the runs. Runs that break are moved to `lost`.
-    async fn read(&mut self, lost: &mut Vec<Lost>) -> Turn {
-        let due = self.due();
+    /// Waits for the next change of the runs and of the open attempts.
+    async fn turn(&mut self) -> Turn {
+        let due = Instant::now() + self.flow.job.left(self.flow.host.clock.now());
         let wake = self
             .stall()
             .map_or(due, |stall| (self.silent_since + stall).min(due));
+        let is_asking = !self.flow.open.is_empty();
         tokio::select! {
             biased;
-            turn = next_turn(&mut self.sources, self.last, lost) => turn,
+            turn = next_turn(&mut self.sources, self.last) => turn,
+            found = self.flow.next_answer(self.last), if is_asking => {
+                Turn::Found(found.map(Box::new))
+            }
             () = tokio::time::sleep_until(wake) => {
                 if wake < due { Turn::Stalled } else { Turn::Late }
             }
         }
     }
 
-    /// Asks another endpoint for the rest of the stream, and waits for the runs
-    /// meanwhile. Runs that break are moved to `lost`.
-    async fn ask(&mut self, lost: &mut Vec<Lost>) -> Turn {
-        let due = self.due();
-        let last = self.last;
-        let mut found = core::pin::pin!(self.flow.next_answer(last));
-        loop {
-            tokio::select! {
-                biased;
-                turn = next_turn(&mut self.sources, last, lost) => match turn {
-                    Turn::Broken => {}
-                    turn => return turn,
-                },
-                found = found.as_mut() => return Turn::Found(found.map(Box::new)),
-                () = tokio::time::sleep_until(due) => return Turn::Late,
-            }
+    /// Begins another attempt if no run and no attempt is left.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if there can be none.
+    fn replace_lost(&mut self) -> Result<(), answer::Refusal> {
+        if !self.sources.is_empty() || !self.flow.open.is_empty() {
+            return Ok(());
         }
+        if !self.flow.may_retry() {
+            return Err(self.flow.failed("the stream broke"));
+        }
+        self.flow.ask(self.last)
     }
 
-    fn due(&self) -> Instant {
-        Instant::now() + self.flow.job.left(self.flow.host.clock.now())
-    }
-
-    /// Ends all runs but the one at this place of the list. Earlier ones were
-    /// silent.
+    /// Ends all other runs and attempts than the run at this place of the list.
+    /// Earlier ones were silent.
     fn keep_only(&mut self, index: usize) {
-        self.sources.truncate(index + 1);
-        for silent in self.sources.drain(..index) {
-            silent.answer.guard.end(steer::End::Lost);
+        let number = self.sources[index].answer.number;
+        let kept = self.sources.swap_remove(index);
+        for other in self.sources.drain(..) {
+            if other.answer.number < number {
+                other.answer.guard.end(steer::End::Lost);
+            }
         }
+        self.sources.push(kept);
+        self.flow.commit(number);
     }
 
     /// Records that events arrived from the only run.
@@ -210,8 +196,11 @@
             self.has_begun = true;
             self.flow.record_first_event();
         }
-        for source in self.sources.iter_mut().filter(|source| !source.has_begun) {
-            source.has_begun = true;
+        for source in &mut self.sources {
+            source.is_silent = false;
+            if core::mem::replace(&mut source.has_begun, true) {
+                continue;
+            }
             source.answer.guard.record_first_event();
             let endpoint = &source.answer.pick.id;
             let inputs = format_args!("endpoint={endpoint}");
@@ -222,7 +211,8 @@
     fn record_stall(&mut self) {
         let now = self.flow.host.clock.now();
         let last = self.last;
-        for source in &self.sources {
+        for source in self.sources.iter_mut().filter(|source| !source.is_silent) {
+            source.is_silent = true;
             let pick = &source.answer.pick;
             self.flow.check_for_crash(pick, crash::Sign::Silent);
             let inputs = format_args!("endpoint={} last={last:?}", pick.id);
@@ -230,9 +220,9 @@
         }
     }
 
-    fn record_lost(&mut self, source: source::Source, cause: String) {
+    fn record_lost(&mut self, index: usize, cause: String) {
         let now = self.flow.host.clock.now();
-        let answer = source.answer;
+        let answer = self.sources.remove(index).answer;
         let inputs = format_args!(
             "endpoint={} last={:?} cause={cause}",
             answer.pick.id, self.last
@@ -292,14 +282,10 @@
     }
 }
 
-/// Waits for the next change of the runs. Runs that break are moved to `lost`.
+/// Waits for the next change of the runs.
 ///
 /// It never returns if the list is empty. Cancelling it loses nothing.
-async fn next_turn(
-    sources: &mut Vec<source::Source>,
-    last: Option<u64>,
-    lost: &mut Vec<Lost>,
-) -> Turn {
+async fn next_turn(sources: &mut [source::Source], last: Option<u64>) -> Turn {
     let (index, read) = future::poll_fn(|context| {
         for (index, source) in sources.iter_mut().enumerate() {
             if let task::Poll::Ready(read) = source.poll_read(context, last) {
@@ -312,10 +298,7 @@
     match read {
         source::Read::Events(events, last) => Turn::Events(index, events, last),
         source::Read::End => Turn::End(index),
-        source::Read::Broken(cause) => {
-            lost.push((sources.remove(index), cause));
-            Turn::Broken
-        }
+        source::Read::Broken(cause) => Turn::Broken(index, cause),
     }
 }
 
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -38,101 +38,81 @@
 }
 
 impl flow::Flow {
-    /// Sends the request to one endpoint. Returns `None` if nothing was sent.
-    /// `after` is the id of the last event that the caller has received.
-    pub(crate) async fn send(
-        &mut self,
-        pick: steer::Pick,
-        after: Option<u64>,
-    ) -> Option<attempt::Attempt> {
+    /// Begins to send the request to the picked endpoint. `after` is the id of the
+    /// last event that the caller has received.
+    pub(crate) fn send(&mut self, pick: steer::Pick, after: Option<u64>) {
         let guard = guard::Guard::start(&self.host, &pick, &self.job.work);
-        let connection = self.connect(&pick).await;
         self.tried.push(pick.key);
-        let Some(connection) = connection else {
-            guard.end(steer::End::Unreachable);
-            return None;
-        };
-        // The endpoint may have started to drain during the connect.
-        let now = self.host.clock.now();
-        if !mutex::lock(&self.host.balancer).is_accepting(pick.key) {
-            self.job.log_step(
-                now,
-                "skipped",
-                format_args!("endpoint={} is leaving", pick.id),
-            );
-            return None;
-        }
-        let request = self.request(&pick, after);
         self.sends += 1;
         self.possible_runs += 1;
+        self.attempts += 1;
         request_log::start(&self.host, &mut self.job);
-        let host = self.host.clone();
-        let due = self.job.due;
-        Some(attempt::Attempt::start(
-            host, due, pick, guard, connection, request,
-        ))
-    }
-
-    async fn connect(&mut self, pick: &steer::Pick) -> Option<connection::Connection> {
         // The endpoint may close a reused connection while the request is in
         // flight, which leaves the outcome of non-retryable work unknown.
-        if self.job.route.kind.is_retryable()
-            && let Some(connection) = self.host.connections.take(pick.address)
-        {
-            return Some(connection);
-        }
-        let left = self.job.left(self.host.clock.now());
-        self.host.metrics.count("connections", &[]);
-        match connection::Connection::open(pick.address, attempt::CONNECT_TIMEOUT.min(left)).await {
-            Ok(connection) => {
-                mutex::lock(&self.host.balancer).mark_reachable(pick.key);
-                Some(connection)
-            }
-            Err(cause) => {
-                let now = self.host.clock.now();
-                self.job.log_step(
-                    now,
-                    "unreachable",
-                    format_args!("endpoint={} cause={cause}", pick.id),
-                );
-                self.failure = Some(cause);
-                None
-            }
-        }
+        let may_reuse = self.job.route.kind.is_retryable();
+        let idle = may_reuse.then(|| self.host.connections.take(pick.address));
+        let dispatch = attempt::Dispatch {
+            host: self.host.clone(),
+            due: self.job.due,
+            request: self.request(&pick, after),
+            connection: idle.flatten(),
+            pick,
+        };
+        let attempt = attempt::Attempt::start(self.attempts, guard, dispatch);
+        self.open.push(attempt);
     }
 
-    /// Decides on an attempt that has ended. `is_last` tells that no other attempt
-    /// is open.
-    pub(crate) fn judge(&mut self, ended: attempt::Ended, is_last: bool) -> Outcome {
-        let attempt::Ended { pick, guard, head } = ended;
-        match head {
+    /// Decides on an attempt that has ended.
+    pub(crate) fn judge(&mut self, ended: attempt::Ended) -> Outcome {
+        let cause = match ended.head {
             Ok((response, connection)) => {
-                self.handle_answer(&pick, response, connection, guard, is_last)
+                return self.handle_answer(
+                    response,
+                    incoming::Run {
+                        number: ended.number,
+                        connection,
+                        guard: ended.guard,
+                        pick: ended.pick,
+                    },
+                );
             }
-            Err(attempt::Failure::Unreachable(cause)) => {
-                self.sends -= 1;
-                self.possible_runs -= 1;
-                self.failure = Some(cause);
-                guard.end(steer::End::Unreachable);
-                Outcome::Retry
+            Err(cause) => cause,
+        };
+        let now = self.host.clock.now();
+        let id = ended.pick.id.as_str();
+        let (step, cause) = match cause {
+            attempt::Failure::Broken(cause) => {
+                self.check_for_crash(&ended.pick, crash::Sign::Broken);
+                let end = steer::End::Lost;
+                return self.outcome_unknown(&ended.pick, ended.guard, end, cause);
             }
-            Err(attempt::Failure::Broken(cause)) => {
-                self.check_for_crash(&pick, crash::Sign::Broken);
-                self.outcome_unknown(&pick, guard, steer::End::Lost, cause)
+            attempt::Failure::Unreachable(cause) => {
+                ended.guard.end(steer::End::Unreachable);
+                ("unreachable", cause)
             }
-        }
+            attempt::Failure::Leaving => ("skipped", "it is leaving".to_owned()),
+        };
+        self.sends -= 1;
+        self.possible_runs -= 1;
+        let inputs = format_args!("endpoint={id} cause={cause}");
+        self.job.log_step(now, step, inputs);
+        self.failure = Some(cause);
+        Outcome::Retry
     }
 
-    /// Records that the endpoint of an attempt is silent. The attempt stays open.
-    pub(crate) fn mark_silent(&mut self, attempt: &mut attempt::Attempt) {
-        if core::mem::replace(&mut attempt.is_silent, true) {
-            return;
-        }
+    /// Records that the endpoints of the open attempts are silent. The attempts stay
+    /// open.
+    pub(crate) fn mark_silent(&mut self) {
         let now = self.host.clock.now();
-        self.check_for_crash(&attempt.pick, crash::Sign::Silent);
-        self.job
-            .log_step(now, "silent", format_args!("endpoint={}", attempt.pick.id));
-        self.failure = Some("the endpoint did not answer in time".to_owned());
+        for attempt in self.open.iter_mut().filter(|attempt| !attempt.is_silent) {
+            attempt.is_silent = true;
+            let pick = &attempt.pick;
+            self.host
+                .check_for_crash(pick, self.job.fingerprint, crash::Sign::Silent);
+            let inputs = format_args!("endpoint={}", pick.id);
+            self.job.log_step(now, "silent", inputs);
+            self.failure = Some("the endpoint did not answer in time".to_owned());
+        }
     }
 
     /// Returns how long the endpoints may be silent before another one is tried as
@@ -149,68 +129,47 @@
         Some(route.target_first.mul_f64(share).max(ATTEMPT_TIMEOUT_MIN))
     }
 
-    fn handle_answer(
-        &mut self,
-        pick: &steer::Pick,
-        response: connection::Response,
-        connection: connection::Connection,
-        guard: guard::Guard,
-        is_last: bool,
-    ) -> Outcome {
+    fn handle_answer(&mut self, response: connection::Response, run: incoming::Run) -> Outcome {
         let now = self.host.clock.now();
         let names = &self.host.options.headers;
         if let Some(report) = report(names, response.headers()) {
-            mutex::lock(&self.host.balancer).record_report(now, pick.key, report);
+            mutex::lock(&self.host.balancer).record_report(now, run.pick.key, report);
         }
         let answered = answered::classify(names, &response, self.job.raw_id.as_ref());
         let status = response.status();
-        self.job.log_step(
-            now,
-            "answered",
-            format_args!(
-                "endpoint={} status={} as={answered:?}",
-                pick.id,
-                status.as_u16()
-            ),
-        );
+        let id = run.pick.id.as_str();
+        let inputs = format_args!("endpoint={id} status={} as={answered:?}", status.as_u16());
+        self.job.log_step(now, "answered", inputs);
         match answered {
             answered::Answered::NotRun => {
                 self.possible_runs -= 1;
-                guard.end(steer::End::Full);
+                run.guard.end(steer::End::Full);
                 self.failure = Some("the endpoint was full".to_owned());
                 Outcome::Retry
             }
             answered::Answered::Misdirected => {
                 self.possible_runs -= 1;
-                guard.end(steer::End::Misdirected);
+                run.guard.end(steer::End::Misdirected);
                 self.failure = Some("the address belongs to another process".to_owned());
                 Outcome::Retry
             }
             answered::Answered::Foreign => {
                 let text = format!("status {} is not an answer to the request", status.as_u16());
-                self.outcome_unknown(pick, guard, steer::End::Failed, text)
+                self.outcome_unknown(&run.pick, run.guard, steer::End::Failed, text)
             }
-            answered::Answered::Failed if self.can_retry(now) => {
-                guard.end(steer::End::Failed);
+            answered::Answered::Failed => {
                 self.failure = Some(format!("status {}", status.as_u16()));
-                Outcome::Retry
-            }
-            answered::Answered::Failed if !is_last || self.must_hide(&response) => {
-                guard.end(steer::End::Failed);
-                self.failure = Some(format!("status {}", status.as_u16()));
-                Outcome::Final(self.failed("the endpoint failed"))
-            }
-            answered::Answered::Failed | answered::Answered::Own => {
-                let (parts, body) = response.into_parts();
-                Outcome::Answer(Box::new(incoming::Answer {
-                    status,
-                    headers: parts.headers,
-                    body,
-                    connection,
-                    guard,
-                    pick: pick.clone(),
-                }))
+                if self.can_retry(now) {
+                    run.guard.end(steer::End::Failed);
+                    return Outcome::Retry;
+                }
+                if self.must_hide(&response) || !self.open.is_empty() {
+                    run.guard.end(steer::End::Failed);
+                    return Outcome::Final(self.failed("the endpoint failed"));
+                }
+                Outcome::Answer(Box::new(run.into_answer(response)))
             }
+            answered::Answered::Own => Outcome::Answer(Box::new(run.into_answer(response))),
         }
     }
 
@@ -251,14 +210,13 @@
         self.may_retry() && self.host.has_retry(now, &self.job.service)
     }
 
+    /// Returns the request for the picked endpoint, without the time that is left.
     fn request(&self, pick: &steer::Pick, after: Option<u64>) -> connection::Request {
         let names = &self.host.options.headers;
         let mut request = http::Request::new(http_body_util::Full::new(self.job.body.clone()));
         *request.method_mut() = self.job.method.clone();
         *request.uri_mut() = origin_form(&self.job.uri);
         let mut headers = self.job.headers.clone();
-        let left = self.job.left(self.host.clock.now()).as_millis();
-        headers.insert(names.deadline_ms.clone(), (left as u64).into());
         headers.insert(names.tier.clone(), u64::from(self.job.rank.level()).into());
         if let Ok(id) = http::HeaderValue::from_str(&pick.id) {
             headers.insert(names.endpoint.clone(), id);
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -21,6 +21,8 @@
     splitter: event::Splitter,
     /// Whether the run has delivered an event.
     pub(crate) has_begun: bool,
+    /// Whether its silence since the last event was noticed.
+    pub(crate) is_silent: bool,
 }
 
 impl Source {
@@ -30,6 +32,7 @@
             answer,
             splitter: event::Splitter::default(),
             has_begun: false,
+            is_silent: false,
         }
     }
 
