fix(edge): a failure that breaks is not continued by another run's events

What callers saw: the status 404 of one run with the events of another. Cause: the relay resumed every stream that broke or stalled, also the body of an answer that is no success. Class: joining parts of two answers. Change: only a success is resumed; another answer that breaks ends there.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -33,6 +33,8 @@
     /// Id of the last event that was passed on.
     last: Option<u64>,
     has_begun: bool,
+    /// Whether the answer is a success, which another run may go on with.
+    is_success: bool,
     is_over: bool,
     /// When the last event arrived.
     progress: Instant,
@@ -73,6 +75,7 @@
         sources: vec![source::Source::new(answer)],
         last,
         has_begun: !status.is_success(),
+        is_success: status.is_success(),
         is_over: false,
         progress: Instant::now(),
         silent_since: Instant::now(),
@@ -139,7 +142,7 @@
         let wake = self
             .stall()
             .map_or(due, |stall| (self.silent_since + stall).min(due));
-        let is_asking = !self.flow.open.is_empty();
+        let is_asking = self.is_success && !self.flow.open.is_empty();
         tokio::select! {
             biased;
             turn = next_turn(&mut self.sources, self.last) => turn,
@@ -158,10 +161,10 @@
     ///
     /// Returns the refusal if there can be none.
     fn replace_lost(&mut self) -> Result<(), answer::Refusal> {
-        if !self.sources.is_empty() || !self.flow.open.is_empty() {
+        if !self.sources.is_empty() || (self.is_success && !self.flow.open.is_empty()) {
             return Ok(());
         }
-        if !self.flow.may_retry() {
+        if !self.is_success || !self.flow.may_retry() {
             return Err(self.flow.failed("the stream broke"));
         }
         self.flow.ask(self.last)
@@ -239,7 +242,8 @@
     fn stall(&self) -> Option<time::Duration> {
         let route = &self.flow.job.route;
         let now = self.flow.host.clock.now();
-        let can_move = self.flow.may_retry()
+        let can_move = self.is_success
+            && self.flow.may_retry()
             && route.kind.is_retryable()
             && self.flow.host.has_retry(now, &self.flow.job.service);
         if !can_move {
