fix(edge): send a request again on a new connection if a kept one is silent

What callers saw: 504 at the deadline, at a sound endpoint, because a kept connection to it was dead without a reset. Cause: an endpoint that was tried is not picked again, whether the endpoint or only the connection was silent. Since silent attempts are kept, such a request waited for its deadline. Class: taking the silence of a connection for that of its endpoint. Change: after a silence on a reused connection the endpoint may be picked once more, and attempts after a silence open new connections. The budget for retries holds as before.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -48,6 +48,8 @@
     pub(crate) number: u32,
     pub(crate) pick: steer::Pick,
     pub(crate) guard: guard::Guard,
+    /// Whether the request is sent on a connection that was idle.
+    pub(crate) is_reused: bool,
     /// Whether the silence of the endpoint was noticed.
     pub(crate) is_silent: bool,
     exchange: pin::Pin<Box<dyn Future<Output = Head> + Send>>,
@@ -78,6 +80,7 @@
             number,
             pick: dispatch.pick.clone(),
             guard,
+            is_reused: dispatch.connection.is_some(),
             is_silent: false,
             exchange: Box::pin(dispatch.exchange()),
         }
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -41,6 +41,8 @@
     pub(crate) attempts: u32,
     /// When another endpoint is tried as well, unless one has answered.
     silent_at: Option<Instant>,
+    /// Whether an endpoint was silent on a connection.
+    pub(crate) needs_fresh_connection: bool,
     /// Whether it was logged that no other endpoint takes the request.
     is_kept: bool,
     /// Endpoints that were attempted; they are not picked again.
@@ -70,6 +72,7 @@
             open: Vec::new(),
             attempts: 0,
             silent_at: None,
+            needs_fresh_connection: false,
             is_kept: false,
             tried: Vec::new(),
             possible_runs: 0,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -48,8 +48,9 @@
         self.attempts += 1;
         request_log::start(&self.host, &mut self.job);
         // The endpoint may close a reused connection while the request is in
-        // flight, which leaves the outcome of non-retryable work unknown.
-        let may_reuse = self.job.route.kind.is_retryable();
+        // flight, which leaves the outcome of non-retryable work unknown. One that
+        // was silent may be dead.
+        let may_reuse = self.job.route.kind.is_retryable() && !self.needs_fresh_connection;
         let idle = may_reuse.then(|| self.host.connections.take(pick.address));
         let dispatch = attempt::Dispatch {
             host: self.host.clone(),
@@ -109,9 +110,14 @@
             let pick = &attempt.pick;
             self.host
                 .check_for_crash(pick, self.job.fingerprint, crash::Sign::Silent);
-            let inputs = format_args!("endpoint={}", pick.id);
+            let inputs = format_args!("endpoint={} reused={}", pick.id, attempt.is_reused);
             self.job.log_step(now, "silent", inputs);
             self.failure = Some("the endpoint did not answer in time".to_owned());
+            self.needs_fresh_connection = true;
+            if attempt.is_reused {
+                // The connection may be dead while the endpoint is sound.
+                self.tried.retain(|key| *key != pick.key);
+            }
         }
     }
 
