fix(edge): pass on an endpoint's failure if no other attempt answers

What callers saw: a 502 of the router instead of the endpoint's own signed 500, when another attempt was still open as the failure arrived. Cause: a failure was dropped while another attempt was open. Class: giving up what one has before something better is certain. Change: the failure is kept and passed on if nothing better follows.

--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -45,6 +45,8 @@
     pub(crate) needs_fresh_connection: bool,
     /// Whether it was logged that no other endpoint takes the request.
     is_kept: bool,
+    /// Failure of an endpoint that is passed on if nothing better follows.
+    pub(crate) fallback: Option<Box<incoming::Answer>>,
     /// Endpoints that were attempted; they are not picked again.
     pub(crate) tried: Vec<steer::Key>,
     /// Number of endpoints that may have run the request.
@@ -74,6 +76,7 @@
             silent_at: None,
             needs_fresh_connection: false,
             is_kept: false,
+            fallback: None,
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
@@ -127,8 +130,10 @@
         &mut self,
         after: Option<u64>,
     ) -> Result<incoming::Answer, Refusal> {
-        if self.open.is_empty() {
-            self.ask(after)?;
+        if self.open.is_empty()
+            && let Err(refusal) = self.ask(after)
+        {
+            return self.end_without_answer(refusal);
         }
         loop {
             let (can_ask, refusal) = match self.turn().await {
@@ -147,7 +152,8 @@
                     for late in self.open.drain(..) {
                         late.guard.end(steer::End::Lost);
                     }
-                    return Err(self.timed_out());
+                    let refusal = self.timed_out();
+                    return self.end_without_answer(refusal);
                 }
             };
             let refusal = match can_ask {
@@ -156,7 +162,7 @@
             };
             let Some(refusal) = refusal else { continue };
             if self.open.is_empty() {
-                return Err(refusal);
+                return self.end_without_answer(refusal);
             }
             self.log_kept(self.open.len(), &refusal);
             self.silent_at = self.next_silence();
@@ -214,6 +220,11 @@
         Some(Instant::now() + timeout)
     }
 
+    /// Returns the failure of an endpoint that may be passed on, or the refusal.
+    fn end_without_answer(&mut self, refusal: Refusal) -> Result<incoming::Answer, Refusal> {
+        self.fallback.take().map(|answer| *answer).ok_or(refusal)
+    }
+
     /// Records that `open` silent attempts go on, because no other endpoint takes
     /// the request. Only the first time is logged.
     pub(crate) fn log_kept(&mut self, open: usize, refusal: &Refusal) {
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -38,6 +38,11 @@
     };
     loop {
         match plain.turn().await {
+            Turn::Found(Ok(answer))
+                if answer.status.is_server_error() && !plain.answers.is_empty() =>
+            {
+                plain.flow.fallback = Some(answer);
+            }
             Turn::Found(Ok(mut answer)) => {
                 answer.guard.record_first_event();
                 plain.flow.record_first_event();
@@ -61,8 +66,9 @@
                 }
             }
             Turn::Late => {
-                let refusal = plain.time_out();
-                return exchange::refused(plain.flow, refusal);
+                if let Some(refusal) = plain.time_out() {
+                    return exchange::refused(plain.flow, refusal);
+                }
             }
         }
     }
@@ -104,19 +110,29 @@
         self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
         answer.guard.end(steer::End::Lost);
         let is_last = self.answers.is_empty() && self.flow.open.is_empty();
-        if !is_last || self.flow.may_retry() {
+        if !is_last || self.flow.may_retry() || self.use_fallback() {
             return None;
         }
         Some(self.flow.failed("the answer was not complete"))
     }
 
-    fn time_out(&mut self) -> answer::Refusal {
+    /// Returns the refusal unless there is a failure of an endpoint to pass on.
+    fn time_out(&mut self) -> Option<answer::Refusal> {
         for answer in self.answers.drain(..) {
             let answer = answer.incoming;
             self.flow.check_for_crash(&answer.pick, crash::Sign::Silent);
             answer.guard.end(steer::End::Lost);
         }
-        self.flow.timed_out()
+        (!self.use_fallback()).then(|| self.flow.timed_out())
+    }
+
+    /// Makes the failure of an endpoint, if there is one, the only answer.
+    fn use_fallback(&mut self) -> bool {
+        let fallback = self.flow.fallback.take();
+        let is_used = fallback.is_some();
+        self.answers
+            .extend(fallback.map(|answer| partial::Answer::new(*answer)));
+        is_used
     }
 }
 
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -169,11 +169,12 @@
                     run.guard.end(steer::End::Failed);
                     return Outcome::Retry;
                 }
-                if self.must_hide(&response) || !self.open.is_empty() {
+                if self.must_hide(&response) {
                     run.guard.end(steer::End::Failed);
-                    return Outcome::Final(self.failed("the endpoint failed"));
+                } else {
+                    self.fallback = Some(Box::new(run.into_answer(response)));
                 }
-                Outcome::Answer(Box::new(run.into_answer(response)))
+                Outcome::Final(self.failed("the endpoint failed"))
             }
             answered::Answered::Own => Outcome::Answer(Box::new(run.into_answer(response))),
         }
