fix(front): the limit of request heads follows the configuration

What callers saw: 431 without a body for a head that the limit in force allows, after a change that raises the limit far. Cause: the limits of the HTTP library were taken from the settings at the start of the listener. Class: acting on a copy of the configuration that is out of date, as with idle connections. Change: new connections get the limits in force.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -48,7 +48,8 @@
 
 /// State that all connections of a listener share.
 pub(crate) struct Shared {
-    builder: auto::Builder<rt::TokioExecutor>,
+    /// Limits of the HTTP library for connections that are accepted from now on.
+    builder: arc_swap::ArcSwap<auto::Builder<rt::TokioExecutor>>,
     options: arc_swap::ArcSwap<options::Options>,
     dispatch: Dispatch,
     tls: Option<tls::Acceptor>,
@@ -60,7 +61,7 @@
     /// Returns the shared state of a listener that parses requests.
     pub(crate) fn new(state: routes::State, tls: Option<tls::Acceptor>) -> Self {
         Self {
-            builder: builder(&state.options),
+            builder: arc_swap::ArcSwap::from_pointee(builder(&state.options)),
             options: arc_swap::ArcSwap::new(state.options.clone()),
             dispatch: Dispatch::Router(service::TowerToHyperService::new(routes::build(state))),
             tls,
@@ -75,7 +76,7 @@
         handler: sync::Arc<dyn handler::Handler>,
     ) -> Self {
         Self {
-            builder: builder(&options),
+            builder: arc_swap::ArcSwap::from_pointee(builder(&options)),
             options: arc_swap::ArcSwap::from_pointee(options),
             dispatch: Dispatch::Handler(handler),
             tls: None,
@@ -84,8 +85,9 @@
     }
 
     /// Replaces the limits that are applied to requests and connections. The
-    /// limits of the HTTP library stay as they were at the start.
+    /// limits of the HTTP library apply to new connections.
     pub(crate) fn set_options(&self, options: options::Options) {
+        self.builder.store(sync::Arc::new(builder(&options)));
         self.options.store(sync::Arc::new(options));
     }
 
@@ -182,9 +184,8 @@
         let guard = activity::Guard::start(&activity, request.version());
         shared.clone().respond(request, remote, guard)
     });
-    let connection = shared
-        .builder
-        .serve_connection(rt::TokioIo::new(stream), service);
+    let builder = shared.builder.load_full();
+    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = core::pin::pin!(connection);
     let mut closing_since = None;
     loop {
