fix(edge): a stream goes on at its build only

What callers saw: streams that hold events of endpoints of two versions of the software, whose outputs do not fit together. Cause: a host continued a broken or silent stream at any endpoint of its service, and a stream that a caller takes up at another host started at any endpoint there. The version of an endpoint was not decoded, and no host knew where a stream of another one began. Class: continuing state at a place that is not known to be compatible. Change: the first event that is passed on binds a stream to the build of its endpoint; Scope limits the choice to it. Where a host lists several builds, or its list may be out of date, it publishes the build of each stream that begins to three hosts in rendezvous order of the id. A host that gets a resumed stream asks six of them; a record decides. Without one, the stream began while its host listed a single build: the hosts with current lists tell which builds were listed alone in the time that the stream can have lasted, and if that is one build, it is taken. Otherwise the request is refused as not run. With one build listed nothing is published. A resumed stream is also sent to the service that its origin selects.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -9,11 +9,6 @@
 use crate::job;
 use crate::record;
 
-/// Age of the last confirmation of the configuration above which an unknown
-/// key or route is refused only temporarily, because it may be newer than the
-/// configuration of this host.
-const STALE_AGE: time::Duration = time::Duration::from_secs(5);
-
 /// Retry delay sent to callers while this host has no current configuration.
 const NOT_READY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
@@ -60,7 +55,10 @@
         }
     };
     let raw_id = head.headers.get(&names.request_id).cloned();
-    let seed = raw_id.as_ref().map_or(&b""[..], |id| id.as_bytes());
+    let origin = head.headers.get(&names.origin).cloned();
+    // A resumed stream goes on in the service that began it.
+    let seed = origin.as_ref().or(raw_id.as_ref());
+    let seed = seed.map_or(&b""[..], |id| id.as_bytes());
     let Some(service) = table.target(route, seed) else {
         let refusal = Refusal::new(Kind::NoEndpoint, "the route has no service");
         return Err(refusal.with_retry_after(NOT_READY_RETRY_AFTER));
@@ -79,7 +77,7 @@
         work: work(names, &head.headers),
         fingerprint: caller_hash,
         last_event: headers::number(&head.headers, &names.last_event),
-        origin: head.headers.get(&names.origin).cloned(),
+        origin,
         route: route.clone(),
         plan: table.plan().version(),
         headers: forwarded(names, head.headers, team.map(|team| team.name.as_str())),
@@ -104,8 +102,8 @@
 /// current. A host whose configuration was not confirmed recently may lack a
 /// new route or key, so it asks the caller to retry.
 fn refuse_unknown(host: &host::Host, now: time::Duration, kind: Kind, text: &str) -> Refusal {
-    let age = host.plan_age(now);
-    if age > STALE_AGE {
+    if !host.is_current(now) {
+        let age = host.plan_age(now);
         let text = format!("{text}, and the configuration is {} s old", age.as_secs());
         return Refusal::new(Kind::NotReady, text).with_retry_after(NOT_READY_RETRY_AFTER);
     }
--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -56,7 +56,7 @@
                 .filter(|_| may_be_same)
                 .map(|own| snapshot::content(own.plan())),
         };
-        let snapshot = match peers::fetch(&self.client, from, known).await {
+        let snapshot = match peers::fetch(&self.host.client, from, known).await {
             Ok(snapshot) => snapshot,
             Err(cause) => {
                 log::warn!(target: "edge", peer = from.to_string().as_str(); "state not fetched: {cause}");
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -11,6 +11,7 @@
 use crate::incoming;
 use crate::job;
 use crate::request_log;
+use crate::resume;
 use crate::send;
 
 /// Least remaining time for which another attempt is made. A shorter attempt
@@ -47,6 +48,8 @@
     is_kept: bool,
     /// Failure of an endpoint that is passed on if nothing better follows.
     pub(crate) fallback: Option<Box<incoming::Answer>>,
+    /// Endpoints at which the stream may go on.
+    pub(crate) continuation: resume::Continuation,
     /// Endpoints that were attempted; they are not picked again.
     pub(crate) tried: Vec<steer::Key>,
     /// Number of endpoints that may have run the request.
@@ -77,6 +80,7 @@
             needs_fresh_connection: false,
             is_kept: false,
             fallback: None,
+            continuation: resume::Continuation::Any,
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
@@ -241,6 +245,7 @@
     pub(crate) fn may_retry(&self) -> bool {
         self.possible_runs == 0
             || (self.job.route.kind.is_retryable()
+                && self.continuation != resume::Continuation::Nowhere
                 && self.possible_runs < self.job.route.attempts_max)
     }
 
@@ -304,12 +309,19 @@
             target_first: self.job.route.target_first,
         };
         let job = &self.job;
+        let scope = steer::Scope {
+            tried: &self.tried,
+            build: match self.continuation {
+                resume::Continuation::At(build) => Some(build),
+                resume::Continuation::Any | resume::Continuation::Nowhere => None,
+            },
+        };
         let outcome = mutex::lock(&self.host.balancer).pick(
             now,
             &job.service,
             &job.work,
             need,
-            &self.tried,
+            scope,
             &mut *mutex::lock(&self.host.rng),
         );
         match outcome {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -18,6 +18,14 @@
     pub(crate) endpoint: u64,
 }
 
+/// The build at which a stream began.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub(crate) struct Origin {
+    /// [`stream_hash`] of the id of the request that began the stream.
+    pub(crate) stream: u64,
+    pub(crate) build: plan::Build,
+}
+
 /// State that a host publishes to others several times a second. Encoded by
 /// position, so the order and types of the fields are the wire format. The
 /// extension follows it.
@@ -53,6 +61,10 @@
     pub(crate) work: Work,
     #[serde(skip)]
     pub(crate) extension: extension::Extension,
+    /// Builds of streams that the receiver keeps. They follow the extension; hosts
+    /// of builds without them ignore the bytes.
+    #[serde(skip)]
+    pub(crate) origins: Vec<Origin>,
 }
 
 /// Loads of endpoints in a message.
@@ -83,7 +95,10 @@
         }
         loop {
             let bytes = postcard::to_allocvec(self)?;
-            let bytes = postcard::to_extend(&self.extension, bytes)?;
+            let mut bytes = postcard::to_extend(&self.extension, bytes)?;
+            if !self.origins.is_empty() {
+                bytes = postcard::to_extend(&self.origins, bytes)?;
+            }
             if bytes.len() <= DATAGRAM_MAX_BYTES {
                 return Ok(bytes);
             }
@@ -109,7 +124,10 @@
     /// Decodes a message, also one without an extension.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        message.extension.take(rest)?;
+        let rest = message.extension.take(rest)?;
+        if !rest.is_empty() {
+            message.origins = postcard::from_bytes(rest)?;
+        }
         Ok(message)
     }
 
@@ -138,7 +156,19 @@
     xxh3::xxh3_64_with_seed(id.as_bytes(), started_ms)
 }
 
-/// Returns the hash that identifies a host, data centre or endpoint by name.
+/// Returns the hash that identifies a stream by the id of the request that began it.
+/// It is never zero.
+pub(crate) fn stream_hash(id: &[u8]) -> u64 {
+    xxh3::xxh3_64(id).max(1)
+}
+
+/// Returns the score of a host by which the hosts that keep the build of a stream
+/// are ordered.
+pub(crate) fn score(name: &str, stream: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(name.as_bytes(), stream)
+}
+
+/// Returns the hash that identifies a host, data centre, service or endpoint by name.
 pub(crate) fn name_hash(name: &str) -> u64 {
     xxh3::xxh3_64(name.as_bytes())
 }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -9,6 +9,7 @@
 use base::mutex;
 use rand::SeedableRng;
 
+use crate::builds;
 use crate::connections;
 use crate::eras;
 use crate::expose;
@@ -19,6 +20,7 @@
 use crate::mesh;
 use crate::metrics;
 use crate::options;
+use crate::origins;
 use crate::peers;
 use crate::registry;
 use crate::reports;
@@ -37,6 +39,10 @@
 /// seconds and pass it on immediately.
 const CONFIRMATION_AGE_MAX: time::Duration = time::Duration::from_millis(3_600);
 
+/// Age of the last confirmation above which the state of a host may lack changes
+/// that other hosts have.
+const STALE_AGE: time::Duration = time::Duration::from_secs(5);
+
 /// One host that serves opaque traffic.
 pub struct Host {
     pub(crate) options: options::Options,
@@ -55,6 +61,12 @@
     pub(crate) crashed: tokio::sync::Notify,
     pub(crate) rng: sync::Mutex<rand_pcg::Pcg64Mcg>,
     pub(crate) connections: connections::Pool,
+    pub(crate) builds: sync::Mutex<builds::Builds>,
+    pub(crate) origins: sync::Mutex<origins::Origins>,
+    /// Client for the state of other hosts.
+    pub(crate) client: back::Client,
+    /// Socket for datagrams to the load ports of other hosts.
+    pub(crate) loads: sync::OnceLock<sync::Arc<tokio::net::UdpSocket>>,
     pub(crate) log_budget: log_budget::Budget,
     /// Metrics of this host; the program may record its own.
     pub metrics: metrics::Recorder,
@@ -107,6 +119,10 @@
             crashed: tokio::sync::Notify::new(),
             rng: sync::Mutex::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
             connections: connections::Pool::default(),
+            builds: sync::Mutex::default(),
+            origins: sync::Mutex::default(),
+            client: back::Client::new(back::Options::default()),
+            loads: sync::OnceLock::new(),
             log_budget: log_budget::Budget::default(),
             metrics: metrics::Recorder::default(),
             watchers: sync::Mutex::default(),
@@ -367,6 +383,12 @@
         }
     }
 
+    /// Returns whether the platform has recently confirmed the state of this host,
+    /// directly or through another host.
+    pub(crate) fn is_current(&self, now: time::Duration) -> bool {
+        self.plan_age(now) <= STALE_AGE
+    }
+
     /// Records that the configuration in force was the newest at this time.
     pub(crate) fn confirm_plan_at(&self, at: time::Duration) {
         // CAST: A process does not run long enough to exceed the range.
@@ -377,6 +399,7 @@
     pub(crate) fn use_endpoints(&self, registry: &registry::Registry) {
         let endpoints = registry.endpoints();
         let count = endpoints.len();
+        mutex::lock(&self.builds).update(self.clock.now(), &endpoints);
         let changes = mutex::lock(&self.balancer).replace(&endpoints);
         if !changes.is_empty() {
             self.changed.notify_one();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,7 +20,8 @@
 //! `connections` the pool of idle ones; `ingress` accepts requests, `flow`
 //! directs the attempts, `send` makes one and `attempt` is one that is open;
 //! `plain` and `relay` pass on answers with one body and streams of events,
-//! `source` is one run of a stream, and `remainder` passes on what `plain` does
+//! `source` is one run of a stream, `resume` finds the build at which a stream goes
+//! on, from `builds`, `origins` and the `witness` of other hosts; and `remainder` passes on what `plain` does
 //! not buffer; `exchange` builds the answers for callers, and
 //! `reply` the HTTP form of refusals; `mesh`, `gossip`, `publish`, `catch_up`
 //! and `peers` exchange state with other hosts.
@@ -28,6 +29,7 @@
 mod admit;
 mod answered;
 mod attempt;
+mod builds;
 mod catch_up;
 mod connection;
 mod connections;
@@ -50,6 +52,7 @@
 mod mesh;
 pub mod metrics;
 mod options;
+mod origins;
 mod partial;
 mod peers;
 mod plain;
@@ -61,6 +64,7 @@
 mod reply;
 mod reports;
 mod request_log;
+mod resume;
 mod send;
 mod snapshot;
 mod source;
@@ -68,6 +72,7 @@
 mod stop;
 mod transition;
 mod watchers;
+mod witness;
 
 pub use eras::Eras;
 pub use event::Splitter;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -75,7 +75,6 @@
     pub(crate) host: sync::Arc<host::Host>,
     digests: peer::Socket,
     pub(crate) loads: sync::Arc<tokio::net::UdpSocket>,
-    pub(crate) client: back::Client,
     pub(crate) fetch_lock: sync::Arc<tokio::sync::Mutex<()>>,
 }
 
@@ -90,11 +89,13 @@
         .map_err(|cause| io::Error::new(io::ErrorKind::InvalidInput, cause))?;
     let digests = peer::Socket::bind(host.options.peer_listen, peer::Keys::new(keyring)).await?;
     let loads = tokio::net::UdpSocket::bind(host.options.load_listen).await?;
+    let loads = sync::Arc::new(loads);
+    // The host starts its mesh once, so the value was not set before.
+    let _ = host.loads.set(loads.clone());
     let mesh = Mesh {
         host: host.clone(),
         digests,
-        loads: sync::Arc::new(loads),
-        client: back::Client::new(back::Options::default()),
+        loads,
         fetch_lock: sync::Arc::default(),
     };
     tokio::spawn(mesh.clone().send_digests(state));
@@ -116,6 +117,7 @@
         transitions.update(&host);
         host.connections.expire();
         mutex::lock(&host.quarantine).evict_expired(now);
+        mutex::lock(&host.origins).evict_expired(now);
         let mut registry = mutex::lock(&host.registry);
         if registry.expire(now) {
             host.use_endpoints(&registry);
@@ -272,6 +274,9 @@
         if message.is_leaving {
             self.mark_leaving(message);
         }
+        for origin in &message.origins {
+            host.keep_origin(now, *origin);
+        }
         for crash in &message.crashes {
             host.record_crash(now, *crash, "peer");
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -6,10 +6,17 @@
 
 use crate::host;
 use crate::snapshot;
+use crate::witness;
 
 /// Path under which a host serves its state to others.
 const STATE_PATH: &str = "/peer/v1/state";
 
+/// Path under which a host tells what it knows of the build of a stream.
+const STREAM_PATH: &str = "/peer/v1/stream";
+
+/// Largest answer about a stream that is read.
+const WITNESS_BYTES_MAX: usize = 64 * 1024;
+
 /// Time-out for fetching another host's state.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
@@ -28,12 +35,22 @@
         let host = self.0.clone();
         Box::pin(async move {
             let mut response = http::Response::new(axum::body::Body::empty());
-            if request.uri().path() != STATE_PATH {
-                *response.status_mut() = http::StatusCode::NOT_FOUND;
-                return response;
-            }
-            let known = snapshot::Known::parse(request.uri().query().unwrap_or_default());
-            match host.snapshot(known).encode() {
+            let query = request.uri().query().unwrap_or_default();
+            let encoded = match request.uri().path() {
+                STATE_PATH => host.snapshot(snapshot::Known::parse(query)).encode(),
+                STREAM_PATH => match witness::Stream::parse(query) {
+                    Some(stream) => host.witness(stream).encode(),
+                    None => {
+                        *response.status_mut() = http::StatusCode::BAD_REQUEST;
+                        return response;
+                    }
+                },
+                _ => {
+                    *response.status_mut() = http::StatusCode::NOT_FOUND;
+                    return response;
+                }
+            };
+            match encoded {
                 Ok(bytes) => *response.body_mut() = axum::body::Body::from(bytes),
                 Err(cause) => {
                     log::error!(target: "edge", "state not encoded: {cause}");
@@ -57,21 +74,49 @@
     from: net::SocketAddr,
     known: snapshot::Known,
 ) -> Result<snapshot::Snapshot, String> {
-    let request = http::Request::get(format!("http://{from}{STATE_PATH}?{}", known.query()))
-        .body(http_body_util::Full::default())
-        .map_err(|cause| cause.to_string())?;
-    let reading = async {
-        let response = client
-            .send(request, back::Reuse::Fresh)
-            .await
-            .map_err(|cause| cause.to_string())?;
-        http_body_util::Limited::new(response.into_body(), STATE_BYTES_MAX)
-            .collect()
-            .await
-            .map_err(|cause| cause.to_string())
-    };
+    let url = format!("http://{from}{STATE_PATH}?{}", known.query());
+    let reading = get(client, url, back::Reuse::Fresh, STATE_BYTES_MAX);
     let body = tokio::time::timeout(FETCH_TIMEOUT, reading)
         .await
         .map_err(|_| "no answer in time".to_owned())??;
-    snapshot::Snapshot::decode(&body.to_bytes()).map_err(|cause| cause.to_string())
+    snapshot::Snapshot::decode(&body).map_err(|cause| cause.to_string())
+}
+
+/// Asks another host what it knows of the build of a stream.
+///
+/// # Errors
+///
+/// Fails if the host cannot be reached, does not know the question or sends a
+/// malformed answer.
+pub(crate) async fn ask(
+    client: &back::Client,
+    from: net::SocketAddr,
+    stream: witness::Stream,
+) -> Result<witness::Witness, String> {
+    let url = format!("http://{from}{STREAM_PATH}?{}", stream.query());
+    let body = get(client, url, back::Reuse::Pooled, WITNESS_BYTES_MAX).await?;
+    witness::Witness::decode(&body).map_err(|cause| cause.to_string())
+}
+
+async fn get(
+    client: &back::Client,
+    url: String,
+    reuse: back::Reuse,
+    bytes_max: usize,
+) -> Result<bytes::Bytes, String> {
+    let request = http::Request::get(url)
+        .body(http_body_util::Full::default())
+        .map_err(|cause| cause.to_string())?;
+    let response = client
+        .send(request, reuse)
+        .await
+        .map_err(|cause| cause.to_string())?;
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status().as_u16()));
+    }
+    let body = http_body_util::Limited::new(response.into_body(), bytes_max)
+        .collect()
+        .await
+        .map_err(|cause| cause.to_string())?;
+    Ok(body.to_bytes())
 }
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -5,6 +5,7 @@
 
 use crate::extension;
 use crate::gossip;
+use crate::host;
 use crate::mesh;
 
 /// Number of random hosts of other data centres that get the loads per period.
@@ -33,11 +34,11 @@
                 far.into_iter().sample(&mut *rng, FAR_TARGETS)
             }
         };
-        self.send(self.message(gossip::Work::Host(loads)), &near)
+        self.send(self.host.message(gossip::Work::Host(loads)), &near)
             .await;
         if !far.is_empty() {
             for part in parts {
-                self.send(self.message(part), &far).await;
+                self.send(self.host.message(part), &far).await;
             }
         }
         near.len()
@@ -48,7 +49,7 @@
         let (near, far) = self.targets();
         let message = gossip::Message {
             crashes,
-            ..self.message(gossip::Work::None)
+            ..self.host.message(gossip::Work::None)
         };
         self.send(message, &[near, far].concat()).await;
     }
@@ -88,9 +89,34 @@
         }
         (near, far)
     }
+}
+
+impl host::Host {
+    /// Sends the build of a stream to other hosts, without waiting.
+    pub(crate) fn publish_origin(&self, origin: gossip::Origin, targets: &[net::SocketAddr]) {
+        let Some(socket) = self.loads.get() else {
+            return;
+        };
+        let mut message = self.message(gossip::Work::None);
+        message.crashes.clear();
+        message.origins.push(origin);
+        let bytes = match message.encode() {
+            Ok(bytes) => bytes,
+            Err(cause) => {
+                log::error!(target: "edge", "build of a stream not encoded: {cause}");
+                return;
+            }
+        };
+        for address in targets {
+            if let Err(cause) = socket.try_send_to(&bytes, *address) {
+                self.metrics.count("origins_dropped", &[]);
+                log::debug!(target: "edge", "build of a stream not sent to {address}: {cause}");
+            }
+        }
+    }
 
     fn message(&self, work: gossip::Work) -> gossip::Message {
-        let host = &self.host;
+        let host = self;
         let now = host.clock.now();
         let (demands, placements) = {
             let balancer = mutex::lock(&host.balancer);
@@ -125,6 +151,7 @@
             placements,
             work,
             extension: extension::Extension::new(plan, endpoints),
+            origins: Vec::new(),
         }
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -61,6 +61,9 @@
 
 /// Serves a request whose answer is a stream of events.
 pub(crate) async fn serve(mut flow: flow::Flow) -> exchange::Response {
+    if let Err(refusal) = flow.find_build().await {
+        return exchange::refused(flow, refusal);
+    }
     let last = flow.job.last_event;
     let answer = match flow.next_answer(last).await {
         Ok(answer) => answer,
@@ -198,6 +201,9 @@
         } else {
             self.has_begun = true;
             self.flow.record_first_event();
+            if let Some(source) = self.sources.first() {
+                self.flow.bind_build(&source.answer.pick);
+            }
         }
         for source in &mut self.sources {
             source.is_silent = false;
--- /dev/null
+++ b/crates/edge/src/resume.rs
@@ -0,0 +1,184 @@
+use core::time;
+use std::net;
+
+use answer::{Kind, Refusal};
+use base::mutex;
+use futures_util::StreamExt;
+use futures_util::stream;
+
+use crate::flow;
+use crate::gossip;
+use crate::host;
+use crate::peers;
+use crate::witness;
+
+/// Number of other hosts to which the build of a stream is published.
+const RECORDERS: usize = 3;
+
+/// Number of other hosts that are asked for the build of a stream. It exceeds
+/// [`RECORDERS`], because hosts may differ on which others are live.
+const ASKED: usize = 6;
+
+/// Longest wait for the answers of other hosts.
+const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+
+/// Multiple of the time-out of a route that bounds the time since a stream of the
+/// route began, over all requests of its caller.
+const LIFE_TIMEOUTS: u32 = 2;
+
+/// Retry delay sent to callers whose stream cannot go on here now.
+const UNKNOWN_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
+
+/// Endpoints at which the stream of a request may go on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Continuation {
+    /// The caller has no event yet.
+    #[default]
+    Any,
+    /// The outputs of other builds do not fit.
+    At(plan::Build),
+    /// The build that began the stream is not known.
+    Nowhere,
+}
+
+impl flow::Flow {
+    /// Finds the build at which the stream goes on if the caller resumes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the build is not known.
+    pub(crate) async fn find_build(&mut self) -> Result<(), Refusal> {
+        let is_resumed = self.job.last_event.is_some() || self.job.origin.is_some();
+        if !is_resumed || !self.job.route.kind.is_retryable() {
+            return Ok(());
+        }
+        let origin = self.job.origin.as_ref();
+        let stream = witness::Stream {
+            origin: origin.map_or(0, |id| gossip::stream_hash(id.as_bytes())),
+            service: gossip::name_hash(&self.job.service),
+            life: self.job.route.timeout * LIFE_TIMEOUTS,
+        };
+        let witnesses = self.host.witnesses(stream).await;
+        let has_record = witnesses.iter().any(|witness| witness.record.is_some());
+        let build = witness::build(&witnesses);
+        let source = match (build, has_record) {
+            (None, _) => "unknown",
+            (Some(_), true) => "record",
+            (Some(_), false) => "alone",
+        };
+        let now = self.host.clock.now();
+        let inputs = format_args!("source={source} witnesses={}", witnesses.len());
+        self.job.log_step(now, "build", inputs);
+        let metrics = &self.host.metrics;
+        metrics.count("streams_resumed", &[("build", source)]);
+        let Some(build) = build else {
+            let text = "the build that began the stream is not known";
+            return Err(Refusal::new(Kind::NoEndpoint, text).with_retry_after(UNKNOWN_RETRY_AFTER));
+        };
+        self.continuation = Continuation::At(build);
+        Ok(())
+    }
+
+    /// Binds the stream to the build of the endpoint whose first event is passed on,
+    /// and makes the build known to other hosts.
+    pub(crate) fn bind_build(&mut self, pick: &steer::Pick) {
+        if !self.job.route.kind.is_retryable() {
+            return;
+        }
+        let Some(build) = pick.build.as_deref().map(plan::Build::new) else {
+            self.continuation = Continuation::Nowhere;
+            return;
+        };
+        self.continuation = Continuation::At(build);
+        let origin = self.job.origin.as_ref().or(self.job.raw_id.as_ref());
+        if let Some(origin) = origin {
+            let origin = gossip::Origin {
+                stream: gossip::stream_hash(origin.as_bytes()),
+                build,
+            };
+            self.host.record_origin(origin, &self.job.service);
+        }
+    }
+}
+
+impl host::Host {
+    /// Keeps the build of a stream that begins here. Publishes it unless every host
+    /// can tell it from the list of endpoints.
+    fn record_origin(&self, origin: gossip::Origin, service: &str) {
+        let now = self.clock.now();
+        self.keep_origin(now, origin);
+        let is_mixed = mutex::lock(&self.builds).is_mixed(gossip::name_hash(service));
+        if !is_mixed && self.is_current(now) {
+            return;
+        }
+        let recorders = self.recorders(origin.stream, RECORDERS, |state| {
+            state == fleet::State::Live
+        });
+        let port = self.options.load_listen.port();
+        let targets: Vec<net::SocketAddr> = recorders
+            .iter()
+            .map(|peer| net::SocketAddr::new(peer.ip(), port))
+            .collect();
+        self.publish_origin(origin, &targets);
+    }
+
+    /// Keeps the build of a stream.
+    pub(crate) fn keep_origin(&self, now: time::Duration, origin: gossip::Origin) {
+        let mut origins = mutex::lock(&self.origins);
+        if !origins.insert(now, origin.stream, origin.build) {
+            self.metrics.count("origins_dropped", &[]);
+        }
+    }
+
+    /// Returns what this host knows of the build of a stream.
+    pub(crate) fn witness(&self, stream: witness::Stream) -> witness::Witness {
+        let now = self.clock.now();
+        let record = mutex::lock(&self.origins).find(stream.origin);
+        let alone = || mutex::lock(&self.builds).alone(now, stream.service, stream.life);
+        witness::Witness {
+            record,
+            alone: self.is_current(now).then(alone),
+        }
+    }
+
+    /// Returns what this host and others know of the build of a stream. Does not
+    /// wait for others once there is a record.
+    async fn witnesses(&self, stream: witness::Stream) -> Vec<witness::Witness> {
+        let mut witnesses = vec![self.witness(stream)];
+        let asked = self.recorders(stream.origin, ASKED, |state| state != fleet::State::Dead);
+        let mut answers = stream::iter(asked)
+            .map(|peer| peers::ask(&self.client, peer, stream))
+            .buffer_unordered(ASKED);
+        let deadline = tokio::time::Instant::now() + ASK_TIMEOUT;
+        while witnesses.iter().all(|witness| witness.record.is_none()) {
+            match tokio::time::timeout_at(deadline, answers.next()).await {
+                Ok(Some(Ok(witness))) => witnesses.push(witness),
+                Ok(Some(Err(cause))) => {
+                    log::debug!(target: "edge", "the build of a stream was not told: {cause}");
+                }
+                Ok(None) | Err(_) => break,
+            }
+        }
+        witnesses
+    }
+
+    /// Returns the peer addresses of the first other hosts in the order in which
+    /// they keep the build of a stream.
+    fn recorders(
+        &self,
+        stream: u64,
+        count: usize,
+        is_allowed: impl Fn(fleet::State) -> bool,
+    ) -> Vec<net::SocketAddr> {
+        let membership = mutex::lock(&self.membership);
+        let own = membership.own().name.as_str();
+        let mut scored: Vec<(u64, net::SocketAddr)> = membership
+            .entries()
+            .filter(|(entry, state)| entry.name != own && is_allowed(*state))
+            .map(|(entry, _)| (gossip::score(&entry.name, stream), entry.peer))
+            .collect();
+        scored.sort_unstable_by(|a, b| b.cmp(a));
+        scored.truncate(count);
+        scored.into_iter().map(|(_, peer)| peer).collect()
+    }
+}
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -3,9 +3,11 @@
 
 mod common;
 
+use std::net;
 use std::sync;
 
 use common::endpoint::{self, Step};
+use rand::RngExt;
 use rstest::rstest;
 
 fn whole(from: u64, to: u64) -> String {
@@ -19,7 +21,7 @@
     let mut steps = vec![endpoint::stream_head(request)];
     if last.is_none() {
         steps.push(endpoint::chunk(&whole(1, 2)));
-        steps.push(Step::Pause(common::ms(30)));
+        steps.push(Step::Pause(common::ms(250)));
         steps.push(Step::Reset);
         return steps;
     }
@@ -110,10 +112,24 @@
 
 /// Starts hosts that know each other, with this number of attempts a request.
 async fn hosts(count: usize, attempts: u32) -> Vec<sync::Arc<edge::Host>> {
+    let subnet: [u8; 2] = rand::rng().random();
+    let ports = common::free().port();
+    let address = |host: usize, offset: u16| -> net::SocketAddr {
+        // CAST: There are only a few hosts.
+        (
+            ([127, subnet[0], subnet[1], host as u8 + 1]),
+            ports + offset,
+        )
+            .into()
+    };
     let mut hosts: Vec<sync::Arc<edge::Host>> = Vec::new();
     for index in 0..count {
-        let seeds = hosts.first().map(|host| host.peer_address());
-        let options = common::options(&format!("h{index}"), seeds.into_iter().collect());
+        let options = edge::Options {
+            listen: address(index, 0),
+            peer_listen: address(index, 1),
+            load_listen: address(index, 2),
+            ..common::options(&format!("h{index}"), vec![address(0, 1)])
+        };
         let host = edge::Host::start(options).await.expect("host");
         host.apply_plan(plan(attempts), "test");
         host.confirm_plan();
--- a/crates/plan/src/endpoint.rs
+++ b/crates/plan/src/endpoint.rs
@@ -1,5 +1,7 @@
 use std::net;
 
+use crate::build;
+
 /// Lifecycle phase that an endpoint publishes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum Phase {
@@ -34,3 +36,10 @@
     #[serde(skip)]
     pub build: Option<String>,
 }
+
+impl Endpoint {
+    /// Returns the build of the endpoint if its version is known.
+    pub fn build(&self) -> Option<build::Build> {
+        self.build.as_deref().map(build::Build::new)
+    }
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -9,6 +9,7 @@
 //! it selects endpoints for crate `host`, which is configured by crates `conf`
 //! and `class` instead.
 
+mod build;
 mod endpoint;
 mod engine;
 mod kind;
@@ -21,6 +22,7 @@
 mod team;
 mod version;
 
+pub use build::Build;
 pub use endpoint::{Endpoint, Phase};
 pub use engine::Engine;
 pub use kind::Kind;
--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -138,6 +138,7 @@
         if let Some(known) = known.and_then(|key| self.endpoints.get_mut(key)) {
             let before = known.listed.phase;
             known.listed = listed.clone();
+            known.build = listed.build();
             return match (before, listed.phase) {
                 (plan::Phase::Up, plan::Phase::Leaving) => {
                     Some(change::Change::Leaving(listed.id.clone()))
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -6,6 +6,7 @@
 use crate::endpoint;
 use crate::key;
 use crate::pick;
+use crate::scope;
 use crate::work;
 
 /// Expected delay in milliseconds that each running request of a model engine
@@ -83,24 +84,29 @@
 impl balancer::Balancer {
     /// Selects an endpoint of a service for a request.
     ///
-    /// Endpoints in `tried` are excluded. Endpoints marked unreachable are
-    /// considered only if no reachable one is left.
-    pub fn pick(
+    /// Endpoints marked unreachable are considered only if no reachable one is left.
+    pub fn pick<'a>(
         &self,
         now: time::Duration,
         service: &str,
         work: &work::Work,
         objective: work::Objective,
-        tried: &[key::Key],
+        scope: impl Into<scope::Scope<'a>>,
         rng: &mut impl rand::Rng,
     ) -> pick::Decision {
+        let scope = scope.into();
+        let is_allowed = |key: key::Key| {
+            let build = self.endpoints.get(key).and_then(|endpoint| endpoint.build);
+            scope.build.is_none_or(|allowed| build == Some(allowed))
+        };
         let Some(keys) = self.services.get(service) else {
             return pick::Decision::NoEndpoint;
         };
         let accepting: Vec<key::Key> = keys
             .iter()
             .copied()
-            .filter(|key| !tried.contains(key) && self.is_accepting(*key))
+            .filter(|key| !scope.tried.contains(key) && self.is_accepting(*key))
+            .filter(|key| is_allowed(*key))
             .collect();
         let reachable: Vec<key::Key> = accepting
             .iter()
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -21,6 +21,7 @@
 pub(crate) struct Endpoint {
     pub(crate) listed: plan::Endpoint,
     pub(crate) tag: u32,
+    pub(crate) build: Option<plan::Build>,
     pub(crate) running: u32,
     pub(crate) prefill_tokens: u32,
     pub(crate) kv_tokens: u32,
@@ -47,6 +48,7 @@
     pub(crate) fn new(listed: plan::Endpoint) -> Self {
         Self {
             tag: tag(&listed.id),
+            build: listed.build(),
             listed,
             running: 0,
             prefill_tokens: 0,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -36,6 +36,7 @@
 mod placement;
 mod report;
 mod run;
+mod scope;
 mod work;
 
 mod shortlist;
@@ -55,5 +56,6 @@
 pub use placement::Placement;
 pub use report::Report;
 pub use run::Run;
+pub use scope::Scope;
 pub use sum::Sum;
 pub use work::{Objective, Part, Work};
