fix(edge): what a list says of builds holds while it was confirmed

What callers could see: a stream of which no host has a record goes on at a build that was alone only in a list that was out of date. Cause: when the list changes, the build that was alone in the previous one counted as alone until that moment, also if the host had not heard of the platform for long. Change: it counts until the previous list was last confirmed. Conclusion: found by reading the fix; no run outside the test shows it.

--- a/crates/edge/src/builds.rs
+++ b/crates/edge/src/builds.rs
@@ -31,8 +31,14 @@
 pub(crate) struct Builds(collections::HashMap<u64, History>);
 
 impl Builds {
-    /// Takes the endpoints that are listed from now on.
-    pub(crate) fn update(&mut self, now: time::Duration, endpoints: &[plan::Endpoint]) {
+    /// Takes the endpoints that are listed from now on. The last list was confirmed
+    /// at `confirmed`; what was alone in it is not known to have been so later.
+    pub(crate) fn update(
+        &mut self,
+        now: time::Duration,
+        confirmed: time::Duration,
+        endpoints: &[plan::Endpoint],
+    ) {
         let mut listed: collections::HashMap<u64, collections::BTreeSet<_>> =
             collections::HashMap::new();
         for endpoint in endpoints {
@@ -43,7 +49,8 @@
         }
         for history in self.0.values_mut() {
             if let Some(build) = history.only() {
-                history.alone.insert(build, now);
+                let until = history.alone.entry(build).or_default();
+                *until = confirmed.min(now).max(*until);
             }
             history.listed.clear();
             history.alone.retain(|_, until| *until + HISTORY >= now);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -399,7 +399,9 @@
     pub(crate) fn use_endpoints(&self, registry: &registry::Registry) {
         let endpoints = registry.endpoints();
         let count = endpoints.len();
-        mutex::lock(&self.builds).update(self.clock.now(), &endpoints);
+        let now = self.clock.now();
+        let confirmed = now.saturating_sub(self.plan_age(now));
+        mutex::lock(&self.builds).update(now, confirmed, &endpoints);
         let changes = mutex::lock(&self.balancer).replace(&endpoints);
         if !changes.is_empty() {
             self.changed.notify_one();
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -324,3 +324,31 @@
     }
     assert_eq!(service.builds(&["b1"]), []);
 }
+
+// Guards against a build that is taken for the only one of a time in which the list
+// of the host may have been out of date.
+#[rstest]
+#[case::confirmed(true, 200)]
+#[case::not_confirmed(false, 503)]
+#[tokio::test]
+async fn a_list_decides_only_for_the_time_in_which_it_was_confirmed(
+    #[case] is_confirmed: bool,
+    #[case] status: u16,
+) {
+    let service = Service::start(&[Some("v1"), Some("v2")], breaks_first).await;
+    let host = &hosts(1, 1).await[0];
+    let mut plan = plan(1);
+    plan.revision = 3;
+    for route in &mut plan.routes {
+        route.timeout = common::ms(1_000);
+    }
+    host.apply_plan(plan, "test");
+    service.list(host, 1, |_, build| build == Some("v1"));
+    tokio::time::sleep(common::ms(2_500)).await;
+    if is_confirmed {
+        host.confirm_plan();
+    }
+    service.list(host, 2, |_, _| true);
+    let answer = common::call(host, &resume("b1", "a1")).await;
+    assert_eq!(answer.status, status, "{answer:?}");
+}
