fix(edge): only hosts that cannot have missed a build tell it from their list

Cause: a host counted as a witness whatever it had missed: it could have started or lost contact since the stream began, list a build late, or route the stream to another service. Builds that were listed beside others did not count at all. Class: taking the absence of knowledge for knowledge of absence. Change: a host is a witness if it has followed the platform without a gap for longer than the stream can have lasted; a new era or moved routes are gaps. All builds listed in that time count. Where a host is no witness with one build, it publishes the builds of streams that begin there; when a second build appears or routes move, those of its open streams.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -63,6 +63,11 @@
     pub(crate) connections: connections::Pool,
     pub(crate) builds: sync::Mutex<builds::Builds>,
     pub(crate) origins: sync::Mutex<origins::Origins>,
+    /// Services of which a second build was listed; the builds of their streams are
+    /// to be published.
+    pub(crate) mixed: sync::Mutex<Vec<u64>>,
+    /// Signals an entry in `mixed`.
+    pub(crate) became_mixed: tokio::sync::Notify,
     /// Client for the state of other hosts.
     pub(crate) client: back::Client,
     /// Socket for datagrams to the load ports of other hosts.
@@ -79,6 +84,9 @@
     /// through another host: milliseconds since the start plus one, or 0 for
     /// never.
     confirmed_ms: atomic::AtomicU64,
+    /// Since when this host has followed the changes of the platform without a gap:
+    /// milliseconds since the start.
+    current_since_ms: atomic::AtomicU64,
     pub(crate) is_leaving: atomic::AtomicBool,
     has_endpoints: atomic::AtomicBool,
     pub(crate) server: sync::Mutex<Option<front::Server>>,
@@ -121,6 +129,8 @@
             connections: connections::Pool::default(),
             builds: sync::Mutex::default(),
             origins: sync::Mutex::default(),
+            mixed: sync::Mutex::default(),
+            became_mixed: tokio::sync::Notify::new(),
             client: back::Client::new(back::Options::default()),
             loads: sync::OnceLock::new(),
             log_budget: log_budget::Budget::default(),
@@ -130,6 +140,7 @@
             membership: sync::Mutex::new(membership),
             buffered_bytes: atomic::AtomicUsize::new(0),
             confirmed_ms: atomic::AtomicU64::new(0),
+            current_since_ms: atomic::AtomicU64::new(0),
             is_leaving: atomic::AtomicBool::new(false),
             has_endpoints: atomic::AtomicBool::new(false),
             server: sync::Mutex::new(None),
@@ -163,6 +174,13 @@
             return false;
         }
         let (routes, teams) = (plan.routes.len(), plan.teams.len());
+        let before = self.table.load_full();
+        let has_moved = before.is_some_and(|before| moves_routes(before.plan(), &plan));
+        let services: Vec<u64> = plan
+            .services
+            .iter()
+            .map(|service| gossip::name_hash(&service.name))
+            .collect();
         let table = sync::Arc::new(plan::Table::new(plan));
         // Two sources may call this concurrently; the higher version wins.
         self.table.rcu(|current| match current {
@@ -183,6 +201,11 @@
         if self.plan_version() != version {
             return false;
         }
+        if has_moved {
+            // A stream may have begun at another service than its route has now.
+            self.restart_history(self.clock.now());
+            self.publish_builds(&services);
+        }
         mutex::lock(&self.membership)
             .set_version(version.revision, mesh::digest_content(version.era));
         self.metrics.set("plan_revision", &[], version.revision);
@@ -225,6 +248,7 @@
         if era <= before {
             return;
         }
+        self.restart_history(self.clock.now());
         self.metrics.set("platform_era", &[], era);
         let (plan, endpoints) = (self.plan_version(), self.endpoint_version());
         if before > 0 {
@@ -374,6 +398,28 @@
             .map_or_else(plan::Version::default, |table| table.plan().version())
     }
 
+    /// Lets the builds of the streams of these services be published.
+    fn publish_builds(&self, services: &[u64]) {
+        if !services.is_empty() {
+            mutex::lock(&self.mixed).extend(services);
+            self.became_mixed.notify_one();
+        }
+    }
+
+    /// Records that this host may have missed changes of the platform before now.
+    fn restart_history(&self, now: time::Duration) {
+        // CAST: A process does not run long enough to exceed the range.
+        let ms = now.as_millis() as u64;
+        self.current_since_ms.store(ms, atomic::Ordering::Release);
+    }
+
+    /// Returns since when this host has followed the changes of the platform without a
+    /// gap, as a time since the start of the process.
+    pub(crate) fn current_since(&self) -> time::Duration {
+        let ms = self.current_since_ms.load(atomic::Ordering::Acquire);
+        time::Duration::from_millis(ms)
+    }
+
     /// Returns the time since the platform last confirmed the configuration in
     /// force, or since the start of the process if it never did.
     pub(crate) fn plan_age(&self, now: time::Duration) -> time::Duration {
@@ -391,6 +437,11 @@
 
     /// Records that the configuration in force was the newest at this time.
     pub(crate) fn confirm_plan_at(&self, at: time::Duration) {
+        let now = self.clock.now();
+        let is_first = self.confirmed_ms.load(atomic::Ordering::Acquire) == 0;
+        if is_first || !self.is_current(now) {
+            self.restart_history(now);
+        }
         // CAST: A process does not run long enough to exceed the range.
         let ms = at.as_millis() as u64 + 1;
         self.confirmed_ms.fetch_max(ms, atomic::Ordering::AcqRel);
@@ -399,9 +450,8 @@
     pub(crate) fn use_endpoints(&self, registry: &registry::Registry) {
         let endpoints = registry.endpoints();
         let count = endpoints.len();
-        let now = self.clock.now();
-        let confirmed = now.saturating_sub(self.plan_age(now));
-        mutex::lock(&self.builds).update(now, confirmed, &endpoints);
+        let mixed = mutex::lock(&self.builds).update(self.clock.now(), &endpoints);
+        self.publish_builds(&mixed);
         let changes = mutex::lock(&self.balancer).replace(&endpoints);
         if !changes.is_empty() {
             self.changed.notify_one();
@@ -483,6 +533,24 @@
     }
 }
 
+/// Returns whether a route of both plans has other services or weights.
+fn moves_routes(before: &plan::Plan, after: &plan::Plan) -> bool {
+    let targets: collections::HashMap<(&str, &str), &[plan::Target]> = before
+        .routes
+        .iter()
+        .map(|route| {
+            (
+                (route.host.as_str(), route.prefix.as_str()),
+                &route.targets[..],
+            )
+        })
+        .collect();
+    after.routes.iter().any(|route| {
+        let known = targets.get(&(route.host.as_str(), route.prefix.as_str()));
+        known.is_some_and(|known| **known != route.targets[..])
+    })
+}
+
 /// Number of live hosts in a caller's data centre from which on the caller is
 /// given no hosts of other data centres.
 const NEAR_HOSTS_MIN: usize = 2;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -36,6 +36,9 @@
 /// Shortest time between two publications that are triggered by a change.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(50);
 
+/// Time for which the builds of streams of other hosts are kept.
+const ORIGIN_TIME: time::Duration = time::Duration::from_secs(120);
+
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 2_048;
 
@@ -104,11 +107,22 @@
     tokio::spawn(mesh.clone().receive_loads());
     tokio::spawn(mesh.clone().publish_changes());
     tokio::spawn(mesh.clone().publish_crashes());
+    tokio::spawn(publish_mixed(host.clone()));
     tokio::spawn(mesh.clone().fetch_from_seeds());
     tokio::spawn(upkeep(host.clone()));
     Ok(())
 }
 
+/// Publishes the builds of the streams that began here when a second build of their
+/// service is listed.
+async fn publish_mixed(host: sync::Arc<host::Host>) {
+    loop {
+        host.became_mixed.notified().await;
+        let services = core::mem::take(&mut *mutex::lock(&host.mixed));
+        host.publish_own_origins(&services);
+    }
+}
+
 async fn upkeep(host: sync::Arc<host::Host>) {
     let mut transitions = transition::Log::default();
     loop {
@@ -275,7 +289,7 @@
             self.mark_leaving(message);
         }
         for origin in &message.origins {
-            host.keep_origin(now, *origin);
+            host.keep_origin(*origin, None, now + ORIGIN_TIME);
         }
         for crash in &message.crashes {
             host.record_crash(now, *crash, "peer");
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -1,33 +1,67 @@
 use core::time;
 use std::collections;
 
-/// Time for which the build of a stream is kept. No caller resumes a stream later.
-const KEEP_TIME: time::Duration = time::Duration::from_secs(120);
+use crate::gossip;
 
 /// Most streams whose build is kept.
 const STREAMS_MAX: usize = 100_000;
 
+/// Where a stream began.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    build: plan::Build,
+    /// Hash of the name of the service, if the stream began at this host.
+    service: Option<u64>,
+    /// Until when the caller may resume the stream.
+    until: time::Duration,
+}
+
 /// Builds at which streams began, by the hash of the request that began them.
 #[derive(Debug, Default)]
-pub(crate) struct Origins(collections::HashMap<u64, (plan::Build, time::Duration)>);
+pub(crate) struct Origins(collections::HashMap<u64, Record>);
 
 impl Origins {
-    /// Records the build of a stream. Returns `false` if there is no room for it.
-    pub(crate) fn insert(&mut self, now: time::Duration, origin: u64, build: plan::Build) -> bool {
-        if self.0.len() >= STREAMS_MAX && !self.0.contains_key(&origin) {
+    /// Records the build of a stream until a time. `service` is the hash of the name
+    /// of its service if the stream began at this host. Returns `false` if there is no
+    /// room for it.
+    pub(crate) fn insert(
+        &mut self,
+        origin: gossip::Origin,
+        service: Option<u64>,
+        until: time::Duration,
+    ) -> bool {
+        if self.0.len() >= STREAMS_MAX && !self.0.contains_key(&origin.stream) {
             return false;
         }
-        self.0.insert(origin, (build, now));
+        let record = Record {
+            build: origin.build,
+            service,
+            until,
+        };
+        self.0.insert(origin.stream, record);
         true
     }
 
     /// Returns the build of a stream.
-    pub(crate) fn find(&self, origin: u64) -> Option<plan::Build> {
-        self.0.get(&origin).map(|(build, _)| *build)
+    pub(crate) fn find(&self, stream: u64) -> Option<plan::Build> {
+        self.0.get(&stream).map(|record| record.build)
+    }
+
+    /// Returns the streams of these services that began at this host.
+    pub(crate) fn own(&self, services: &[u64]) -> Vec<gossip::Origin> {
+        let own = self.0.iter().filter(|(_, record)| {
+            let service = record.service.as_ref();
+            service.is_some_and(|service| services.contains(service))
+        });
+        own.map(|(stream, record)| gossip::Origin {
+            stream: *stream,
+            build: record.build,
+        })
+        .collect()
     }
 
-    /// Removes the streams that were recorded too long ago.
+    /// Removes the streams that callers no longer resume.
     pub(crate) fn evict_expired(&mut self, now: time::Duration) {
-        self.0.retain(|_, (_, at)| *at + KEEP_TIME >= now);
+        self.0.retain(|_, record| record.until >= now);
     }
 }
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -92,26 +92,24 @@
 }
 
 impl host::Host {
-    /// Sends the build of a stream to other hosts, without waiting.
-    pub(crate) fn publish_origin(&self, origin: gossip::Origin, targets: &[net::SocketAddr]) {
+    /// Sends the builds of streams to another host, without waiting.
+    pub(crate) fn send_origins(&self, origins: &[gossip::Origin], address: net::SocketAddr) {
         let Some(socket) = self.loads.get() else {
             return;
         };
         let mut message = self.message(gossip::Work::None);
         message.crashes.clear();
-        message.origins.push(origin);
+        message.origins.extend_from_slice(origins);
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(cause) => {
-                log::error!(target: "edge", "build of a stream not encoded: {cause}");
+                log::error!(target: "edge", "builds of streams not encoded: {cause}");
                 return;
             }
         };
-        for address in targets {
-            if let Err(cause) = socket.try_send_to(&bytes, *address) {
-                self.metrics.count("origins_dropped", &[]);
-                log::debug!(target: "edge", "build of a stream not sent to {address}: {cause}");
-            }
+        if let Err(cause) = socket.try_send_to(&bytes, address) {
+            self.metrics.count("origins_dropped", &[]);
+            log::debug!(target: "edge", "builds of streams not sent to {address}: {cause}");
         }
     }
 
--- a/crates/edge/src/resume.rs
+++ b/crates/edge/src/resume.rs
@@ -1,4 +1,5 @@
 use core::time;
+use std::collections;
 use std::net;
 
 use answer::{Kind, Refusal};
@@ -6,6 +7,7 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 
+use crate::builds;
 use crate::flow;
 use crate::gossip;
 use crate::host;
@@ -19,6 +21,9 @@
 /// [`RECORDERS`], because hosts may differ on which others are live.
 const ASKED: usize = 6;
 
+/// Most builds of streams in a datagram.
+const DATAGRAM_ORIGINS_MAX: usize = 50;
+
 /// Longest wait for the answers of other hosts.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
@@ -64,7 +69,7 @@
         let source = match (build, has_record) {
             (None, _) => "unknown",
             (Some(_), true) => "record",
-            (Some(_), false) => "alone",
+            (Some(_), false) => "list",
         };
         let now = self.host.clock.now();
         let inputs = format_args!("source={source} witnesses={}", witnesses.len());
@@ -96,48 +101,77 @@
                 stream: gossip::stream_hash(origin.as_bytes()),
                 build,
             };
-            self.host.record_origin(origin, &self.job.service);
+            let life = self.job.route.timeout * LIFE_TIMEOUTS;
+            self.host.record_origin(origin, &self.job.service, life);
         }
     }
 }
 
 impl host::Host {
-    /// Keeps the build of a stream that begins here. Publishes it unless every host
-    /// can tell it from the list of endpoints.
-    fn record_origin(&self, origin: gossip::Origin, service: &str) {
+    /// Keeps the build of a stream that begins here. Publishes it unless it follows
+    /// from the list of endpoints.
+    fn record_origin(&self, origin: gossip::Origin, service: &str, life: time::Duration) {
         let now = self.clock.now();
-        self.keep_origin(now, origin);
-        let is_mixed = mutex::lock(&self.builds).is_mixed(gossip::name_hash(service));
-        if !is_mixed && self.is_current(now) {
-            return;
+        let service = gossip::name_hash(service);
+        self.keep_origin(origin, Some(service), now + life);
+        let listed = self.recent_builds(service, life);
+        if listed.is_none_or(|builds| builds.len() != 1) {
+            self.publish_origins(vec![origin]);
         }
-        let recorders = self.recorders(origin.stream, RECORDERS, |state| {
-            state == fleet::State::Live
-        });
+    }
+
+    /// Publishes the builds of the streams of these services that began here, because
+    /// they no longer follow from the list of endpoints.
+    pub(crate) fn publish_own_origins(&self, services: &[u64]) {
+        let own = mutex::lock(&self.origins).own(services);
+        self.publish_origins(own);
+    }
+
+    fn publish_origins(&self, origins: Vec<gossip::Origin>) {
         let port = self.options.load_listen.port();
-        let targets: Vec<net::SocketAddr> = recorders
-            .iter()
-            .map(|peer| net::SocketAddr::new(peer.ip(), port))
-            .collect();
-        self.publish_origin(origin, &targets);
+        let mut targets: collections::HashMap<net::SocketAddr, Vec<gossip::Origin>> =
+            collections::HashMap::new();
+        for origin in origins {
+            let is_live = |state| state == fleet::State::Live;
+            for peer in self.recorders(origin.stream, RECORDERS, is_live) {
+                let address = net::SocketAddr::new(peer.ip(), port);
+                targets.entry(address).or_default().push(origin);
+            }
+        }
+        for (address, origins) in targets {
+            for part in origins.chunks(DATAGRAM_ORIGINS_MAX) {
+                self.send_origins(part, address);
+            }
+        }
     }
 
-    /// Keeps the build of a stream.
-    pub(crate) fn keep_origin(&self, now: time::Duration, origin: gossip::Origin) {
+    /// Keeps the build of a stream until a time. `service` is absent if the stream
+    /// began at another host.
+    pub(crate) fn keep_origin(
+        &self,
+        origin: gossip::Origin,
+        service: Option<u64>,
+        until: time::Duration,
+    ) {
         let mut origins = mutex::lock(&self.origins);
-        if !origins.insert(now, origin.stream, origin.build) {
+        if !origins.insert(origin, service, until) {
             self.metrics.count("origins_dropped", &[]);
         }
     }
 
+    /// Returns the builds of a service that were listed in the last `life`, or `None`
+    /// if this host may have missed one.
+    fn recent_builds(&self, service: u64, life: time::Duration) -> Option<builds::Set> {
+        let now = self.clock.now();
+        let is_complete = self.is_current(now) && now > self.current_since() + life;
+        is_complete.then(|| mutex::lock(&self.builds).recent(now, service, life))
+    }
+
     /// Returns what this host knows of the build of a stream.
     pub(crate) fn witness(&self, stream: witness::Stream) -> witness::Witness {
-        let now = self.clock.now();
-        let record = mutex::lock(&self.origins).find(stream.origin);
-        let alone = || mutex::lock(&self.builds).alone(now, stream.service, stream.life);
         witness::Witness {
-            record,
-            alone: self.is_current(now).then(alone),
+            record: mutex::lock(&self.origins).find(stream.origin),
+            builds: self.recent_builds(stream.service, stream.life),
         }
     }
 
--- a/crates/edge/src/witness.rs
+++ b/crates/edge/src/witness.rs
@@ -1,14 +1,15 @@
 use core::time;
-use std::collections;
+
+use crate::builds;
 
 /// What a host knows of the build of a stream.
 #[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Witness {
     /// The build, if the host has a record of the stream.
     pub(crate) record: Option<plan::Build>,
-    /// Builds at which a stream without a record can have begun. Absent if the list
-    /// of the host may be out of date.
-    pub(crate) alone: Option<collections::BTreeSet<plan::Build>>,
+    /// Builds of the service that were listed since the stream can have begun. Absent
+    /// if the host may have missed one.
+    pub(crate) builds: Option<builds::Set>,
 }
 
 impl Witness {
@@ -61,15 +62,14 @@
 
 /// Returns the build at which a stream began, if the witnesses leave no doubt.
 ///
-/// A record decides. Otherwise the stream began at a build that its host listed
-/// alone, and all hosts with a current list must agree on which one that was.
+/// A record decides. Otherwise only one build may have been listed in that time.
 pub(crate) fn build(witnesses: &[Witness]) -> Option<plan::Build> {
     if let Some(build) = witnesses.iter().find_map(|witness| witness.record) {
         return Some(build);
     }
-    let alone = witnesses
+    let listed = witnesses
         .iter()
-        .filter_map(|witness| witness.alone.as_ref());
-    let all: collections::BTreeSet<plan::Build> = alone.flatten().copied().collect();
-    all.first().copied().filter(|_| all.len() == 1)
+        .filter_map(|witness| witness.builds.as_ref());
+    let all: builds::Set = listed.flatten().copied().collect();
+    all.first().copied().flatten().filter(|_| all.len() == 1)
 }
