refactor(host): the stall time-out is an option of the host

The time without data after which an endpoint counts as silent was a constant of 30 s that tests could not reach. It becomes Options::stall_timeout, with the same default.

--- a/crates/carobbay/src/demo.rs
+++ b/crates/carobbay/src/demo.rs
@@ -158,6 +158,7 @@
             peer_advertise: None,
             admin_listen: Some(admin_listen),
             policy: host::Policy::Current,
+            stall_timeout: host::STALL_TIMEOUT,
         };
         let host = host::Host::start(options).await?;
         peers.push((name, host.peer_addr()));
--- a/crates/carobbay/src/serve.rs
+++ b/crates/carobbay/src/serve.rs
@@ -153,6 +153,7 @@
         peer_advertise: arguments.peer_advertise,
         admin_listen: arguments.admin_listen.or(own.admin_listen),
         policy: host::Policy::Current,
+        stall_timeout: host::STALL_TIMEOUT,
         settings: sync::Arc::new(settings),
     })
 }
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -33,6 +33,8 @@
     pub(crate) broker: broker::Broker,
     pub(crate) client: back::Client,
     pub(crate) clock: clock::Clock,
+    /// Longest time without data in the middle of an answer.
+    pub(crate) stall_timeout: time::Duration,
 }
 
 /// State of a request across its attempts.
@@ -175,7 +177,7 @@
             );
             return Err(Refusal::new(Kind::EndpointFailed, text));
         }
-        reading::begin_stream(permit, body)
+        reading::begin_stream(permit, body, self.stall_timeout)
             .await
             .map_err(|failure| failure.refusal)
     }
@@ -228,10 +230,10 @@
         let is_stream = request.is_stream && head.status.is_success();
         let body = match attempt.delivery {
             Delivery::Streamed if is_stream => {
-                let source = reading::begin_stream(permit, body).await?;
+                let source = reading::begin_stream(permit, body, self.stall_timeout).await?;
                 relay::events(source, self.resume_context(&attempt))
             }
-            _ => reading::read_whole(permit, body, is_stream).await?,
+            _ => reading::read_whole(permit, body, is_stream, self.stall_timeout).await?,
         };
         Ok(front::Response {
             status: head.status,
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -277,6 +277,7 @@
         },
         client: back::Client::new(back::Options::default()),
         clock,
+        stall_timeout: options.stall_timeout,
     };
     let keyed = keyed::Runner::new(
         flow.clone(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -55,4 +55,4 @@
 
 pub use host::Host;
 pub use layout::of as shards;
-pub use options::{Options, Policy};
+pub use options::{Options, Policy, STALL_TIMEOUT};
--- a/crates/host/src/options.rs
+++ b/crates/host/src/options.rs
@@ -1,3 +1,4 @@
+use core::time;
 use std::net;
 use std::sync;
 
@@ -10,6 +11,9 @@
     Baseline,
 }
 
+/// Default of [`Options::stall_timeout`].
+pub const STALL_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
 /// Options with which a host starts.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -32,4 +36,6 @@
     pub admin_listen: Option<net::SocketAddr>,
     /// Scheduling policy of the shards.
     pub policy: Policy,
+    /// Time without data within an answer after which its endpoint counts as silent.
+    pub stall_timeout: time::Duration,
 }
--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -1,5 +1,7 @@
 //! Reads responses of endpoints as far as the outcome of an attempt depends on them.
 
+use core::time;
+
 use answer::{Kind, Refusal};
 
 use crate::permit;
@@ -42,10 +44,11 @@
 pub(crate) async fn begin_stream(
     permit: permit::Permit,
     mut body: back::Body,
+    stall: time::Duration,
 ) -> Result<relay::Source, Failure> {
     // The first data is read before the caller receives an answer, so that the
     // request can be retried if the endpoint fails before any output.
-    match relay::next(&mut body).await {
+    match relay::next(&mut body, stall).await {
         Ok(Some(first)) => {
             permit.record_first_output();
             Ok(relay::Source {
@@ -80,8 +83,9 @@
     mut permit: permit::Permit,
     body: back::Body,
     is_stream: bool,
+    stall: time::Duration,
 ) -> Result<front::Body, Failure> {
-    let data = match relay::read_whole(body, ANSWER_MAX_BYTES).await {
+    let data = match relay::read_whole(body, ANSWER_MAX_BYTES, stall).await {
         Ok(data) => data,
         Err(relay::Error(cause)) => {
             permit.finish(pool::Outcome::Failed);
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -8,9 +8,6 @@
 use crate::terms;
 use crate::transcript;
 
-/// Longest time without data in the middle of an answer.
-const STALL_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-
 /// Reason why an answer could not be read to its end.
 #[derive(Debug)]
 pub(crate) struct Error(pub(crate) String);
@@ -19,14 +16,17 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection breaks or no data arrives within [`STALL_TIMEOUT`].
-pub(crate) async fn next(body: &mut back::Body) -> Result<Option<Bytes>, Error> {
+/// Fails if the connection breaks or no data arrives within `stall`.
+pub(crate) async fn next(
+    body: &mut back::Body,
+    stall: time::Duration,
+) -> Result<Option<Bytes>, Error> {
     loop {
-        let frame = match tokio::time::timeout(STALL_TIMEOUT, body.frame()).await {
+        let frame = match tokio::time::timeout(stall, body.frame()).await {
             Err(_) => {
                 return Err(Error(format!(
-                    "the endpoint sent no data for {} s",
-                    STALL_TIMEOUT.as_secs()
+                    "the endpoint sent no data for {} ms",
+                    stall.as_millis()
                 )));
             }
             Ok(None) => return Ok(None),
@@ -45,11 +45,15 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection breaks, no data arrives within [`STALL_TIMEOUT`] or
+/// Fails if the connection breaks, no data arrives within `stall` or
 /// the answer is above `limit` bytes.
-pub(crate) async fn read_whole(mut body: back::Body, limit: usize) -> Result<Bytes, Error> {
+pub(crate) async fn read_whole(
+    mut body: back::Body,
+    limit: usize,
+    stall: time::Duration,
+) -> Result<Bytes, Error> {
     let mut all = bytes::BytesMut::new();
-    while let Some(data) = next(&mut body).await? {
+    while let Some(data) = next(&mut body, stall).await? {
         if all.len() + data.len() > limit {
             return Err(Error(format!("the answer is above {limit} bytes")));
         }
@@ -136,7 +140,7 @@
     async fn read(&mut self) -> Step {
         let read = match self.source.first.take() {
             Some(first) => Ok(Some(first)),
-            None => next(&mut self.source.body).await,
+            None => next(&mut self.source.body, self.resume.flow.stall_timeout).await,
         };
         match read {
             Ok(Some(data)) => self.pass(data),
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -98,6 +98,7 @@
         peer_advertise: None,
         admin_listen: None,
         policy: host::Policy::Current,
+        stall_timeout: host::STALL_TIMEOUT,
     };
     host::Host::start(options).await.expect("the host starts")
 }
--- a/crates/host/tests/console.rs
+++ b/crates/host/tests/console.rs
@@ -31,6 +31,7 @@
         peer_advertise: None,
         admin_listen: Some(local),
         policy: host::Policy::Current,
+        stall_timeout: host::STALL_TIMEOUT,
     };
     let host = host::Host::start(options).await.expect("the host starts");
     host.set_sources(&outcome);
--- a/crates/testkit/src/capacity/settings.rs
+++ b/crates/testkit/src/capacity/settings.rs
@@ -67,5 +67,6 @@
         peer_advertise: None,
         admin_listen: None,
         policy: host::Policy::Current,
+        stall_timeout: host::STALL_TIMEOUT,
     })
 }
--- a/crates/testkit/src/measure/hosts.rs
+++ b/crates/testkit/src/measure/hosts.rs
@@ -53,6 +53,7 @@
                 peer_advertise: None,
                 admin_listen: None,
                 policy,
+                stall_timeout: host::STALL_TIMEOUT,
             };
             hosts.push(host::Host::start(options).await?);
         }
