fix(host): keep a silent run until another endpoint delivers

What callers saw: streams that broke off, and 502, 30 s into a silence of an endpoint that would have completed the answer before the deadline; bookings with an unknown outcome; a stream that never ended when the endpoint that was asked for its rest hung before its head; a last event sent every 30 s while an endpoint hung after its last token, which kept its slot for ever. Cause: the stall time-out of 30 s within an answer ended the run and released its permit, and another endpoint was asked afterwards, if at all. Requests that must not run twice, and streams that cannot be resumed, ended there. The request for the rest of a stream had no time-out of its own. Class: giving up what works before the replacement is certain. Change: silence is a sign (host::watch) and no end. For idempotent requests the flow begins another attempt beside the silent one (host::attempt), and a relayed stream asks for its rest beside the silent run. The first one that delivers data goes on; the other is cancelled and its permit released, as failed if it was silent. A grant at an endpoint that is silent already is returned unused. If nothing takes over, the silent run has until the deadline, or for the stall time-out after its last data if that is later. The rest of a stream is requested within the deadline of a new request. Events of a permit that does not deliver no longer change the record of its request.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -1,14 +1,19 @@
 use core::time;
+use std::sync;
 
 use answer::{Kind, Refusal, RunState};
+use tokio::sync::mpsc;
 
+use crate::attempt;
 use crate::broker;
 use crate::outbound;
 use crate::permit;
 use crate::reading;
 use crate::relay;
 use crate::terms;
+use crate::watch;
 use base::clock;
+use base::mutex;
 
 /// Maximum number of attempts per request, the first one included. The retry
 /// budget limits the retries of a class; this limits those of one request, for
@@ -33,36 +38,60 @@
     pub(crate) broker: broker::Broker,
     pub(crate) client: back::Client,
     pub(crate) clock: clock::Clock,
-    /// Longest time without data in the middle of an answer.
+    /// Time without data within an answer after which its endpoint is silent.
     pub(crate) stall_timeout: time::Duration,
 }
 
+/// A request and the conditions under which it is served.
+struct Call<'a> {
+    request: &'a front::Request,
+    terms: &'a terms::Terms,
+    delivery: Delivery,
+    gate: Gate<'a>,
+    /// Measured from the start of the process.
+    deadline: time::Duration,
+    /// Time spent queued, summed over all attempts.
+    queued: sync::Mutex<time::Duration>,
+    signs: watch::Signs,
+}
+
 /// State of a request across its attempts.
 struct Progress {
-    /// Number of failed attempts so far.
+    /// Number of attempts that were begun.
+    begun: u16,
+    /// Number of earlier attempts, without those whose ask was refused.
     attempt: u16,
-    /// Endpoint of the last failed attempt.
+    /// Endpoint of the last failed or silent attempt.
     avoid: Option<String>,
     may_have_run: bool,
-    /// Time spent queued, summed over all attempts.
-    queued: time::Duration,
-    /// Refusal with which the last attempt ended.
+    /// Refusal with which the last attempt at an endpoint ended.
     last_refusal: Option<Refusal>,
 }
 
 /// One dispatch of a request to an endpoint.
-struct Attempt<'a> {
-    request: &'a front::Request,
-    terms: &'a terms::Terms,
-    delivery: Delivery,
-    queued: time::Duration,
+struct Dispatch<'a> {
+    call: &'a Call<'a>,
+    /// Identifies the attempt within its flow.
     number: u16,
+    /// Number of earlier attempts.
+    attempt: u16,
+    avoid: Option<String>,
+    /// Endpoints of silent attempts, which may go on.
+    silent: Vec<String>,
+}
+
+/// Change of the open attempts.
+enum Turn<'a> {
+    Sign(u16, watch::Sign),
+    Ended(attempt::Attempt<'a>, Box<attempt::Ended>),
 }
 
 impl Flow {
     /// Serves one request and retries it as long as that is safe.
     ///
-    /// A retry is safe if the request is idempotent or no attempt may have run.
+    /// A retry is safe if the request is idempotent or no attempt may have run. A
+    /// silent attempt stays open while another endpoint is tried; the one that
+    /// delivers data first goes on, and the others are cancelled.
     ///
     /// # Errors
     ///
@@ -74,67 +103,180 @@
         delivery: Delivery,
         gate: Gate<'_>,
     ) -> Result<front::Response, Refusal> {
-        let deadline = self.clock.now() + terms.deadline;
+        let (signs, mut received) = mpsc::unbounded_channel();
+        let call = Call {
+            request,
+            terms,
+            delivery,
+            gate,
+            deadline: self.clock.now() + terms.deadline,
+            queued: sync::Mutex::default(),
+            signs,
+        };
         let mut progress = Progress {
+            begun: 0,
             attempt: 0,
             avoid: None,
             may_have_run: false,
-            queued: time::Duration::ZERO,
             last_refusal: None,
         };
+        let mut open = Vec::new();
+        self.begin(&call, &mut progress, &mut open);
         loop {
-            let ask = broker::Ask {
-                request,
-                terms,
-                deadline,
-                attempt: progress.attempt,
-                avoid: progress.avoid.as_deref(),
-            };
-            let permit = match self.broker.ask(&ask).await {
-                Ok(permit) => permit,
-                Err(refusal) => return Err(with_run_state(refusal, &progress)),
+            let turn = tokio::select! {
+                biased;
+                Some((number, sign)) = received.recv() => Turn::Sign(number, sign),
+                (attempt, ended) = attempt::next_ended(&mut open) => Turn::Ended(attempt, ended),
             };
-            let permit = permit.traced(&terms.trace);
-            progress.queued += permit.queued();
-            if permit.grant().dispatch_by < self.clock.now() {
-                permit.finish(pool::Outcome::Unused);
-                continue;
+            match turn {
+                Turn::Sign(number, watch::Sign::Delivering) => {
+                    self.keep_only(&call, &mut open, number);
+                }
+                Turn::Sign(number, watch::Sign::Silent(endpoint)) => {
+                    if note_silence(&mut open, number, &endpoint)
+                        && progress.may_begin(&open, number, terms.is_idempotent)
+                    {
+                        terms.trace.record_silence(&endpoint);
+                        progress.attempt += 1;
+                        progress.avoid = Some(endpoint);
+                        self.begin(&call, &mut progress, &mut open);
+                    }
+                }
+                Turn::Ended(attempt, ended) => match ended.outcome {
+                    Ok(answer) => {
+                        self.cancel(&call, open);
+                        return Ok(answer);
+                    }
+                    Err(failure) => {
+                        let Some(endpoint) = ended.endpoint else {
+                            progress.note_refused_ask(&call, &open, failure.refusal)?;
+                            continue;
+                        };
+                        let is_silent = attempt.silent.is_some();
+                        if is_silent || failure.refusal.kind == Kind::EndpointFailed {
+                            self.broker.report_crash(request, &endpoint);
+                        }
+                        let is_newest = attempt.number == progress.begun || open.is_empty();
+                        if progress.note_failure(&call, &open, &endpoint, failure, is_newest)? {
+                            self.begin(&call, &mut progress, &mut open);
+                        }
+                    }
+                },
             }
-            if let Err(refusal) = gate() {
-                permit.finish(pool::Outcome::Unused);
-                return Err(with_run_state(refusal, &progress));
+        }
+    }
+
+    /// Begins another attempt.
+    fn begin<'a>(
+        &'a self,
+        call: &'a Call<'a>,
+        progress: &mut Progress,
+        open: &mut Vec<attempt::Attempt<'a>>,
+    ) {
+        progress.begun += 1;
+        let dispatch = Dispatch {
+            call,
+            number: progress.begun,
+            attempt: progress.attempt,
+            avoid: progress.avoid.clone(),
+            silent: open
+                .iter()
+                .filter_map(|attempt| attempt.silent.clone())
+                .collect(),
+        };
+        open.push(attempt::Attempt::new(progress.begun, self.run(dispatch)));
+    }
+
+    /// Cancels all attempts but this one if it is open.
+    fn keep_only(&self, call: &Call<'_>, open: &mut Vec<attempt::Attempt<'_>>, number: u16) {
+        let Some(index) = open.iter().position(|attempt| attempt.number == number) else {
+            return;
+        };
+        let mut kept = open.swap_remove(index);
+        kept.silent = None;
+        self.cancel(call, core::mem::replace(open, vec![kept]));
+    }
+
+    /// Cancels attempts and reports the endpoints that are silent.
+    fn cancel(&self, call: &Call<'_>, attempts: Vec<attempt::Attempt<'_>>) {
+        for endpoint in attempts
+            .iter()
+            .filter_map(|attempt| attempt.silent.as_ref())
+        {
+            self.broker.report_crash(call.request, endpoint);
+        }
+    }
+
+    /// Asks for a slot and dispatches the request.
+    async fn run(&self, dispatch: Dispatch<'_>) -> attempt::Ended {
+        match self.acquire_for(&dispatch).await {
+            Ok(permit) => attempt::Ended {
+                endpoint: Some(permit.grant().name.clone()),
+                outcome: self.attempt(dispatch, permit).await,
+            },
+            Err(refusal) => attempt::Ended {
+                endpoint: None,
+                outcome: Err(reading::Failure::new(refusal, false)),
+            },
+        }
+    }
+
+    async fn acquire_for(&self, dispatch: &Dispatch<'_>) -> Result<permit::Permit, Refusal> {
+        let call = dispatch.call;
+        let ask = broker::Ask {
+            request: call.request,
+            terms: call.terms,
+            deadline: call.deadline,
+            attempt: dispatch.attempt,
+            avoid: dispatch.avoid.as_deref(),
+        };
+        let mut queued = time::Duration::ZERO;
+        let acquired = self.acquire(&ask, &dispatch.silent, &mut queued).await;
+        *mutex::lock(&call.queued) += queued;
+        let permit = acquired?;
+        if let Err(refusal) = (call.gate)() {
+            permit.finish(pool::Outcome::Unused);
+            return Err(refusal);
+        }
+        Ok(permit)
+    }
+
+    /// Waits for a grant that can be used, at none of the silent endpoints, and adds
+    /// the time in the queue to `queued`.
+    ///
+    /// The grant is recorded in the trace, unless a silent run may still go on in
+    /// place of this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the home of the shard, or `NoEndpoint` if it grants a
+    /// slot at an endpoint that is silent already.
+    async fn acquire(
+        &self,
+        ask: &broker::Ask<'_>,
+        silent: &[String],
+        queued: &mut time::Duration,
+    ) -> Result<permit::Permit, Refusal> {
+        loop {
+            let mut permit = self.broker.ask(ask).await?;
+            if silent.is_empty() {
+                permit.trace(&ask.terms.trace);
             }
-            let endpoint = permit.grant().name.clone();
-            let attempt = Attempt {
-                request,
-                terms,
-                delivery,
-                queued: progress.queued,
-                number: progress.attempt,
-            };
-            let failure = match self.attempt(attempt, permit, deadline).await {
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            };
-            progress.may_have_run |= failure.refusal.run_state() != RunState::NotRun;
-            if failure.refusal.kind == Kind::EndpointFailed {
-                self.broker.report_crash(request, &endpoint);
+            *queued += permit.queued();
+            if silent.contains(&permit.grant().name) {
+                permit.finish(pool::Outcome::Unused);
+                let text = "no other endpoint takes the request";
+                return Err(Refusal::new(Kind::NoEndpoint, text));
             }
-            let is_safe = terms.is_idempotent || !progress.may_have_run;
-            let is_last = progress.attempt + 1 >= ATTEMPTS_MAX;
-            if !failure.is_retryable || !is_safe || is_last {
-                return Err(with_run_state(failure.refusal, &progress));
+            if permit.grant().dispatch_by >= self.clock.now() {
+                return Ok(permit);
             }
-            terms
-                .trace
-                .record_retry(&request.id, &endpoint, &failure.refusal);
-            progress.attempt += 1;
-            progress.avoid = Some(endpoint);
-            progress.last_refusal = Some(failure.refusal);
+            permit.finish(pool::Outcome::Unused);
         }
     }
 
-    /// Requests the rest of an interrupted stream from another endpoint.
+    /// Requests the rest of an interrupted stream from another endpoint, within the
+    /// deadline of a new request.
     ///
     /// # Errors
     ///
@@ -142,27 +284,35 @@
     pub(crate) async fn resume(
         &self,
         resume: &relay::Resume,
-        body: bytes::Bytes,
-        avoid: &str,
+        rest: relay::Rest,
+    ) -> Result<relay::Source, Refusal> {
+        let deadline = resume.terms.deadline;
+        let resumed = tokio::time::timeout(deadline, self.resume_untimed(resume, rest));
+        resumed.await.unwrap_or_else(|_| {
+            let text = "the deadline passed while the rest of the stream was requested";
+            Err(Refusal::new(Kind::EndpointTimeout, text))
+        })
+    }
+
+    async fn resume_untimed(
+        &self,
+        resume: &relay::Resume,
+        rest: relay::Rest,
     ) -> Result<relay::Source, Refusal> {
         let request = front::Request {
-            body,
+            body: rest.body,
             ..resume.request.clone()
         };
         let ask = broker::Ask {
             request: &request,
             terms: &resume.terms,
             deadline: self.clock.now() + resume.terms.deadline,
-            attempt: resume.attempt,
-            avoid: Some(avoid),
-        };
-        let permit = loop {
-            let permit = self.broker.ask(&ask).await?;
-            if permit.grant().dispatch_by >= self.clock.now() {
-                break permit.traced(&resume.terms.trace);
-            }
-            permit.finish(pool::Outcome::Unused);
+            attempt: rest.attempt,
+            avoid: Some(&rest.avoid),
         };
+        let silent = rest.silent.as_slice();
+        let mut queued = time::Duration::ZERO;
+        let permit = self.acquire(&ask, silent, &mut queued).await?;
         let built = outbound::build(&request, permit.grant(), resume.terms.tier)
             .map_err(|cause| Refusal::new(Kind::Internal, cause.to_string()))?;
         let (permit, head, body) = self
@@ -177,31 +327,32 @@
             );
             return Err(Refusal::new(Kind::EndpointFailed, text));
         }
-        reading::begin_stream(permit, body, self.stall_timeout)
+        let mut watch = watch::Watch::new(self.stall_timeout, resume.terms.trace.clone());
+        reading::begin_stream(permit, body, &mut watch)
             .await
             .map_err(|failure| failure.refusal)
     }
 
-    fn resume_context(&self, attempt: &Attempt<'_>) -> relay::Resume {
+    fn resume_context(&self, dispatch: &Dispatch<'_>) -> relay::Resume {
+        let call = dispatch.call;
         let active = self.broker.state.active();
-        let pool = active.settings.pools.get(attempt.request.target.pool());
+        let pool = active.settings.pools.get(call.request.target.pool());
         relay::Resume {
             flow: self.clone(),
-            request: attempt.request.clone(),
-            terms: attempt.terms.clone(),
-            attempt: attempt.number,
-            is_allowed: attempt.terms.is_idempotent && pool.is_some_and(|pool| pool.resume),
+            request: call.request.clone(),
+            terms: call.terms.clone(),
+            deadline: call.deadline,
+            is_allowed: call.terms.is_idempotent && pool.is_some_and(|pool| pool.resume),
         }
     }
 
     async fn attempt(
         &self,
-        attempt: Attempt<'_>,
+        dispatch: Dispatch<'_>,
         permit: permit::Permit,
-        deadline: time::Duration,
     ) -> Result<front::Response, reading::Failure> {
-        let left = deadline.saturating_sub(self.clock.now());
-        match tokio::time::timeout(left, self.exchange(attempt, permit)).await {
+        let left = dispatch.call.deadline.saturating_sub(self.clock.now());
+        match tokio::time::timeout(left, self.exchange(dispatch, permit)).await {
             Ok(outcome) => outcome,
             Err(_) => {
                 let text = "the deadline passed while the request ran";
@@ -213,11 +364,12 @@
 
     async fn exchange(
         &self,
-        attempt: Attempt<'_>,
+        dispatch: Dispatch<'_>,
         permit: permit::Permit,
     ) -> Result<front::Response, reading::Failure> {
-        let request = attempt.request;
-        let built = match outbound::build(request, permit.grant(), attempt.terms.tier) {
+        let call = dispatch.call;
+        let (request, terms) = (call.request, call.terms);
+        let built = match outbound::build(request, permit.grant(), terms.tier) {
             Ok(built) => built,
             Err(cause) => {
                 permit.finish(pool::Outcome::Unused);
@@ -225,26 +377,99 @@
                 return Err(reading::Failure::new(refusal, false));
             }
         };
-        let is_idempotent = attempt.terms.is_idempotent;
-        let (permit, head, body) = self.send(permit, built, is_idempotent).await?;
+        let (permit, head, body) = self.send(permit, built, terms.is_idempotent).await?;
         let is_stream = request.is_stream && head.status.is_success();
-        let body = match attempt.delivery {
+        let mut watch = watch::Watch::new(self.stall_timeout, terms.trace.clone())
+            .with_signs(dispatch.number, call.signs.clone());
+        let body = match call.delivery {
             Delivery::Streamed if is_stream => {
-                let source = reading::begin_stream(permit, body, self.stall_timeout).await?;
-                relay::events(source, self.resume_context(&attempt))
+                let source = reading::begin_stream(permit, body, &mut watch).await?;
+                let resume = self.resume_context(&dispatch);
+                relay::events(source, resume, dispatch.attempt)
             }
-            _ => reading::read_whole(permit, body, is_stream, self.stall_timeout).await?,
+            _ => reading::read_whole(permit, body, is_stream, &mut watch).await?,
         };
         Ok(front::Response {
             status: head.status,
             headers: reading::caller_headers(&head.headers),
             body,
-            class: attempt.terms.class.to_string(),
-            queue_time: attempt.queued,
+            class: terms.class.to_string(),
+            queue_time: *mutex::lock(&call.queued),
         })
     }
 }
 
+impl Progress {
+    /// Returns whether another attempt may begin because this one is silent. An earlier
+    /// attempt counts only if the last one has ended.
+    fn may_begin(&self, open: &[attempt::Attempt<'_>], number: u16, is_idempotent: bool) -> bool {
+        let has_newer =
+            number != self.begun && open.iter().any(|attempt| attempt.number == self.begun);
+        is_idempotent && !has_newer && self.attempt + 1 < ATTEMPTS_MAX
+    }
+
+    /// Records that an ask was refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller if no attempt is open.
+    fn note_refused_ask(
+        &mut self,
+        call: &Call<'_>,
+        open: &[attempt::Attempt<'_>],
+        refusal: Refusal,
+    ) -> Result<(), Refusal> {
+        if open.is_empty() {
+            return Err(with_run_state(refusal, self));
+        }
+        self.attempt = self.attempt.saturating_sub(1);
+        call.terms.trace.record_kept(&refusal);
+        Ok(())
+    }
+
+    /// Records that an attempt failed at an endpoint, and returns whether another one
+    /// may begin.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller if no attempt is open and none may begin.
+    fn note_failure(
+        &mut self,
+        call: &Call<'_>,
+        open: &[attempt::Attempt<'_>],
+        endpoint: &str,
+        failure: reading::Failure,
+        is_newest: bool,
+    ) -> Result<bool, Refusal> {
+        self.may_have_run |= failure.refusal.run_state() != RunState::NotRun;
+        let is_safe = call.terms.is_idempotent || !self.may_have_run;
+        let is_last = self.attempt + 1 >= ATTEMPTS_MAX;
+        let may_begin = failure.is_retryable && is_safe && !is_last && is_newest;
+        if !may_begin && open.is_empty() {
+            return Err(with_run_state(failure.refusal, self));
+        }
+        let trace = &call.terms.trace;
+        if may_begin {
+            trace.record_retry(&call.request.id, endpoint, &failure.refusal);
+            self.attempt += 1;
+            self.avoid = Some(endpoint.to_owned());
+        } else {
+            trace.record_kept(&failure.refusal);
+        }
+        self.last_refusal = Some(failure.refusal);
+        Ok(may_begin)
+    }
+}
+
+/// Marks an attempt as silent; returns whether it is open.
+fn note_silence(open: &mut [attempt::Attempt<'_>], number: u16, endpoint: &str) -> bool {
+    let attempt = open.iter_mut().find(|attempt| attempt.number == number);
+    attempt.is_some_and(|attempt| {
+        attempt.silent = Some(endpoint.to_owned());
+        true
+    })
+}
+
 impl Flow {
     /// Returns whether an engine rejected the fencing number.
     ///
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -25,6 +25,7 @@
 //! - `record` here holds recent requests for the administration API and counts
 //!   for metrics and service levels; in `edge` it buffers one request's log.
 
+mod attempt;
 mod broker;
 mod config;
 mod console;
@@ -52,6 +53,7 @@
 mod terms;
 mod transcript;
 mod view;
+mod watch;
 
 pub use host::Host;
 pub use layout::of as shards;
--- a/crates/host/src/permit.rs
+++ b/crates/host/src/permit.rs
@@ -30,7 +30,11 @@
     queued: time::Duration,
     tokens: u32,
     is_open: bool,
+    /// Whether the endpoint is silent, so that the run has failed unless it goes on.
+    is_silent: bool,
     trace: record::Trace,
+    /// Number of the grant in the trace; absent if it is not recorded there.
+    serial: Option<u32>,
 }
 
 impl Permit {
@@ -67,19 +71,24 @@
             queued,
             tokens: 0,
             is_open: true,
+            is_silent: false,
             trace: record::Trace::default(),
+            serial: None,
         }
     }
 
-    /// Records the grant, and all later events of this permit, in a trace.
-    pub(crate) fn traced(mut self, trace: &record::Trace) -> Self {
+    /// Records the grant and all later events in a trace, unless they are recorded
+    /// already.
+    pub(crate) fn trace(&mut self, trace: &record::Trace) {
+        if self.serial.is_some() {
+            return;
+        }
         let home = match &self.home {
             Home::Local { .. } => "this host".to_owned(),
             Home::Remote { address, .. } => format!("the home at {address}"),
         };
-        trace.record_grant(&self.grant.name, &home, self.queued);
+        self.serial = Some(trace.record_grant(&self.grant.name, &home, self.queued));
         self.trace = trace.clone();
-        self
     }
 
     /// Returns the grant with the endpoint that runs the request.
@@ -95,12 +104,18 @@
     /// Records the number of tokens generated so far under this permit.
     pub(crate) fn set_tokens(&mut self, tokens: u32) {
         self.tokens = tokens;
-        self.trace.set_tokens(tokens);
+        self.trace.set_tokens(self.serial, tokens);
+    }
+
+    /// Sets whether the endpoint is silent. A permit that is dropped meanwhile ends
+    /// as failed.
+    pub(crate) const fn set_silent(&mut self, is_silent: bool) {
+        self.is_silent = is_silent;
     }
 
     /// Records the first output.
     pub(crate) fn record_first_output(&self) {
-        self.trace.record_first_output();
+        self.trace.record_first_output(self.serial);
         match &self.home {
             Home::Local { shard, id } => shard.record_first_output(*id),
             Home::Remote {
@@ -121,7 +136,7 @@
         if !core::mem::take(&mut self.is_open) {
             return;
         }
-        self.trace.record_end(result);
+        self.trace.record_end(self.serial, result);
         let tokens = self.tokens;
         match &self.home {
             Home::Local { shard, id } => shard.finish(
@@ -149,7 +164,11 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.end(pool::Outcome::Cancelled);
+        self.end(if self.is_silent {
+            pool::Outcome::Failed
+        } else {
+            pool::Outcome::Cancelled
+        });
     }
 }
 
--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -1,11 +1,11 @@
 //! Reads responses of endpoints as far as the outcome of an attempt depends on them.
 
-use core::time;
-
 use answer::{Kind, Refusal};
+use bytes::Bytes;
 
 use crate::permit;
 use crate::relay;
+use crate::watch;
 
 /// Maximum size of an answer that is not streamed.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -42,13 +42,13 @@
 ///
 /// Fails if the stream ends or breaks before any data.
 pub(crate) async fn begin_stream(
-    permit: permit::Permit,
+    mut permit: permit::Permit,
     mut body: back::Body,
-    stall: time::Duration,
+    watch: &mut watch::Watch,
 ) -> Result<relay::Source, Failure> {
     // The first data is read before the caller receives an answer, so that the
     // request can be retried if the endpoint fails before any output.
-    match relay::next(&mut body, stall).await {
+    match watch.next(&mut permit, &mut body).await {
         Ok(Some(first)) => {
             permit.record_first_output();
             Ok(relay::Source {
@@ -83,9 +83,9 @@
     mut permit: permit::Permit,
     body: back::Body,
     is_stream: bool,
-    stall: time::Duration,
+    watch: &mut watch::Watch,
 ) -> Result<front::Body, Failure> {
-    let data = match relay::read_whole(body, ANSWER_MAX_BYTES, stall).await {
+    let data = match read_data(&mut permit, body, watch).await {
         Ok(data) => data,
         Err(relay::Error(cause)) => {
             permit.finish(pool::Outcome::Failed);
@@ -95,6 +95,10 @@
             ));
         }
     };
+    if !is_stream {
+        // A whole answer may be empty.
+        watch.record_data(&mut permit);
+    }
     permit.record_first_output();
     if !is_stream {
         permit.set_tokens(usage(&data));
@@ -113,6 +117,27 @@
     Err(Failure::new(refusal, true))
 }
 
+/// Reads the data of a whole answer.
+///
+/// # Errors
+///
+/// Fails if the connection breaks or the answer is above [`ANSWER_MAX_BYTES`].
+async fn read_data(
+    permit: &mut permit::Permit,
+    mut body: back::Body,
+    watch: &mut watch::Watch,
+) -> Result<Bytes, relay::Error> {
+    let mut all = bytes::BytesMut::new();
+    while let Some(data) = watch.next(permit, &mut body).await? {
+        if all.len() + data.len() > ANSWER_MAX_BYTES {
+            let text = format!("the answer is above {ANSWER_MAX_BYTES} bytes");
+            return Err(relay::Error(text));
+        }
+        all.extend_from_slice(&data);
+    }
+    Ok(all.freeze())
+}
+
 /// Returns the permit if the status is passed to the caller.
 ///
 /// # Errors
--- a/crates/host/src/record/entry.rs
+++ b/crates/host/src/record/entry.rs
@@ -26,6 +26,8 @@
     pub(crate) attempt: u16,
     /// Whether the last grant ended without a whole answer.
     pub(crate) has_failed: bool,
+    /// Number of grants so far; the last one is the run that delivers.
+    pub(crate) grants: u32,
     /// Endpoint of the last grant.
     pub(crate) endpoint: Option<String>,
     /// Whether a grant is in use.
@@ -61,6 +63,7 @@
             queued: time::Duration::ZERO,
             attempt: 0,
             has_failed: false,
+            grants: 0,
             endpoint: None,
             is_running: false,
             first: None,
--- a/crates/host/src/record/trace.rs
+++ b/crates/host/src/record/trace.rs
@@ -28,11 +28,17 @@
         Self(Some(sync::Arc::new(Open { records, entry })))
     }
 
-    /// Records a grant after a wait in the queue.
-    pub(crate) fn record_grant(&self, endpoint: &str, home: &str, queued: time::Duration) {
+    /// Records a grant after a wait in the queue and returns its number. Later events
+    /// of earlier grants change only the steps.
+    pub(crate) fn record_grant(&self, endpoint: &str, home: &str, queued: time::Duration) -> u32 {
+        let mut serial = 0;
         self.with(|entry, now| {
             entry.queued += queued;
-            entry.attempt += u16::from(core::mem::take(&mut entry.has_failed));
+            entry.grants += 1;
+            serial = entry.grants;
+            // An earlier grant that still runs is silent and ends after this.
+            let is_retry = core::mem::take(&mut entry.has_failed) || entry.is_running;
+            entry.attempt += u16::from(is_retry);
             entry.earlier_tokens = entry.tokens;
             entry.endpoint = Some(endpoint.to_owned());
             entry.is_running = true;
@@ -41,12 +47,13 @@
             let detail = format!("endpoint {endpoint} by {home} after {wait} ms in the queue");
             entry.record_step(now, "granted", detail);
         });
+        serial
     }
 
-    /// Records the first output.
-    pub(crate) fn record_first_output(&self) {
+    /// Records the first output under a grant.
+    pub(crate) fn record_first_output(&self, grant: Option<u32>) {
         self.with(|entry, now| {
-            if entry.first.is_some() {
+            if entry.first.is_some() || grant != Some(entry.grants) {
                 // A resumed stream has had its first output.
                 return;
             }
@@ -61,9 +68,12 @@
         });
     }
 
-    /// Records the number of tokens so far under the last grant.
-    pub(crate) fn set_tokens(&self, tokens: u32) {
+    /// Records the number of tokens so far under a grant.
+    pub(crate) fn set_tokens(&self, grant: Option<u32>, tokens: u32) {
         self.with(|entry, now| {
+            if grant != Some(entry.grants) {
+                return;
+            }
             entry.tokens = entry.earlier_tokens + tokens;
             if entry.first.is_some() {
                 entry.gaps.record(now, entry.tokens, entry.target_gap);
@@ -72,8 +82,12 @@
     }
 
     /// Records the end of a grant.
-    pub(crate) fn record_end(&self, result: pool::Outcome) {
+    pub(crate) fn record_end(&self, grant: Option<u32>, result: pool::Outcome) {
         self.with(|entry, now| {
+            if grant != Some(entry.grants) {
+                entry.record_step(now, "ended", format!("{result:?}; another run goes on"));
+                return;
+            }
             entry.is_running = false;
             entry.has_failed = matches!(
                 result,
@@ -107,6 +121,21 @@
         });
     }
 
+    /// Records that an endpoint is silent and another one is asked.
+    pub(crate) fn record_silence(&self, endpoint: &str) {
+        self.with(|entry, now| {
+            entry.record_step(now, "silent", format!("endpoint {endpoint} sends no data"));
+        });
+    }
+
+    /// Records that a silent run is kept, because no other endpoint takes the request.
+    pub(crate) fn record_kept(&self, refusal: &answer::Refusal) {
+        self.with(|entry, now| {
+            let detail = format!("{}: {}", refusal.kind, refusal.message);
+            entry.record_step(now, "kept", detail);
+        });
+    }
+
     /// Records the result for the caller. A streamed answer continues after this.
     pub(crate) fn record_outcome<T>(&self, outcome: &Result<T, answer::Refusal>) {
         self.with(|entry, now| match outcome {
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -1,7 +1,13 @@
+use core::future;
+use core::pin;
 use core::time;
+use std::sync;
 
 use bytes::Bytes;
+use futures_util::stream;
+use futures_util::stream::StreamExt;
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 
 use crate::flow;
 use crate::permit;
@@ -12,54 +18,23 @@
 #[derive(Debug)]
 pub(crate) struct Error(pub(crate) String);
 
-/// Reads the next piece of data of an endpoint's answer.
+/// Reads the next piece of data of an endpoint's answer; `None` at its end.
+///
+/// Cancelling it loses nothing.
 ///
 /// # Errors
 ///
-/// Fails if the connection breaks or no data arrives within `stall`.
-pub(crate) async fn next(
-    body: &mut back::Body,
-    stall: time::Duration,
-) -> Result<Option<Bytes>, Error> {
-    loop {
-        let frame = match tokio::time::timeout(stall, body.frame()).await {
-            Err(_) => {
-                return Err(Error(format!(
-                    "the endpoint sent no data for {} ms",
-                    stall.as_millis()
-                )));
-            }
-            Ok(None) => return Ok(None),
-            Ok(Some(Err(cause))) => return Err(Error(cause.to_string())),
-            Ok(Some(Ok(frame))) => frame,
-        };
+/// Fails if the connection breaks.
+pub(crate) async fn next(body: &mut back::Body) -> Result<Option<Bytes>, Error> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|cause| Error(cause.to_string()))?;
         if let Ok(data) = frame.into_data()
             && !data.is_empty()
         {
             return Ok(Some(data));
         }
     }
-}
-
-/// Reads a whole answer.
-///
-/// # Errors
-///
-/// Fails if the connection breaks, no data arrives within `stall` or
-/// the answer is above `limit` bytes.
-pub(crate) async fn read_whole(
-    mut body: back::Body,
-    limit: usize,
-    stall: time::Duration,
-) -> Result<Bytes, Error> {
-    let mut all = bytes::BytesMut::new();
-    while let Some(data) = next(&mut body, stall).await? {
-        if all.len() + data.len() > limit {
-            return Err(Error(format!("the answer is above {limit} bytes")));
-        }
-        all.extend_from_slice(&data);
-    }
-    Ok(all.freeze())
+    Ok(None)
 }
 
 /// The stream from an endpoint and the permit that it runs under.
@@ -75,37 +50,72 @@
     pub(crate) flow: flow::Flow,
     pub(crate) request: front::Request,
     pub(crate) terms: terms::Terms,
-    /// Number of earlier attempts, including those that resumed the stream.
-    pub(crate) attempt: u16,
+    /// Deadline of the request, from the start of the process.
+    pub(crate) deadline: time::Duration,
     /// Whether the stream may be resumed: the request is idempotent and its pool
     /// has `resume = true`.
     pub(crate) is_allowed: bool,
 }
 
+/// Request for the rest of a stream.
+pub(crate) struct Rest {
+    pub(crate) body: Bytes,
+    /// Number of earlier attempts.
+    pub(crate) attempt: u16,
+    /// Endpoint of the last failed or silent run.
+    pub(crate) avoid: String,
+    /// Endpoint of the silent run, which may go on.
+    pub(crate) silent: Option<String>,
+}
+
+/// Waits until another endpoint delivers the rest of a stream.
+type Asked = pin::Pin<Box<dyn Future<Output = Result<Source, answer::Refusal>> + Send>>;
+
 /// A stream that is relayed to the caller.
 struct Stream {
-    source: Source,
+    /// The run that delivers; absent after it broke.
+    source: Option<Source>,
+    /// Endpoints that are asked for the rest. The first one that delivers takes over;
+    /// if the silent run goes on first, they are cancelled.
+    asked: stream::FuturesUnordered<Asked>,
     tally: back::EventCounter,
     transcript: transcript::Transcript,
-    resume: Resume,
+    resume: sync::Arc<Resume>,
+    /// Number of earlier attempts, including those that resumed the stream.
+    attempt: u16,
+    /// Endpoint of the last run.
+    endpoint: String,
+    /// Why the last run broke.
+    cause: String,
+    /// Since when the silence of the run counts.
+    silent_since: Instant,
+    /// Whether the caller has received the whole answer.
+    is_over: bool,
     /// Tokens that earlier endpoints delivered.
     earlier_tokens: u32,
 }
 
 /// Relays an event stream whose first data was read, and reports its end.
 ///
-/// A stream that breaks is resumed at another endpoint if `resume` allows it.
-/// Otherwise it ends with an error event, so that the caller can distinguish it from
-/// a complete answer.
-pub(crate) fn events(source: Source, resume: Resume) -> front::Body {
+/// A stream that breaks is resumed at another endpoint if `resume` allows it. A silent
+/// run goes on until another endpoint delivers, and until the deadline if none does.
+/// Otherwise the stream ends with an error event, so that the caller can distinguish
+/// it from a complete answer. `attempt` is the number of earlier attempts.
+pub(crate) fn events(source: Source, resume: Resume, attempt: u16) -> front::Body {
     let stream = Stream {
-        source,
+        endpoint: source.permit.grant().name.clone(),
+        source: Some(source),
+        asked: stream::FuturesUnordered::new(),
         tally: back::EventCounter::default(),
         transcript: transcript::Transcript::default(),
-        resume,
+        resume: sync::Arc::new(resume),
+        attempt,
+        cause: String::new(),
+        silent_since: Instant::now(),
+        is_over: false,
         earlier_tokens: 0,
     };
-    front::Body::from_stream(futures_util::stream::unfold(Some(stream), step))
+    front::Body::from_stream(stream::unfold(Some(stream), step))
 }
 
 type Item = Result<Bytes, std::io::Error>;
@@ -125,7 +135,7 @@
             Step::Pass(data) => return Some((Ok(data), Some(stream))),
             Step::Continue => {}
             Step::End => {
-                stream.source.permit.finish(pool::Outcome::Complete);
+                stream.end(pool::Outcome::Complete);
                 return None;
             }
             Step::Fail(cause) => {
@@ -136,88 +146,212 @@
     }
 }
 
+/// Change of the runs of a stream.
+enum Turn {
+    Read(Result<Option<Bytes>, Error>),
+    /// An endpoint that was asked delivers, or refuses.
+    Found(Result<Source, answer::Refusal>),
+    /// The run was silent for the stall time-out.
+    Silent,
+}
+
 impl Stream {
     async fn read(&mut self) -> Step {
-        let read = match self.source.first.take() {
-            Some(first) => Ok(Some(first)),
-            None => next(&mut self.source.body, self.resume.flow.stall_timeout).await,
+        if self.is_over {
+            return Step::End;
+        }
+        let wake = self.wake();
+        let has_source = self.source.is_some();
+        let turn = tokio::select! {
+            biased;
+            read = next_data(&mut self.source) => Turn::Read(read),
+            Some(found) = self.asked.next() => Turn::Found(found),
+            () = tokio::time::sleep_until(wake), if has_source => Turn::Silent,
         };
-        match read {
-            Ok(Some(data)) => self.pass(data),
-            Ok(None) if self.tally.is_done() => Step::End,
-            Ok(None) => {
-                self.resume_elsewhere("the endpoint closed the stream early")
-                    .await
-            }
-            Err(Error(cause)) => self.resume_elsewhere(&cause).await,
+        match turn {
+            Turn::Read(Ok(Some(data))) => self.pass(data),
+            Turn::Read(Ok(None)) if self.tally.is_done() => Step::End,
+            Turn::Read(Ok(None)) => self.break_off("the endpoint closed the stream early"),
+            Turn::Read(Err(Error(cause))) => self.break_off(&cause),
+            Turn::Found(Ok(source)) => self.take_over(source),
+            Turn::Found(Err(refusal)) => self.record_refusal(&refusal),
+            Turn::Silent => self.record_silence(),
         }
     }
 
+    /// Returns when the silence of the run is to be acted on.
+    fn wake(&self) -> Instant {
+        let stalled = self.silent_since + self.resume.flow.stall_timeout;
+        match self.may_ask() {
+            true => stalled,
+            false => stalled.max(Instant::now() + self.left()),
+        }
+    }
+
+    /// Returns the time until the deadline of the request.
+    fn left(&self) -> time::Duration {
+        let now = self.resume.flow.clock.now();
+        self.resume.deadline.saturating_sub(now)
+    }
+
+    fn may_ask(&self) -> bool {
+        self.resume.is_allowed && !self.transcript.is_finished() && self.asked.len() < ASKED_MAX
+    }
+
     fn pass(&mut self, data: Bytes) -> Step {
+        self.asked.clear();
+        self.silent_since = Instant::now();
         // The transcript is only needed to resume the stream.
         let data = if self.resume.is_allowed {
             self.transcript.push(data)
         } else {
             data
         };
+        self.tally.push(&data);
+        let tokens = self.tally.tokens() - self.earlier_tokens;
+        if let Some(source) = &mut self.source {
+            source.permit.set_silent(false);
+            if !data.is_empty() {
+                source.permit.set_tokens(tokens);
+            }
+        }
         if data.is_empty() {
             return Step::Continue;
         }
-        self.tally.push(&data);
-        let tokens = self.tally.tokens() - self.earlier_tokens;
-        self.source.permit.set_tokens(tokens);
         Step::Pass(data)
     }
 
-    /// Resumes the stream at another endpoint after a failure with this cause.
-    async fn resume_elsewhere(&mut self, cause: &str) -> Step {
-        let resume = &mut self.resume;
-        let avoid = self.source.permit.grant().name.clone();
-        resume.flow.broker.report_crash(&resume.request, &avoid);
-        if !resume.is_allowed {
+    /// Acts on a run that broke with this cause.
+    fn break_off(&mut self, cause: &str) -> Step {
+        self.report_crash();
+        if self.transcript.is_finished() {
+            return self.complete();
+        }
+        self.end(pool::Outcome::Failed);
+        self.attempt += 1;
+        self.cause = cause.to_owned();
+        if self.asked.is_empty() && !self.ask(cause) {
             return Step::Fail(cause.to_owned());
         }
-        self.transcript.drop_partial_event();
+        Step::Continue
+    }
+
+    /// Acts on a run that was silent for the stall time-out.
+    fn record_silence(&mut self) -> Step {
+        if let Some(source) = &mut self.source {
+            source.permit.set_silent(true);
+        }
+        let text = "the endpoint sends no data";
+        self.silent_since = Instant::now();
+        if self.may_ask() && self.ask(text) {
+            self.resume.terms.trace.record_silence(&self.endpoint);
+            return Step::Continue;
+        }
+        if !self.left().is_zero() || !self.asked.is_empty() {
+            return Step::Continue;
+        }
         if self.transcript.is_finished() {
-            // Only the final event is missing.
-            self.tally.push(DONE);
-            return Step::Pass(Bytes::from_static(DONE));
+            return self.complete();
+        }
+        self.report_crash();
+        Step::Fail(format!("{text} and the deadline has passed"))
+    }
+
+    /// Acts on the refusal of an endpoint that was asked for the rest.
+    fn record_refusal(&mut self, refusal: &answer::Refusal) -> Step {
+        if !self.asked.is_empty() {
+            return Step::Continue;
+        }
+        if self.source.is_none() {
+            return Step::Fail(format!("{}; {}", self.cause, refusal.message));
+        }
+        if self.left().is_zero() {
+            self.report_crash();
+            return Step::Fail(format!("the endpoint sends no data; {}", refusal.message));
+        }
+        self.resume.terms.trace.record_kept(refusal);
+        self.silent_since = Instant::now();
+        Step::Continue
+    }
+
+    /// Replaces the run by another one that delivers the rest.
+    fn take_over(&mut self, source: Source) -> Step {
+        if self.source.is_some() {
+            self.report_crash();
+            self.end(pool::Outcome::Failed);
+            self.attempt += 1;
+        }
+        self.asked.clear();
+        // Held back until its end arrives, which the other run sends anew.
+        self.transcript.drop_partial_event();
+        self.earlier_tokens = self.tally.tokens();
+        self.endpoint = source.permit.grant().name.clone();
+        self.source = Some(source);
+        self.silent_since = Instant::now();
+        Step::Continue
+    }
+
+    /// Completes an answer of which only the final event is missing.
+    fn complete(&mut self) -> Step {
+        self.is_over = true;
+        self.tally.push(DONE);
+        Step::Pass(Bytes::from_static(DONE))
+    }
+
+    /// Asks another endpoint for the rest; returns whether that is possible.
+    fn ask(&mut self, cause: &str) -> bool {
+        let resume = self.resume.clone();
+        if !resume.is_allowed {
+            return false;
         }
         let path = resume.request.target.endpoint_path();
         let Some(body) = self.transcript.resume(path, &resume.request.body) else {
-            return Step::Fail(cause.to_owned());
+            return false;
         };
         log::info!(
             target: "host",
             request = resume.request.id.as_str(),
-            endpoint = self.source.permit.grant().name.as_str();
-            "request {} resumes at another endpoint after {} tokens: {cause}",
+            endpoint = self.endpoint.as_str();
+            "another endpoint is asked for the rest of request {} after {} tokens: {cause}",
             resume.request.id,
             self.transcript.tokens()
         );
-        self.earlier_tokens = self.tally.tokens();
-        resume.attempt += 1;
-        self.source.permit.end(pool::Outcome::Failed);
-        match resume.flow.resume(resume, body, &avoid).await {
-            Ok(source) => {
-                self.source = source;
-                Step::Continue
-            }
-            Err(refusal) => Step::Fail(format!("{cause}; {}", refusal.message)),
+        let is_silent = self.source.is_some();
+        let rest = Rest {
+            body,
+            // An open run counts as an earlier attempt too.
+            attempt: self.attempt + u16::from(is_silent),
+            avoid: self.endpoint.clone(),
+            silent: is_silent.then(|| self.endpoint.clone()),
+        };
+        let asked = async move { resume.flow.resume(&resume, rest).await };
+        self.asked.push(Box::pin(asked));
+        true
+    }
+
+    fn report_crash(&self) {
+        let broker = &self.resume.flow.broker;
+        broker.report_crash(&self.resume.request, &self.endpoint);
+    }
+
+    /// Ends the run and closes its connection.
+    fn end(&mut self, outcome: pool::Outcome) {
+        if let Some(mut source) = self.source.take() {
+            source.permit.end(outcome);
         }
     }
 
-    /// Ends the permit as failed and returns the error event for the caller.
+    /// Ends the run as failed and returns the error event for the caller.
     fn fail(mut self, cause: &str) -> Bytes {
         let tokens = self.tally.tokens();
         log::warn!(
             target: "host",
             request = self.resume.request.id.as_str(),
-            endpoint = self.source.permit.grant().name.as_str();
+            endpoint = self.endpoint.as_str();
             "stream of request {} ended early after {tokens} tokens: {cause}",
             self.resume.request.id
         );
-        self.source.permit.end(pool::Outcome::Failed);
+        self.end(pool::Outcome::Failed);
         let entry = answer::Kind::EndpointFailed.entry();
         let event = serde_json::json!({
             "error": { "kind": entry.name, "message": cause, "run_state": entry.run_state.name() }
@@ -226,5 +360,19 @@
     }
 }
 
+/// Reads the next data of a run; never returns without one.
+async fn next_data(source: &mut Option<Source>) -> Result<Option<Bytes>, Error> {
+    let Some(source) = source else {
+        return future::pending().await;
+    };
+    match source.first.take() {
+        Some(first) => Ok(Some(first)),
+        None => next(&mut source.body).await,
+    }
+}
+
+/// Maximum number of endpoints that are asked for the rest of a stream at a time.
+const ASKED_MAX: usize = 3;
+
 /// Final event of a stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Router hosts in front of stand-in endpoints.
 #![expect(dead_code, reason = "each test file uses only some of the items")]
 
+pub mod script;
+
 use core::net;
 use core::time;
 use std::fmt::Write;
@@ -81,6 +83,17 @@
     seeds: &[net::SocketAddr],
     further: &str,
 ) -> host::Host {
+    let options = options(name, engines, seeds, further);
+    host::Host::start(options).await.expect("the host starts")
+}
+
+/// Returns the options of such a host.
+pub fn options(
+    name: &str,
+    engines: &[net::SocketAddr],
+    seeds: &[net::SocketAddr],
+    further: &str,
+) -> host::Options {
     let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
     let mut settings = conf::Settings::clone(&settings(engines, further));
     settings.fleet.seeds = seeds.to_vec();
@@ -88,7 +101,7 @@
         settings.fleet.peer_keys = vec![PEER_KEY.to_owned()];
     }
     settings.limits.shutdown_max = time::Duration::from_secs(4);
-    let options = host::Options {
+    host::Options {
         settings: sync::Arc::new(settings),
         name: name.to_owned(),
         data_centre: "a".to_owned(),
@@ -99,8 +112,7 @@
         admin_listen: None,
         policy: host::Policy::Current,
         stall_timeout: host::STALL_TIMEOUT,
-    };
-    host::Host::start(options).await.expect("the host starts")
+    }
 }
 
 /// Starts hosts and waits until they have discovered each other.
