fix(host): ask the owner of a key again when its link fails

What callers saw: 409 outcome_unknown for bookings that ran and ended before their deadline, when the host that owns their key was silent for longer than a second, or the network to it was. Cause: a link whose host does not answer for a second is closed and its calls fail, and the host that had forwarded the booking took that for the end, although the run goes on at the owner and its outcome is kept there. Class: giving up what works before the replacement is certain. Change: the booking is sent to the same lifetime of the owner again every 100 ms, until the deadline or until the membership takes the owner for dead. The ledger of the owner answers a repeat with the outcome of the run. A key of the caller without the time of its first attempt is not sent again, because the owner could not tell a repeat that comes too late. After a lost call a refusal with not_run becomes outcome_unknown: an earlier copy may still arrive. The link itself is still given up after a second.

--- a/crates/carobbay/tests/faults/once.rs
+++ b/crates/carobbay/tests/faults/once.rs
@@ -17,6 +17,9 @@
 const SHORT_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 /// Time that the service takes for a booking, longer than [`SHORT_TIMEOUT`].
 const SERVICE_DELAY: time::Duration = time::Duration::from_millis(400);
+/// Silence of an owner: longer than the second for which a link waits, and shorter than
+/// the time after which a host is taken for dead.
+const SILENCE: time::Duration = time::Duration::from_millis(1_500);
 /// Duration of a fault, longer than the lease in the settings.
 const PAUSE: time::Duration = time::Duration::from_millis(2_500);
 
@@ -88,6 +91,52 @@
     assert_eq!(answers.check(&service), calls.len());
 }
 
+/// Guards against a booking whose answer is lost, although it runs and ends in time,
+/// because the owner of its key is silent for longer than a link waits.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_booking_is_answered_if_its_owner_is_silent_for_a_while(
+    #[values(false, true)] minted: bool,
+    #[values(false, true)] is_partition: bool,
+) {
+    let service = booking::service(time::Duration::from_millis(20));
+    let fleet = fleet::Fleet::start(3, &booking::settings(&service, 3)).await;
+    fleet.wait_for_membership().await;
+    booking::wait_until_ready(&fleet).await;
+    let slow = testkit::service::Reply {
+        before: SILENCE * 2,
+        ..testkit::service::Reply::default()
+    };
+    service.script([slow; 6]);
+    let mut calls = Vec::new();
+    for number in 0..6 {
+        let tag = format!("silent-{number}");
+        let key = key(minted, fleet.caller(number % 2), &tag).await;
+        calls.push(booking::booking(&tag, Some(&key)));
+    }
+    let sends = calls
+        .iter()
+        .map(|call| booking::attempt(call, fleet.caller(2), booking::TIMEOUT));
+    let silence = async {
+        fleet::until("the bookings run", async || service.running() == 6).await;
+        if is_partition {
+            fleet.net.split(&[0, 1]);
+        } else {
+            (0..2).for_each(|host| fleet.signal(host, "STOP"));
+        }
+        tokio::time::sleep(SILENCE).await;
+        fleet.net.heal();
+        (0..2).for_each(|host| fleet.signal(host, "CONT"));
+    };
+    let (outcomes, ()) = tokio::join!(futures_util::future::join_all(sends), silence);
+    let answers = booking::Answers::default();
+    for (call, outcome) in calls.iter().zip(outcomes) {
+        assert!(outcome.is_whole(), "{}: {outcome:?}", call.tag);
+        answers.record(&call.tag, outcome);
+    }
+    assert_eq!(answers.check(&service), 6);
+}
+
 /// Guards against a host that was paused with queued bookings and runs them when it is
 /// resumed, although a new process of the same name already ran their keys.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -1,6 +1,6 @@
 use core::time;
 
-use answer::{Kind, Refusal};
+use answer::{Kind, Refusal, RunState};
 use bytes::Bytes;
 
 use crate::record;
@@ -102,13 +102,46 @@
     }
 }
 
-/// Decodes the outcome of a forwarded run.
+/// Returns whether a forwarded run has no outcome because its link failed, so that the
+/// other host may still be running it.
+pub(crate) const fn is_link_failure(outcome: &Result<wire::Outcome, peer::Error>) -> bool {
+    match outcome {
+        Ok(_) => false,
+        Err(cause) => !matches!(
+            cause.cause(),
+            peer::Cause::Encode(_)
+                | peer::Cause::Decode(_)
+                | peer::Cause::Failed
+                | peer::Cause::Stopped
+        ),
+    }
+}
+
+/// Decodes the outcome of a forwarded run. `is_lost` states whether the link failed
+/// when it may have been sent already.
 ///
 /// # Errors
 ///
 /// Returns the other host's refusal. If the link failed, the refusal is
 /// `OwnerUnreachable` for a request that was not sent, `OutcomeUnknown` otherwise.
-pub(crate) fn unpack_outcome(outcome: Result<wire::Outcome, peer::Error>) -> stored::Outcome {
+pub(crate) fn unpack_outcome(
+    outcome: Result<wire::Outcome, peer::Error>,
+    is_lost: bool,
+) -> stored::Outcome {
+    let is_link_failure = outcome.is_err();
+    match decode(outcome) {
+        // A copy that was sent earlier may have run, or may still arrive.
+        Err(refusal) if is_lost && (is_link_failure || refusal.run_state() == RunState::NotRun) => {
+            Err(Refusal {
+                kind: Kind::OutcomeUnknown,
+                ..refusal
+            })
+        }
+        outcome => outcome,
+    }
+}
+
+fn decode(outcome: Result<wire::Outcome, peer::Error>) -> stored::Outcome {
     match outcome {
         Ok(wire::Outcome::Answer(answer)) => Ok(stored::Answer {
             status: http::StatusCode::from_u16(answer.status)
--- a/crates/host/src/keyed.rs
+++ b/crates/host/src/keyed.rs
@@ -43,9 +43,12 @@
 /// Host that may dispatch a key.
 enum Location {
     Local,
-    Remote(core::net::SocketAddr),
+    Remote(Box<fleet::Entry>),
 }
 
+/// Pause before a forwarded request whose link failed is sent again.
+const REPEAT_PAUSE: time::Duration = time::Duration::from_millis(100);
+
 impl Runner {
     pub(crate) fn new(
         flow: flow::Flow,
@@ -196,10 +199,7 @@
         let scoped = job::scope(key, &terms);
         let ended = match self.locate(key, &scoped)? {
             Location::Local => self.run(job::Job::new(request, terms, scoped)).await,
-            Location::Remote(address) => {
-                let run = forward::pack_request(&request, &terms, key);
-                forward::unpack_outcome(self.peers.run(address, run).await)
-            }
+            Location::Remote(owner) => self.forward(&request, &terms, key, &owner).await,
         };
         let stored = ended?;
         Ok(front::Response {
@@ -211,6 +211,40 @@
         })
     }
 
+    /// Forwards a request to the host that may dispatch its key.
+    ///
+    /// The run goes on at the owner when the link fails, so the request is sent again
+    /// until the deadline, or until the owner has ended: the ledger of the owner
+    /// answers a repeat with the outcome of the run. A key of the caller without the
+    /// time of its first attempt is not sent again, because the owner could not tell a
+    /// repeat that comes too late.
+    async fn forward(
+        &self,
+        request: &front::Request,
+        terms: &terms::Terms,
+        key: &str,
+        owner: &fleet::Entry,
+    ) -> stored::Outcome {
+        let is_timed = request.request_time_ms.is_some() || once::key::is_minted(key);
+        let deadline = self.clock.now() + terms.deadline;
+        let mut run = forward::pack_request(request, terms, key);
+        let mut is_lost = false;
+        loop {
+            let outcome = self.peers.run(owner.peer, run.clone()).await;
+            is_lost |= matches!(&outcome, Err(peer::Error::Lost(_)));
+            let left = deadline.saturating_sub(self.clock.now());
+            let may_repeat = is_lost && is_timed && left > REPEAT_PAUSE;
+            if !may_repeat
+                || !forward::is_link_failure(&outcome)
+                || self.view.has_ended(&owner.name, owner.incarnation)
+            {
+                return forward::unpack_outcome(outcome, is_lost);
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+            run.budget_ms = (left - REPEAT_PAUSE).as_millis() as u64;
+        }
+    }
+
     /// Runs a request that another host forwarded.
     pub(crate) async fn run_forwarded(self: &sync::Arc<Self>, run: wire::Run) -> wire::Outcome {
         let settings = mutex::lock(&self.settings).clone();
@@ -247,7 +281,7 @@
             return Ok(Location::Local);
         }
         match self.view.find(owner) {
-            Some(entry) => Ok(Location::Remote(entry.peer)),
+            Some(entry) => Ok(Location::Remote(Box::new(entry))),
             None => {
                 let text = format!("host {owner}, the owner of the key, is not known");
                 Err(Refusal::new(Kind::OwnerUnreachable, text))
@@ -263,7 +297,7 @@
         }
         match self.view.find(&minted.host) {
             Some(entry) if entry.incarnation == minted.incarnation => {
-                Ok(Location::Remote(entry.peer))
+                Ok(Location::Remote(Box::new(entry)))
             }
             _ => {
                 let text = format!(
