fix(host): an error of another endpoint does not displace a silent run

What callers saw: 404 from the endpoint that was asked beside a silent one, although the silent one completed its answer in time. Cause: errors that are passed on to callers counted as delivered data. Class: giving up what works before the replacement is certain. Change: while a silent attempt is open, an answer of another endpoint that is no success is a failed attempt.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -378,6 +378,13 @@
             }
         };
         let (permit, head, body) = self.send(permit, built, terms.is_idempotent).await?;
+        if !dispatch.silent.is_empty() && !head.status.is_success() {
+            // An error does not displace an answer that may go on.
+            permit.finish(pool::Outcome::Complete);
+            let text = format!("the endpoint answered with {}", head.status);
+            let refusal = Refusal::new(Kind::EndpointInvalid, text);
+            return Err(reading::Failure::new(refusal, true));
+        }
         let is_stream = request.is_stream && head.status.is_success();
         let mut watch = watch::Watch::new(self.stall_timeout, terms.trace.clone())
             .with_signs(dispatch.number, call.signs.clone());
--- a/crates/host/tests/silence.rs
+++ b/crates/host/tests/silence.rs
@@ -98,6 +98,12 @@
     script::refusal("500 Internal Server Error")
 }
 
+/// Sends an error that is passed on to callers, with a body.
+fn rejection(_: &script::Request) -> Vec<Step> {
+    let text = "HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\nconnection: close\r\n\r\nno";
+    vec![Step::Bytes(text.as_bytes().to_vec())]
+}
+
 fn close(_: &script::Request) -> Vec<Step> {
     Vec::new()
 }
@@ -191,7 +197,7 @@
 async fn a_silent_endpoint_completes_its_answer_if_the_other_one_does_not_take_it(
     #[values(true, false)] stream: bool,
     #[values(silent_within, silent_after_head)] first: Script,
-    #[values(full, failure, close, hang, hang_after_head)] later: Script,
+    #[values(full, failure, rejection, close, hang, hang_after_head)] later: Script,
 ) {
     let endpoints = pair(first, later).await;
     let host = host(&endpoints, "").await;
