--- a/crates/host/tests/silence.rs
+++ b/crates/host/tests/silence.rs
@@ -316,6 +316,32 @@
     host.shutdown().await;
 }
 
+/// Guards against runs that go on at either endpoint after the caller disconnected
+/// while one is silent and the other one is asked.
+#[rstest]
+#[case::stream_within(true, hang_within, hang)]
+#[case::stream_after_head(true, hang_after_head, hang)]
+#[case::whole_after_head(false, hang_after_head, hang_after_head)]
+#[tokio::test]
+async fn a_caller_that_disconnects_cancels_the_silent_run_and_the_other_one(
+    #[case] stream: bool,
+    #[case] first: Script,
+    #[case] later: Script,
+) {
+    let endpoints = pair(first, later).await;
+    let host = host(&endpoints, "").await;
+    let address = host.caller_addr();
+    let call = call(stream);
+    let calling = tokio::spawn(async move { call.send(&common::client(), address).await });
+    common::wait_for("both endpoints are asked", || {
+        endpoints.iter().all(|endpoint| endpoint.requests() == 1)
+    })
+    .await;
+    calling.abort();
+    common::wait_for("both runs are cancelled", || cancelled(&endpoints) == 2).await;
+    host.shutdown().await;
+}
+
 /// Guards against a last event that is sent again and again while an endpoint that
 /// sent every token hangs.
 #[tokio::test]
