fix(host): bound the asks for the rest of a stream after its deadline

Change: after the deadline no endpoint is asked while one is open, so the last refusal ends the stream: at the latest one further deadline after the last ask. No test reaches the case, which needs a retry budget of several runs.

--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -195,7 +195,10 @@
     }
 
     fn may_ask(&self) -> bool {
-        self.resume.is_allowed && !self.transcript.is_finished() && self.asked.len() < ASKED_MAX
+        // After the deadline one endpoint is asked at a time, and its refusal ends the
+        // stream, so that endpoints that hang cannot hold it for ever.
+        let asked_max = if self.left().is_zero() { 1 } else { ASKED_MAX };
+        self.resume.is_allowed && !self.transcript.is_finished() && self.asked.len() < asked_max
     }
 
     fn pass(&mut self, data: Bytes) -> Step {
