--- a/crates/plan/src/endpoint.rs
+++ b/crates/plan/src/endpoint.rs
@@ -1,5 +1,7 @@
 use std::net;
 
+use crate::build;
+
 /// Lifecycle phase that an endpoint publishes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum Phase {
@@ -28,4 +30,16 @@
     pub phase: Phase,
     /// Start of the process in Unix milliseconds; 0 if it is not published.
     pub started_ms: u64,
+    /// Version of the endpoint's software; `None` if it is not known. Snapshots
+    /// between hosts state it beside the endpoint, because hosts of earlier builds
+    /// do not expect it here.
+    #[serde(skip)]
+    pub build: Option<String>,
+}
+
+impl Endpoint {
+    /// Returns the build of the endpoint if its version is known.
+    pub fn build(&self) -> Option<build::Build> {
+        self.build.as_deref().map(build::Build::new)
+    }
 }
