refactor(edge,plan): the confirmation of a host's state is a type of its own

Change: confirmation::Confirmation holds it; plan::Plan compares routes; publishing builds is in resume. No behaviour changes.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 
 use crate::builds;
+use crate::confirmation;
 use crate::connections;
 use crate::eras;
 use crate::expose;
@@ -39,10 +40,6 @@
 /// seconds and pass it on immediately.
 const CONFIRMATION_AGE_MAX: time::Duration = time::Duration::from_millis(3_600);
 
-/// Age of the last confirmation above which the state of a host may lack changes
-/// that other hosts have.
-const STALE_AGE: time::Duration = time::Duration::from_secs(5);
-
 /// One host that serves opaque traffic.
 pub struct Host {
     pub(crate) options: options::Options,
@@ -80,13 +77,7 @@
     pub(crate) changed: tokio::sync::Notify,
     pub(crate) membership: sync::Mutex<fleet::Membership>,
     pub(crate) buffered_bytes: atomic::AtomicUsize,
-    /// When the platform last confirmed the configuration in force, directly or
-    /// through another host: milliseconds since the start plus one, or 0 for
-    /// never.
-    confirmed_ms: atomic::AtomicU64,
-    /// Since when this host has followed the changes of the platform without a gap:
-    /// milliseconds since the start.
-    current_since_ms: atomic::AtomicU64,
+    pub(crate) confirmation: confirmation::Confirmation,
     pub(crate) is_leaving: atomic::AtomicBool,
     has_endpoints: atomic::AtomicBool,
     pub(crate) server: sync::Mutex<Option<front::Server>>,
@@ -139,8 +130,7 @@
             changed: tokio::sync::Notify::new(),
             membership: sync::Mutex::new(membership),
             buffered_bytes: atomic::AtomicUsize::new(0),
-            confirmed_ms: atomic::AtomicU64::new(0),
-            current_since_ms: atomic::AtomicU64::new(0),
+            confirmation: confirmation::Confirmation::default(),
             is_leaving: atomic::AtomicBool::new(false),
             has_endpoints: atomic::AtomicBool::new(false),
             server: sync::Mutex::new(None),
@@ -175,7 +165,7 @@
         }
         let (routes, teams) = (plan.routes.len(), plan.teams.len());
         let before = self.table.load_full();
-        let has_moved = before.is_some_and(|before| moves_routes(before.plan(), &plan));
+        let has_moved = before.is_some_and(|before| plan.moves_routes_of(before.plan()));
         let services: Vec<u64> = plan
             .services
             .iter()
@@ -203,7 +193,7 @@
         }
         if has_moved {
             // A stream may have begun at another service than its route has now.
-            self.restart_history(self.clock.now());
+            self.confirmation.restart(self.clock.now());
             self.publish_builds(&services);
         }
         mutex::lock(&self.membership)
@@ -248,7 +238,7 @@
         if era <= before {
             return;
         }
-        self.restart_history(self.clock.now());
+        self.confirmation.restart(self.clock.now());
         self.metrics.set("platform_era", &[], era);
         let (plan, endpoints) = (self.plan_version(), self.endpoint_version());
         if before > 0 {
@@ -290,12 +280,6 @@
         registry.mark_unreachable(self.clock.now());
     }
 
-    /// Records that the platform has just confirmed the configuration in force
-    /// as the newest.
-    pub fn confirm_plan(&self) {
-        self.confirm_plan_at(self.clock.now());
-    }
-
     /// Replaces the peer addresses of hosts to contact first.
     pub fn set_seeds(&self, seeds: Vec<net::SocketAddr>) {
         let own = self.options.peer_listen;
@@ -398,55 +382,6 @@
             .map_or_else(plan::Version::default, |table| table.plan().version())
     }
 
-    /// Lets the builds of the streams of these services be published.
-    fn publish_builds(&self, services: &[u64]) {
-        if !services.is_empty() {
-            mutex::lock(&self.mixed).extend(services);
-            self.became_mixed.notify_one();
-        }
-    }
-
-    /// Records that this host may have missed changes of the platform before now.
-    fn restart_history(&self, now: time::Duration) {
-        // CAST: A process does not run long enough to exceed the range.
-        let ms = now.as_millis() as u64;
-        self.current_since_ms.store(ms, atomic::Ordering::Release);
-    }
-
-    /// Returns since when this host has followed the changes of the platform without a
-    /// gap, as a time since the start of the process.
-    pub(crate) fn current_since(&self) -> time::Duration {
-        let ms = self.current_since_ms.load(atomic::Ordering::Acquire);
-        time::Duration::from_millis(ms)
-    }
-
-    /// Returns the time since the platform last confirmed the configuration in
-    /// force, or since the start of the process if it never did.
-    pub(crate) fn plan_age(&self, now: time::Duration) -> time::Duration {
-        match self.confirmed_ms.load(atomic::Ordering::Acquire) {
-            0 => now,
-            ms => now.saturating_sub(time::Duration::from_millis(ms - 1)),
-        }
-    }
-
-    /// Returns whether the platform has recently confirmed the state of this host,
-    /// directly or through another host.
-    pub(crate) fn is_current(&self, now: time::Duration) -> bool {
-        self.plan_age(now) <= STALE_AGE
-    }
-
-    /// Records that the configuration in force was the newest at this time.
-    pub(crate) fn confirm_plan_at(&self, at: time::Duration) {
-        let now = self.clock.now();
-        let is_first = self.confirmed_ms.load(atomic::Ordering::Acquire) == 0;
-        if is_first || !self.is_current(now) {
-            self.restart_history(now);
-        }
-        // CAST: A process does not run long enough to exceed the range.
-        let ms = at.as_millis() as u64 + 1;
-        self.confirmed_ms.fetch_max(ms, atomic::Ordering::AcqRel);
-    }
-
     pub(crate) fn use_endpoints(&self, registry: &registry::Registry) {
         let endpoints = registry.endpoints();
         let count = endpoints.len();
@@ -533,24 +468,6 @@
     }
 }
 
-/// Returns whether a route of both plans has other services or weights.
-fn moves_routes(before: &plan::Plan, after: &plan::Plan) -> bool {
-    let targets: collections::HashMap<(&str, &str), &[plan::Target]> = before
-        .routes
-        .iter()
-        .map(|route| {
-            (
-                (route.host.as_str(), route.prefix.as_str()),
-                &route.targets[..],
-            )
-        })
-        .collect();
-    after.routes.iter().any(|route| {
-        let known = targets.get(&(route.host.as_str(), route.prefix.as_str()));
-        known.is_some_and(|known| **known != route.targets[..])
-    })
-}
-
 /// Number of live hosts in a caller's data centre from which on the caller is
 /// given no hosts of other data centres.
 const NEAR_HOSTS_MIN: usize = 2;
--- a/crates/edge/src/resume.rs
+++ b/crates/edge/src/resume.rs
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Lets the builds of the streams of these services be published.
+    pub(crate) fn publish_builds(&self, services: &[u64]) {
+        if !services.is_empty() {
+            mutex::lock(&self.mixed).extend(services);
+            self.became_mixed.notify_one();
+        }
+    }
+
     /// Publishes the builds of the streams of these services that began here, because
     /// they no longer follow from the list of endpoints.
     pub(crate) fn publish_own_origins(&self, services: &[u64]) {
@@ -163,7 +171,7 @@
     /// if this host may have missed one.
     fn recent_builds(&self, service: u64, life: time::Duration) -> Option<builds::Set> {
         let now = self.clock.now();
-        let is_complete = self.is_current(now) && now > self.current_since() + life;
+        let is_complete = self.confirmation.is_complete(now, life);
         is_complete.then(|| mutex::lock(&self.builds).recent(now, service, life))
     }
 
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -1,3 +1,5 @@
+use std::collections;
+
 use crate::limits;
 use crate::route;
 use crate::service;
@@ -29,4 +31,17 @@
     pub const fn version(&self) -> version::Version {
         version::Version::new(self.era, self.revision)
     }
+
+    /// Returns whether a route of an earlier plan has other services or weights here.
+    pub fn moves_routes_of(&self, before: &Self) -> bool {
+        let targets: collections::HashMap<(&str, &str), &[route::Target]> = before
+            .routes
+            .iter()
+            .map(|route| (route.key(), &route.targets[..]))
+            .collect();
+        self.routes.iter().any(|route| {
+            let known = targets.get(&route.key());
+            known.is_some_and(|known| **known != route.targets[..])
+        })
+    }
 }
--- a/crates/plan/src/route.rs
+++ b/crates/plan/src/route.rs
@@ -37,3 +37,10 @@
     /// Whether requests need no key.
     pub is_public: bool,
 }
+
+impl Route {
+    /// Returns the host name and the prefix, which identify the route.
+    pub fn key(&self) -> (&str, &str) {
+        (&self.host, &self.prefix)
+    }
+}
