test(testkit,edge,platform): ports of tests are reserved until they are bound

Tests drew a random port, checked that it was free and released it before the host bound it, so two tests, threads or test programs could draw the same one.

Change: testkit::ports marks each port that it returns by a listener at an address of its own, which is held until the process ends; calls of all threads and processes pass over marked ports. An engine of the tests of edge that is restarted used an assigned port, which an outgoing connection could take between its starts; it reserves one as well.

--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -125,15 +125,12 @@
 /// Starts hosts that know each other, with this number of attempts a request.
 async fn hosts(count: usize, attempts: u32) -> Vec<sync::Arc<edge::Host>> {
     let subnet: [u8; 2] = rand::rng().random();
-    let ports = common::free().port();
-    let address = |host: usize, offset: u16| -> net::SocketAddr {
-        // CAST: There are only a few hosts.
-        (
-            ([127, subnet[0], subnet[1], host as u8 + 1]),
-            ports + offset,
-        )
-            .into()
-    };
+    // CAST: There are only a few hosts.
+    let ips: Vec<net::Ipv4Addr> = (1..=count as u8)
+        .map(|host| [127, subnet[0], subnet[1], host].into())
+        .collect();
+    let ports = common::host_ports(&ips);
+    let address = |host: usize, offset: u16| net::SocketAddr::from((ips[host], ports + offset));
     let mut hosts: Vec<sync::Arc<edge::Host>> = Vec::new();
     for index in 0..count {
         let options = edge::Options {
--- a/crates/edge/tests/common/engine.rs
+++ b/crates/edge/tests/common/engine.rs
@@ -50,10 +50,9 @@
 
 impl Engine {
     pub async fn start(id: &str, options: Options) -> Self {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("port");
-        let address = listener.local_addr().expect("address");
+        // Reserved, so that the port is still free after a restart.
+        let address = testkit::ports::reserve_local().expect("a free port");
+        let listener = tokio::net::TcpListener::bind(address).await.expect("port");
         let crashes: sync::Arc<sync::Mutex<Vec<tokio::time::Instant>>> = sync::Arc::default();
         let starts = sync::Arc::new(atomic::AtomicU64::new(1));
         let stop: sync::Arc<tokio::sync::Notify> = sync::Arc::default();
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -12,27 +12,20 @@
 use std::net;
 use std::sync;
 
-use rand::RngExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 pub fn ms(ms: u64) -> time::Duration {
     time::Duration::from_millis(ms)
 }
 
-/// Ports outside the range that the system assigns to outgoing connections, which
-/// could take a port before the host binds it.
-const PORTS: core::ops::Range<u16> = 10_000..30_000;
-
-/// Returns an address whose port is free for TCP and UDP.
+/// Reserves an address for TCP and UDP.
 pub fn free() -> net::SocketAddr {
-    loop {
-        let address = net::SocketAddr::from(([127, 0, 0, 1], rand::rng().random_range(PORTS)));
-        let is_free =
-            net::TcpListener::bind(address).is_ok() && net::UdpSocket::bind(address).is_ok();
-        if is_free {
-            return address;
-        }
-    }
+    testkit::ports::reserve_local().expect("a free port")
+}
+
+/// Reserves the three ports of hosts at these addresses and returns the first one.
+pub fn host_ports(ips: &[net::Ipv4Addr]) -> u16 {
+    testkit::ports::reserve(ips, &[0, 1, 2]).expect("free ports")
 }
 
 pub fn options(name: &str, seeds: Vec<net::SocketAddr>) -> edge::Options {
--- a/crates/edge/tests/crashes.rs
+++ b/crates/edge/tests/crashes.rs
@@ -39,10 +39,11 @@
             engines.push(engine::Engine::start(&format!("e{index}"), options).await);
         }
         // All hosts use the same ports, so they need different addresses.
-        let ports = [common::free(), common::free(), common::free()].map(|address| address.port());
-        let address = |host: usize, port: usize| {
-            net::SocketAddr::from(([127, 78, crash as u8, host as u8 + 1], ports[port]))
-        };
+        let ips: Vec<net::Ipv4Addr> = (1..=HOSTS as u8)
+            .map(|host| [127, 78, crash as u8, host].into())
+            .collect();
+        let ports = common::host_ports(&ips);
+        let address = |host: usize, port: u16| net::SocketAddr::from((ips[host], ports + port));
         let mut hosts = Vec::new();
         for index in 0..HOSTS {
             let options = edge::Options {
@@ -235,17 +236,15 @@
         endpoints.push(endpoint::Endpoint::start(&format!("e{index}"), crash).await);
     }
     let listed: Vec<_> = endpoints.iter().collect();
-    let ports = [common::free(), common::free(), common::free()].map(|address| address.port());
+    let ip = |host: u8| net::Ipv4Addr::new(127, 78, 9, host);
+    let ports = common::host_ports(&[1, 2, 3].map(ip));
     let start = |host: u8| {
-        let address = |port: usize| net::SocketAddr::from(([127, 78, 9, host], ports[port]));
+        let address = |port: u16| net::SocketAddr::from((ip(host), ports + port));
         let options = edge::Options {
             listen: address(0),
             peer_listen: address(1),
             load_listen: address(2),
-            ..common::options(
-                &format!("h{host}"),
-                vec![([127, 78, 9, 1], ports[1]).into()],
-            )
+            ..common::options(&format!("h{host}"), vec![(ip(1), ports + 1).into()])
         };
         edge::Host::start(options)
     };
--- a/crates/edge/tests/lines.rs
+++ b/crates/edge/tests/lines.rs
@@ -126,8 +126,9 @@
     ];
     let mut hosts = Vec::new();
     // All hosts use the same ports, so they need different addresses.
-    let ports = [common::free(), common::free(), common::free()].map(|address| address.port());
-    let address = |host: u8, port: usize| net::SocketAddr::from(([127, 77, 0, host], ports[port]));
+    let ip = |host: u8| net::Ipv4Addr::new(127, 77, 0, host);
+    let ports = common::host_ports(&[ip(1), ip(2)]);
+    let address = |host: u8, port: u16| net::SocketAddr::from((ip(host), ports + port));
     for (host, name) in [(1, "a"), (2, "b")] {
         let options = edge::Options {
             listen: address(host, 0),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 //! uses none of them. [`platform`] implements the protocol whose client is
 //! `peer::platform`; the stand-in for the store that crate `platform` reads is in
 //! the tests of that crate.
+//! [`ports`] reserves ports for programs that are told their addresses.
 //! [`load`] is the open-loop load generator. [`measure`] runs router hosts under
 //! that load and reports latency and correctness; [`capacity`] reports the
 //! bytes, processor time and memory that a host uses, and how long a configuration
@@ -17,6 +18,7 @@
 pub mod load;
 pub mod measure;
 pub mod platform;
+pub mod ports;
 pub mod server;
 pub mod service;
 mod sync;
