fix(fleet): an announced leave outlasts older digests

Callers may see refused connections at a host that has stopped: after it announced its leave, a digest from before the announcement listed it as up again, until a digest that states the leave arrived.

Cause: mark_leaving set the phase that is in use and not the announced phase, from which each digest and each list of the platform sets the phase in use again.

Change: the announcement sets the announced phase, by the same method as a digest that states it, and is gossiped like a change.

--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -286,7 +286,7 @@
             balancer.apply_placements(now, &message.placements);
         }
         if message.is_leaving {
-            self.mark_leaving(message);
+            self.mark_leaving(now, message);
         }
         for origin in &message.origins {
             host.keep_origin(*origin, None, now + ORIGIN_TIME);
@@ -318,7 +318,7 @@
         }
     }
 
-    fn mark_leaving(&self, message: &gossip::Message) {
+    fn mark_leaving(&self, now: time::Duration, message: &gossip::Message) {
         let mut membership = mutex::lock(&self.host.membership);
         let name = membership
             .entries()
@@ -326,7 +326,7 @@
             .find(|name| gossip::name_hash(name) == message.sender)
             .cloned();
         if let Some(name) = name {
-            membership.mark_leaving(&name, message.incarnation);
+            membership.mark_leaving(now, &name, message.incarnation);
         }
     }
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -74,10 +74,8 @@
             *self = Self::new(now, entry);
             return true;
         }
-        if entry.phase == entry::Phase::Leaving && self.announced_phase == entry::Phase::Up {
-            self.announced_phase = entry::Phase::Leaving;
-            self.entry.phase = entry::Phase::Leaving;
-            self.changed_at = now;
+        if entry.phase == entry::Phase::Leaving {
+            self.mark_leaving(now);
         }
         if entry.counter <= self.entry.counter {
             return false;
@@ -93,6 +91,16 @@
         was_dead
     }
 
+    /// Records that the host announces that it is leaving. A lifetime does not return
+    /// from this phase.
+    pub(crate) fn mark_leaving(&mut self, now: time::Duration) {
+        if self.announced_phase == entry::Phase::Up {
+            self.announced_phase = entry::Phase::Leaving;
+            self.entry.phase = entry::Phase::Leaving;
+            self.changed_at = now;
+        }
+    }
+
     /// Records a digest from the host itself.
     pub(crate) fn record_direct(&mut self, now: time::Duration) {
         let is_consecutive = now.saturating_sub(self.direct_at) <= DIRECT_GAP;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -154,11 +154,11 @@
     /// outside of the digests.
     ///
     /// It has no effect unless this lifetime is the known one.
-    pub fn mark_leaving(&mut self, name: &str, incarnation: u64) {
+    pub fn mark_leaving(&mut self, now: time::Duration, name: &str, incarnation: u64) {
         if let Some(member) = self.members.get_mut(name)
             && member.entry.incarnation == incarnation
         {
-            member.entry.phase = entry::Phase::Leaving;
+            member.mark_leaving(now);
         }
     }
 
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -227,6 +227,25 @@
     }
 }
 
+/// Guards against callers that are directed to a host that has stopped, because
+/// digests from before its announcement list it as up again.
+#[test]
+fn an_announced_leave_outlasts_older_digests() {
+    let mut fleet = twelve(1);
+    let entry = fleet.hosts[0].membership.find("host-007").cloned();
+    let entry = entry.expect("the host is running");
+    let now = fleet.now;
+    fleet.hosts[0]
+        .membership
+        .mark_leaving(now, &entry.name, entry.incarnation);
+    assert_eq!(fleet.state(0, 7), State::Leaving);
+    let returned = fleet.run_until(MINUTE, |fleet| fleet.state(0, 7) != State::Leaving);
+    assert!(returned >= MINUTE, "listed again after {returned:?}");
+    fleet.restart(7);
+    let took = fleet.run_until(MINUTE, |fleet| fleet.state(0, 7) == State::Live);
+    assert!(took < MINUTE, "the new lifetime is not leaving");
+}
+
 /// Guards against an outdated list that removes hosts or marks a new lifetime as
 /// leaving.
 #[test]
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -153,7 +153,8 @@
 
     /// Records that another host announced that it is leaving.
     pub(crate) fn mark_leaving(&self, name: &str, incarnation: u64) {
-        self.lock().mark_leaving(name, incarnation);
+        let now = self.clock.now();
+        self.lock().mark_leaving(now, name, incarnation);
     }
 
     /// Returns the answer of `GET /v1/hosts`.
