refactor(host): requests for the rest of a stream have a file of their own

Change: rest::Rest comes from relay.rs and Flow::resume from flow.rs; no change of behaviour. Conclusion: the next change fits there.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -251,7 +251,7 @@
     ///
     /// Returns the refusal of the home of the shard, or `NoEndpoint` if it grants a
     /// slot at an endpoint that is silent already.
-    async fn acquire(
+    pub(crate) async fn acquire(
         &self,
         ask: &broker::Ask<'_>,
         silent: &[String],
@@ -275,64 +275,6 @@
         }
     }
 
-    /// Requests the rest of an interrupted stream from another endpoint, within the
-    /// deadline of a new request.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal of the home of the shard or of the endpoint.
-    pub(crate) async fn resume(
-        &self,
-        resume: &relay::Resume,
-        rest: relay::Rest,
-    ) -> Result<relay::Source, Refusal> {
-        let deadline = resume.terms.deadline;
-        let resumed = tokio::time::timeout(deadline, self.resume_untimed(resume, rest));
-        resumed.await.unwrap_or_else(|_| {
-            let text = "the deadline passed while the rest of the stream was requested";
-            Err(Refusal::new(Kind::EndpointTimeout, text))
-        })
-    }
-
-    async fn resume_untimed(
-        &self,
-        resume: &relay::Resume,
-        rest: relay::Rest,
-    ) -> Result<relay::Source, Refusal> {
-        let request = front::Request {
-            body: rest.body,
-            ..resume.request.clone()
-        };
-        let ask = broker::Ask {
-            request: &request,
-            terms: &resume.terms,
-            deadline: self.clock.now() + resume.terms.deadline,
-            attempt: rest.attempt,
-            avoid: Some(&rest.avoid),
-        };
-        let silent = rest.silent.as_slice();
-        let mut queued = time::Duration::ZERO;
-        let permit = self.acquire(&ask, silent, &mut queued).await?;
-        let built = outbound::build(&request, permit.grant(), resume.terms.tier)
-            .map_err(|cause| Refusal::new(Kind::Internal, cause.to_string()))?;
-        let (permit, head, body) = self
-            .send(permit, built, true)
-            .await
-            .map_err(|failure| failure.refusal)?;
-        if !head.status.is_success() {
-            permit.finish(pool::Outcome::Failed);
-            let text = format!(
-                "the endpoint did not resume the stream: status {}",
-                head.status
-            );
-            return Err(Refusal::new(Kind::EndpointFailed, text));
-        }
-        let mut watch = watch::Watch::new(self.stall_timeout, resume.terms.trace.clone());
-        reading::begin_stream(permit, body, &mut watch)
-            .await
-            .map_err(|failure| failure.refusal)
-    }
-
     fn resume_context(&self, dispatch: &Dispatch<'_>) -> relay::Resume {
         let call = dispatch.call;
         let active = self.broker.state.active();
@@ -504,7 +446,7 @@
     ///
     /// Fails if the request cannot be sent or the status is a refusal or a
     /// failure of the endpoint. The permit is finished in that case.
-    async fn send(
+    pub(crate) async fn send(
         &self,
         permit: permit::Permit,
         built: http::Request<http_body_util::Full<bytes::Bytes>>,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -46,6 +46,7 @@
 mod reading;
 mod record;
 mod relay;
+mod rest;
 mod service;
 mod shard;
 mod state;
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -11,6 +11,7 @@
 
 use crate::flow;
 use crate::permit;
+use crate::rest;
 use crate::terms;
 use crate::transcript;
 
@@ -57,17 +58,6 @@
     pub(crate) is_allowed: bool,
 }
 
-/// Request for the rest of a stream.
-pub(crate) struct Rest {
-    pub(crate) body: Bytes,
-    /// Number of earlier attempts.
-    pub(crate) attempt: u16,
-    /// Endpoint of the last failed or silent run.
-    pub(crate) avoid: String,
-    /// Endpoint of the silent run, which may go on.
-    pub(crate) silent: Option<String>,
-}
-
 /// Waits until another endpoint delivers the rest of a stream.
 type Asked = pin::Pin<Box<dyn Future<Output = Result<Source, answer::Refusal>> + Send>>;
 
@@ -320,7 +310,7 @@
             self.transcript.tokens()
         );
         let is_silent = self.source.is_some();
-        let rest = Rest {
+        let rest = rest::Rest {
             body,
             // An open run counts as an earlier attempt too.
             attempt: self.attempt + u16::from(is_silent),
