fix(host): a stream is resumed only at an engine of its build

Cause: serve asked any endpoint of the pool for the rest of an interrupted or silent stream and passed on what it sent. Nothing read the system_fingerprint of the events, so a stream went on at an engine of another software version or configuration. Change: the transcript keeps the fingerprint of the last event passed on that has one. A run for the rest is read until its first event is complete. If that states another build or none, the run is cancelled (no failure of the endpoint, no crash of the request), the endpoint is kept in mind for this stream, and the next one is asked: at most 4 grants for one ask, each run paid from the retry budget, all within the deadline of the ask. A silent run stays open meanwhile. If none fits, an interrupted stream ends with the error event. Streams without a fingerprint (absent, null, empty or no string) take the path of before. The last fingerprint counts, not the first, if a run changes its own: then both sides of the place where another run goes on are of one build. The grant of a bound run enters the trace only once it fits, because an open silent run or the cut of the last one would be lost from the record otherwise; what did not fit is a step "unfit". Not measured: the cost per event.

--- a/crates/conf/src/schema/model.rs
+++ b/crates/conf/src/schema/model.rs
@@ -170,7 +170,7 @@
             "resume",
             Kind::Flag,
             "false",
-            "Whether the engines continue a partial answer (`continue_final_message` for chat, the extended prompt otherwise), so that a stream that an engine interrupted is resumed at another one.",
+            "Whether the engines continue a partial answer (`continue_final_message` for chat, the extended prompt otherwise), so that a stream that an engine interrupted is resumed at another one. A stream whose events have a `system_fingerprint` is resumed only at an engine with the same one.",
         ),
     ],
 };
--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -18,7 +18,7 @@
 /// Maximum number of attempts per request, the first one included. The retry
 /// budget limits the retries of a class; this limits those of one request, for
 /// example when every endpoint answers at once with an invalid response.
-const ATTEMPTS_MAX: u16 = 4;
+pub(crate) const ATTEMPTS_MAX: u16 = 4;
 
 /// How the answer is delivered to the caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -284,6 +284,7 @@
             request: call.request.clone(),
             terms: call.terms.clone(),
             deadline: call.deadline,
+            other_builds: sync::Mutex::default(),
             is_allowed: call.terms.is_idempotent && pool.is_some_and(|pool| pool.resume),
         }
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod attempt;
 mod broker;
+mod build;
 mod config;
 mod console;
 mod flow;
--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -48,8 +48,8 @@
 ) -> Result<relay::Source, Failure> {
     // The first data is read before the caller receives an answer, so that the
     // request can be retried if the endpoint fails before any output.
-    match watch.next(&mut permit, &mut body).await {
-        Ok(Some(first)) => {
+    match some_data(watch.next(&mut permit, &mut body).await) {
+        Ok(first) => {
             permit.record_first_output();
             Ok(relay::Source {
                 permit,
@@ -57,22 +57,27 @@
                 first: Some(first),
             })
         }
-        Ok(None) => {
+        Err(failure) => {
             permit.finish(pool::Outcome::Failed);
-            let refusal =
-                Refusal::new(Kind::EndpointInvalid, "the answer of the endpoint is empty");
-            Err(Failure::new(refusal, true))
-        }
-        Err(relay::Error(cause)) => {
-            permit.finish(pool::Outcome::Failed);
-            Err(Failure::new(
-                Refusal::new(Kind::EndpointFailed, cause),
-                true,
-            ))
+            Err(failure)
         }
     }
 }
 
+/// Returns the data of a read before the first event of a stream.
+///
+/// # Errors
+///
+/// Fails if the stream has ended or is broken.
+pub(crate) fn some_data(read: Result<Option<Bytes>, relay::Error>) -> Result<Bytes, Failure> {
+    let refusal = match read {
+        Ok(Some(data)) => return Ok(data),
+        Ok(None) => Refusal::new(Kind::EndpointInvalid, "the answer of the endpoint is empty"),
+        Err(relay::Error(cause)) => Refusal::new(Kind::EndpointFailed, cause),
+    };
+    Err(Failure::new(refusal, true))
+}
+
 /// Reads a whole answer and finishes the permit.
 ///
 /// # Errors
--- a/crates/host/src/record/trace.rs
+++ b/crates/host/src/record/trace.rs
@@ -136,6 +136,14 @@
         });
     }
 
+    /// Records that an endpoint does not go on with the stream and another one is asked.
+    pub(crate) fn record_unfit(&self, endpoint: &str, refusal: &answer::Refusal) {
+        self.with(|entry, now| {
+            let detail = format!("endpoint {endpoint}: {}", refusal.message);
+            entry.record_step(now, "unfit", detail);
+        });
+    }
+
     /// Records the result for the caller. A streamed answer continues after this.
     pub(crate) fn record_outcome<T>(&self, outcome: &Result<T, answer::Refusal>) {
         self.with(|entry, now| match outcome {
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -56,6 +56,8 @@
     /// Whether the stream may be resumed: the request is idempotent and its pool
     /// has `resume = true`.
     pub(crate) is_allowed: bool,
+    /// Endpoints that were asked for the rest and are of another build.
+    pub(crate) other_builds: sync::Mutex<Vec<String>>,
 }
 
 /// Waits until another endpoint delivers the rest of a stream.
@@ -315,6 +317,7 @@
             // An open run counts as an earlier attempt too.
             attempt: self.attempt + u16::from(is_silent),
             avoid: self.endpoint.clone(),
+            build: self.transcript.build().map(str::to_owned),
             silent: is_silent.then(|| self.endpoint.clone()),
         };
         let asked = async move { resume.flow.resume(&resume, rest).await };
--- a/crates/host/src/transcript.rs
+++ b/crates/host/src/transcript.rs
@@ -1,5 +1,7 @@
 use bytes::Bytes;
 
+use crate::build;
+
 /// Maximum size of the text that is stored to resume a stream.
 const TEXT_MAX_BYTES: usize = 128 * 1024;
 
@@ -12,6 +14,8 @@
     text: String,
     /// Number of events with text, each of which counts as one token.
     tokens: u32,
+    /// Build that the last event with one states.
+    build: Option<String>,
     /// Whether an event with a finish reason has arrived.
     is_finished: bool,
     /// Whether the stream cannot be resumed: it has an event that is not valid,
@@ -23,6 +27,8 @@
 struct Event<'a> {
     #[serde(borrow, default)]
     choices: Vec<Choice<'a>>,
+    #[serde(borrow, default)]
+    system_fingerprint: Option<build::Field<'a>>,
 }
 
 #[derive(serde::Deserialize)]
@@ -76,6 +82,15 @@
         self.tokens
     }
 
+    /// Returns the build of the engine that goes on with the stream; `None` if no
+    /// event states one.
+    ///
+    /// If the build changes within one run, the last one counts, so that both sides of
+    /// the place where another run goes on are of the same build.
+    pub(crate) fn build(&self) -> Option<&str> {
+        self.build.as_deref()
+    }
+
     /// Returns the body of a request for the rest of the answer, or `None` if the
     /// stream cannot be resumed.
     pub(crate) fn resume(&self, path: &str, body: &[u8]) -> Option<Bytes> {
@@ -125,6 +140,12 @@
             self.is_unsupported = true;
             return;
         };
+        let build = event.system_fingerprint.as_ref();
+        if let Some(build) = build.and_then(build::Field::build)
+            && self.build.as_deref() != Some(build)
+        {
+            self.build = Some(build.to_owned());
+        }
         for choice in event.choices {
             self.record_choice(choice);
         }
--- a/crates/host/tests/common/script.rs
+++ b/crates/host/tests/common/script.rs
@@ -202,6 +202,16 @@
     Step::Bytes(b"data: [DONE]\n\n".to_vec())
 }
 
+/// Returns the events of a step with this value as their `system_fingerprint`.
+pub fn stamped(step: Step, build: &serde_json::Value) -> Step {
+    let Step::Bytes(bytes) = step else {
+        return step;
+    };
+    let text = String::from_utf8_lossy(&bytes);
+    let field = format!("data: {{\"system_fingerprint\":{build},");
+    Step::Bytes(text.replace("data: {", &field).into_bytes())
+}
+
 fn event(delta: &serde_json::Value, reason: Option<&str>) -> String {
     let choice = serde_json::json!({"index": 0, "delta": delta, "finish_reason": reason});
     format!("data: {}\n\n", serde_json::json!({"choices": [choice]}))
