--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod attempt;
 mod broker;
+mod build;
 mod config;
 mod console;
 mod flow;
@@ -46,6 +47,7 @@
 mod reading;
 mod record;
 mod relay;
+mod rest;
 mod service;
 mod shard;
 mod state;
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -11,6 +11,7 @@
 
 use crate::flow;
 use crate::permit;
+use crate::rest;
 use crate::terms;
 use crate::transcript;
 
@@ -55,17 +56,8 @@
     /// Whether the stream may be resumed: the request is idempotent and its pool
     /// has `resume = true`.
     pub(crate) is_allowed: bool,
-}
-
-/// Request for the rest of a stream.
-pub(crate) struct Rest {
-    pub(crate) body: Bytes,
-    /// Number of earlier attempts.
-    pub(crate) attempt: u16,
-    /// Endpoint of the last failed or silent run.
-    pub(crate) avoid: String,
-    /// Endpoint of the silent run, which may go on.
-    pub(crate) silent: Option<String>,
+    /// Endpoints that were asked for the rest and are of another build.
+    pub(crate) other_builds: sync::Mutex<Vec<String>>,
 }
 
 /// Waits until another endpoint delivers the rest of a stream.
@@ -320,11 +312,12 @@
             self.transcript.tokens()
         );
         let is_silent = self.source.is_some();
-        let rest = Rest {
+        let rest = rest::Rest {
             body,
             // An open run counts as an earlier attempt too.
             attempt: self.attempt + u16::from(is_silent),
             avoid: self.endpoint.clone(),
+            build: self.transcript.build().map(str::to_owned),
             silent: is_silent.then(|| self.endpoint.clone()),
         };
         let asked = async move { resume.flow.resume(&resume, rest).await };
