test(edge): hosts and endpoints of several builds are shared by test files

Cause: the next tests of builds are in a file of their own and need them. No test changes. Conclusion: none beyond the move.

--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -3,33 +3,12 @@
 
 mod common;
 
-use std::net;
 use std::sync;
 
+use common::builds::{Service, begin, breaks_first, hosts, plan, resume, wait_for_history, whole};
 use common::endpoint::{self, Step};
-use rand::RngExt;
 use rstest::rstest;
 
-fn whole(from: u64, to: u64) -> String {
-    (from..=to).map(endpoint::event).collect()
-}
-
-/// Breaks a new stream after two events and completes a resumed one.
-fn breaks_first(request: &endpoint::Request) -> Vec<Step> {
-    let last = request.header("last-event-id");
-    let from = last.map_or(1, |id| id.parse::<u64>().expect("id") + 1);
-    let mut steps = vec![endpoint::stream_head(request)];
-    if last.is_none() {
-        steps.push(endpoint::chunk(&whole(1, 2)));
-        steps.push(Step::Pause(common::ms(250)));
-        steps.push(Step::Reset);
-        return steps;
-    }
-    steps.push(endpoint::chunk(&whole(from, 6)));
-    steps.push(endpoint::stream_end());
-    steps
-}
-
 /// Sends all events, and is silent after two of them.
 fn silent_after_events(request: &endpoint::Request) -> Vec<Step> {
     vec![
@@ -41,136 +20,6 @@
     ]
 }
 
-/// Endpoints with their builds.
-struct Service(Vec<(endpoint::Endpoint, Option<&'static str>)>);
-
-impl Service {
-    async fn start(
-        builds: &[Option<&'static str>],
-        script: fn(&endpoint::Request) -> Vec<Step>,
-    ) -> Self {
-        let mut endpoints = Vec::new();
-        for (index, build) in builds.iter().enumerate() {
-            let endpoint = endpoint::Endpoint::start(&format!("e{index}"), script).await;
-            endpoints.push((endpoint, *build));
-        }
-        Self(endpoints)
-    }
-
-    /// Lists the endpoints that match at a host.
-    fn list(
-        &self,
-        host: &edge::Host,
-        revision: u64,
-        matches: impl Fn(usize, Option<&str>) -> bool,
-    ) {
-        let entries = self
-            .0
-            .iter()
-            .enumerate()
-            .filter(|(index, (_, build))| matches(*index, *build))
-            .map(|(_, (endpoint, build))| {
-                let mut listed = endpoint.listed();
-                listed.build = build.map(str::to_owned);
-                (listed.id.clone(), edge::Entry::Endpoint(listed), revision)
-            })
-            .collect();
-        host.update_endpoints(|now, registry| registry.replace(now, entries, revision));
-        host.confirm_plan();
-    }
-
-    /// Returns the builds of the endpoints that received a request of the stream.
-    fn builds(&self, ids: &[&str]) -> Vec<Option<&'static str>> {
-        let received = |endpoint: &endpoint::Endpoint| {
-            let requests = endpoint.requests();
-            requests.iter().any(|request| {
-                let id = request.header("x-request-id");
-                id.is_some_and(|id| ids.contains(&id))
-            })
-        };
-        let served = self.0.iter().filter(|(endpoint, _)| received(endpoint));
-        let mut builds: Vec<_> = served.map(|(_, build)| *build).collect();
-        builds.sort_unstable();
-        builds.dedup();
-        builds
-    }
-
-    fn count(&self) -> usize {
-        self.0.iter().map(|(endpoint, _)| endpoint.count()).sum()
-    }
-}
-
-/// Returns a plan in which a request has so many attempts.
-fn plan(attempts: u32) -> plan::Plan {
-    let mut plan = common::plan(2);
-    for route in &mut plan.routes {
-        route.attempts_max = attempts;
-        route.timeout = common::ms(TIMEOUT_MS);
-    }
-    plan
-}
-
-/// Time-out of the routes.
-const TIMEOUT_MS: u64 = 2_000;
-
-/// Waits until the hosts have followed the list of endpoints for as long as a stream
-/// can last.
-async fn wait_for_history(hosts: &[sync::Arc<edge::Host>]) {
-    for _ in 0..2 {
-        tokio::time::sleep(common::ms(TIMEOUT_MS + 50)).await;
-        hosts.iter().for_each(|host| host.confirm_plan());
-    }
-}
-
-/// Starts hosts that know each other, with this number of attempts a request.
-async fn hosts(count: usize, attempts: u32) -> Vec<sync::Arc<edge::Host>> {
-    let subnet: [u8; 2] = rand::rng().random();
-    let ports = common::free().port();
-    let address = |host: usize, offset: u16| -> net::SocketAddr {
-        // CAST: There are only a few hosts.
-        (
-            ([127, subnet[0], subnet[1], host as u8 + 1]),
-            ports + offset,
-        )
-            .into()
-    };
-    let mut hosts: Vec<sync::Arc<edge::Host>> = Vec::new();
-    for index in 0..count {
-        let options = edge::Options {
-            listen: address(index, 0),
-            peer_listen: address(index, 1),
-            load_listen: address(index, 2),
-            ..common::options(&format!("h{index}"), vec![address(0, 1)])
-        };
-        let host = edge::Host::start(options).await.expect("host");
-        host.apply_plan(plan(attempts), "test");
-        host.confirm_plan();
-        hosts.push(host);
-    }
-    let known = async {
-        while hosts
-            .iter()
-            .any(|host| host.caller_addresses("dc").len() < count)
-        {
-            tokio::time::sleep(common::ms(20)).await;
-        }
-    };
-    tokio::time::timeout(common::ms(10_000), known)
-        .await
-        .expect("hosts that know each other");
-    hosts
-}
-
-fn begin(id: &str) -> String {
-    common::request("POST", "/long/a", id, "", "prompt")
-}
-
-/// Returns the request that takes up a stream after its second event.
-fn resume(id: &str, origin: &str) -> String {
-    let extra = format!("x-resumes: {origin}\r\nlast-event-id: 2\r\n");
-    common::request("POST", "/long/a", id, &extra, "prompt")
-}
-
 // Guards against a host that resumes a broken stream at any build.
 #[rstest]
 #[case::other_build(&[Some("v1"), Some("v2")], false)]
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -5,6 +5,7 @@
     reason = "each test file uses a part of the helpers"
 )]
 
+pub mod builds;
 pub mod endpoint;
 pub mod engine;
 
