fix(edge): a host that stops being a witness publishes the builds of its streams

What callers saw: after the platform has confirmed nothing for 5 s, or after it was restored from an older copy, streams whose host is killed are refused at every host, as their build is not known, although one build is listed. Cause: while one build is listed, the build of a stream follows from the lists of witnesses and is published nowhere. An outage makes all hosts stop being witnesses at about the same time; the build is then known to the host of the stream alone. Change: upkeep sees every 0.2 s since when the host has followed the platform without a gap. When that ends or changes, it lets the builds of all streams that began there be published, as when a second build appears. This covers the outage, a new era, and a confirmation that comes just after the limit. Confirmation::current_since reads the start of that time after the confirmation, because record stores them in this order; the reverse order could take the old start for current. Found by reading; no test shows it. Still refused: streams whose host is killed in the 0.2 s before it has seen the gap, or while it is the last witness.

--- a/crates/edge/src/confirmation.rs
+++ b/crates/edge/src/confirmation.rs
@@ -49,10 +49,21 @@
         self.current_since_ms.store(ms, atomic::Ordering::Release);
     }
 
+    /// Returns since when the host has followed the changes of the platform without a
+    /// gap, or `None` if its state may lack changes now.
+    pub(crate) fn current_since(&self, now: time::Duration) -> Option<time::Duration> {
+        if !self.is_current(now) {
+            return None;
+        }
+        // `record` stores it before the confirmation, so it is read after it.
+        let ms = self.current_since_ms.load(atomic::Ordering::Acquire);
+        Some(time::Duration::from_millis(ms))
+    }
+
     /// Returns whether no change of the last `life` can have been missed.
     pub(crate) fn is_complete(&self, now: time::Duration, life: time::Duration) -> bool {
-        let ms = self.current_since_ms.load(atomic::Ordering::Acquire);
-        self.is_current(now) && now > time::Duration::from_millis(ms) + life
+        self.current_since(now)
+            .is_some_and(|since| now > since + life)
     }
 }
 
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -67,8 +67,8 @@
     pub(crate) records: sync::Mutex<resend::Queue<gossip::Origin>>,
     /// Signals an entry in `records`.
     pub(crate) recorded: tokio::sync::Notify,
-    /// Services of which a second build was listed; the builds of their streams are
-    /// to be published.
+    /// Services whose builds no longer follow from the list of endpoints; the builds
+    /// of their streams are to be published.
     pub(crate) mixed: sync::Mutex<Vec<u64>>,
     /// Signals an entry in `mixed`.
     pub(crate) became_mixed: tokio::sync::Notify,
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -114,8 +114,8 @@
     Ok(())
 }
 
-/// Publishes the builds of the streams that began here when a second build of their
-/// service is listed.
+/// Publishes the builds of the streams that began here when they no longer follow
+/// from the list of endpoints.
 async fn publish_mixed(host: sync::Arc<host::Host>) {
     loop {
         host.became_mixed.notified().await;
@@ -139,6 +139,7 @@
 
 async fn upkeep(host: sync::Arc<host::Host>) {
     let mut transitions = transition::Log::default();
+    let mut current_since = None;
     loop {
         tokio::time::sleep(UPKEEP_PERIOD).await;
         let now = host.clock.now();
@@ -146,6 +147,11 @@
         host.connections.expire();
         mutex::lock(&host.quarantine).evict_expired(now);
         mutex::lock(&host.origins).evict_expired(now);
+        let before = current_since;
+        current_since = host.confirmation.current_since(now);
+        if before.is_some() && current_since != before {
+            host.publish_all_builds();
+        }
         let mut registry = mutex::lock(&host.registry);
         if registry.expire(now) {
             host.use_endpoints(&registry);
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -60,6 +60,12 @@
         .collect()
     }
 
+    /// Returns the services of the streams that began at this host.
+    pub(crate) fn services(&self) -> collections::BTreeSet<u64> {
+        let services = self.0.values().map(|record| record.service);
+        services.flatten().collect()
+    }
+
     /// Removes the streams that callers no longer resume.
     pub(crate) fn evict_expired(&mut self, now: time::Duration) {
         self.0.retain(|_, record| record.until >= now);
--- a/crates/edge/src/resume.rs
+++ b/crates/edge/src/resume.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Lets the builds of all streams that began here be published, because this host
+    /// can no longer tell them from its list of endpoints.
+    pub(crate) fn publish_all_builds(&self) {
+        let services = mutex::lock(&self.origins).services();
+        self.publish_builds(&Vec::from_iter(services));
+    }
+
     /// Publishes the builds of the streams of these services that began here, because
     /// they no longer follow from the list of endpoints.
     pub(crate) fn publish_own_origins(&self, services: &[u64]) {
--- a/crates/edge/tests/records.rs
+++ b/crates/edge/tests/records.rs
@@ -77,3 +77,52 @@
     assert_eq!(service.builds(&["a1", "b1"]).len(), 1);
     passing.abort();
 }
+
+/// Why hosts may have missed a build.
+#[derive(Clone, Copy, Debug)]
+enum Gap {
+    /// The platform has confirmed nothing for more than 5 s.
+    Outage,
+    /// The platform was restored from an older copy.
+    Era,
+}
+
+// Guards against a stream that is refused everywhere because its host stopped being a
+// witness before it was killed, and had not published the build.
+#[rstest]
+#[case(Gap::Outage)]
+#[case(Gap::Era)]
+#[tokio::test]
+async fn a_build_is_known_after_all_witnesses_are_lost(#[case] gap: Gap) {
+    let service = Service::start(&[Some("v1"), Some("v1")], breaks_first).await;
+    let addresses = Addresses::new();
+    let first = Mortal::start(addresses.options(0), 1).await;
+    let second = common::builds::start(addresses.options(1), 1).await;
+    let hosts = [first.host.clone(), second.clone()];
+    common::builds::wait_until_known(&hosts).await;
+    for host in &hosts {
+        service.list(host, 1, |_, _| true);
+    }
+    common::builds::wait_for_history(&hosts).await;
+    let confirmed = tokio::time::Instant::now();
+    if matches!(gap, Gap::Outage) {
+        tokio::time::sleep(common::ms(3_000)).await;
+    }
+
+    let cut = common::call(&first.host, &begin("a1")).await;
+    assert_eq!((cut.is_whole, cut.text()), (false, whole(1, 2)));
+    match gap {
+        Gap::Outage => tokio::time::sleep_until(confirmed + common::ms(5_600)).await,
+        Gap::Era => {
+            hosts.iter().for_each(|host| host.record_era(7, "test"));
+            tokio::time::sleep(common::ms(600)).await;
+        }
+    }
+    drop(hosts);
+    first.kill().await;
+
+    let unknown = common::call(&second, &resume("b1", "a2")).await;
+    assert_eq!(unknown.status, 503, "{unknown:?}");
+    let rest = common::call(&second, &resume("b2", "a1")).await;
+    assert_eq!((rest.status, rest.text()), (200, whole(3, 6)), "{rest:?}");
+}
