--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -108,13 +108,14 @@
     tokio::spawn(mesh.clone().publish_changes());
     tokio::spawn(mesh.clone().publish_crashes());
     tokio::spawn(publish_mixed(host.clone()));
+    tokio::spawn(resend_origins(host.clone()));
     tokio::spawn(mesh.clone().fetch_from_seeds());
     tokio::spawn(upkeep(host.clone()));
     Ok(())
 }
 
-/// Publishes the builds of the streams that began here when a second build of their
-/// service is listed.
+/// Publishes the builds of the streams that began here when they no longer follow
+/// from the list of endpoints.
 async fn publish_mixed(host: sync::Arc<host::Host>) {
     loop {
         host.became_mixed.notified().await;
@@ -123,8 +124,22 @@
     }
 }
 
+/// Publishes the builds of streams again after the delays of
+/// [`crate::resume::SCHEDULE`].
+async fn resend_origins(host: sync::Arc<host::Host>) {
+    loop {
+        if mutex::lock(&host.records).is_empty() {
+            host.recorded.notified().await;
+        }
+        tokio::time::sleep(CHANGE_PAUSE).await;
+        let due = mutex::lock(&host.records).take_due(host.clock.now());
+        host.send_to_recorders(&due);
+    }
+}
+
 async fn upkeep(host: sync::Arc<host::Host>) {
     let mut transitions = transition::Log::default();
+    let mut current_since = None;
     loop {
         tokio::time::sleep(UPKEEP_PERIOD).await;
         let now = host.clock.now();
@@ -132,6 +147,11 @@
         host.connections.expire();
         mutex::lock(&host.quarantine).evict_expired(now);
         mutex::lock(&host.origins).evict_expired(now);
+        let before = current_since;
+        current_since = host.confirmation.current_since(now);
+        if before.is_some() && current_since != before {
+            host.publish_all_builds();
+        }
         let mut registry = mutex::lock(&host.registry);
         if registry.expire(now) {
             host.use_endpoints(&registry);
@@ -221,7 +241,7 @@
     }
 
     /// Publishes the crashes that this host detects to all hosts immediately, and
-    /// again after the delays of [`crate::reports::Reports`].
+    /// again after the delays of [`crate::reports::SCHEDULE`].
     async fn publish_crashes(self) {
         loop {
             if mutex::lock(&self.host.reports).is_empty() {
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -5,8 +5,10 @@
     reason = "each test file uses a part of the helpers"
 )]
 
+pub mod builds;
 pub mod endpoint;
 pub mod engine;
+pub mod mortal;
 
 use core::time;
 use std::net;
