fix(edge): a list without builds leaves none to processes without a start

Hosts of earlier builds list endpoints without builds. A host that takes its list from one of them keeps the build that it has read itself for an endpoint of the same id and start. The start is 0 if the endpoint does not publish it, so a process that replaced another one under its id counted as the same one and got its build. Streams that began at the first one could go on at the second.

The build now stays only if the start is published. Otherwise it is not known until the host reads the platform itself, and streams without a known build are refused or end.

The new test failed before at the case without a start (Some("v1") instead of None) and passes now; cargo test -p edge passes, 150 tests.

--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -155,8 +155,10 @@
         self.versions.clear();
         let known = core::mem::take(&mut self.endpoints);
         for mut endpoint in list {
-            // Hosts of earlier builds do not state the builds of endpoints.
+            // Hosts of earlier builds do not state the builds of endpoints. Without its
+            // start, a process cannot be told from another one with its id.
             if endpoint.build.is_none()
+                && endpoint.started_ms != 0
                 && let Some(known) = known.get(&endpoint.id)
                 && known.started_ms == endpoint.started_ms
             {
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -7,8 +7,8 @@
     time::Duration::from_millis(ms)
 }
 
-fn entry(id: &str, phase: plan::Phase) -> edge::Entry {
-    edge::Entry::Endpoint(plan::Endpoint {
+fn endpoint(id: &str, phase: plan::Phase) -> plan::Endpoint {
+    plan::Endpoint {
         id: id.into(),
         service: "s".into(),
         address: ([127, 0, 0, 1], 80).into(),
@@ -17,7 +17,11 @@
         phase,
         started_ms: 0,
         build: Some("v1".into()),
-    })
+    }
+}
+
+fn entry(id: &str, phase: plan::Phase) -> edge::Entry {
+    edge::Entry::Endpoint(endpoint(id, phase))
 }
 
 fn registry() -> edge::Registry {
@@ -161,3 +165,27 @@
         .collect();
     assert_eq!(phases, [plan::Phase::Leaving, plan::Phase::Up]);
 }
+
+#[test]
+fn a_list_without_builds_leaves_those_of_the_same_processes_only() {
+    // Guards against the build of a process that is taken for that of another one with
+    // its id, when a host of an earlier build, which states no builds, lists it.
+    for (before_ms, after_ms, build) in [
+        (7, 7, Some("v1")),
+        (7, 8, None),
+        // The process may have been replaced.
+        (0, 0, None),
+    ] {
+        let listed = |started_ms, build: Option<&str>| plan::Endpoint {
+            started_ms,
+            build: build.map(str::to_owned),
+            ..endpoint("a", plan::Phase::Up)
+        };
+        let mut registry = edge::Registry::new(ms(2_000));
+        let entry = edge::Entry::Endpoint(listed(before_ms, Some("v1")));
+        registry.replace(ms(0), vec![("a".to_owned(), entry, 5)], 5);
+        registry.replace_from_peer(vec![listed(after_ms, None)], 6);
+        let kept = registry.endpoints();
+        assert_eq!(kept[0].build.as_deref(), build, "{before_ms} {after_ms}");
+    }
+}
