fix(host): the rest of a stream is asked of a shard that has another endpoint

Callers may see a stream end early although other engines of its pool could go on with it.

Cause: a request for the rest, or a retry, goes to one of two random shards of the pool. The endpoint to be avoided was known only within the shard, so a shard whose only endpoint had just failed could be asked and granted that endpoint again.

Change: of the two shards, the one whose only endpoint is to be avoided is not chosen.

Shards whose several endpoints have all failed can still be chosen; their home finds that out.

--- a/crates/host/src/broker.rs
+++ b/crates/host/src/broker.rs
@@ -51,7 +51,7 @@
     /// configured.
     pub(crate) async fn ask(&self, ask: &Ask<'_>) -> Result<permit::Permit, Refusal> {
         let pool = ask.request.target.pool();
-        let index = self.choose_shard(pool)?;
+        let index = self.choose_shard(pool, ask.avoid)?;
         let start = self.clock.now();
         let outcome = self.ask_homes(ask, pool, index, start).await;
         let waited = self.clock.now().saturating_sub(start);
@@ -229,21 +229,36 @@
     }
 
     /// Chooses the shard with the shorter last wait of two random shards.
-    fn choose_shard(&self, pool: &str) -> Result<u32, Refusal> {
+    /// Returns the one of two random shards that had the shorter wait, or the other one
+    /// if the only endpoint of that is to be avoided.
+    fn choose_shard(&self, pool: &str, avoid: Option<&str>) -> Result<u32, Refusal> {
         let active = self.state.active();
-        let count = active.layout.get(pool).map_or(0, Vec::len) as u32;
+        let shards = active.layout.get(pool).map_or(&[][..], Vec::as_slice);
+        let count = shards.len() as u32;
         match count {
             0 => Err(Refusal::new(Kind::UnknownModel, "no such model or service")),
             1 => Ok(0),
             _ => {
                 let first = rand::random_range(0..count);
                 let second = (first + rand::random_range(1..count)) % count;
+                if has_only(&shards[first as usize], avoid) {
+                    return Ok(second);
+                }
+                if has_only(&shards[second as usize], avoid) {
+                    return Ok(first);
+                }
                 Ok(self.waits.shorter(pool, first, second))
             }
         }
     }
 }
 
+/// Returns whether an endpoint is the only one of a shard.
+fn has_only(members: &[String], endpoint: Option<&str>) -> bool {
+    let name = endpoint.and_then(|endpoint| endpoint.split('@').next());
+    matches!((members, name), ([member], Some(name)) if member == name)
+}
+
 impl Waits {
     fn record(&self, pool: &str, index: u32, waited: time::Duration) {
         let mut last = self.lock();
