fix(edge): a refusal by one endpoint does not end the attempt at another

Cause: after the run of a stream breaks, `Relay::next` takes an answer that is no success as the end of the request if no run is left. Another attempt may be open then, of an endpoint that is silent; it was dropped, and the caller got 502, or the beginning of a stream, although that endpoint completes its answer.

Change: the request ends only if no attempt is open either.

Before: `a_refusal_by_one_endpoint_does_not_end_the_attempt_at_another` failed with 502 instead of 200. After: edge/tests/silence.rs 36 of 36, edge/tests/streams.rs 9 of 9.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -130,10 +130,12 @@
                 Turn::Found(found) => {
                     let text = "the stream could not be resumed";
                     let refusal = found.err().unwrap_or_else(|| self.flow.failed(text));
-                    if self.sources.is_empty() {
+                    // An answer that is no success leaves other attempts open.
+                    let open = self.sources.len() + self.flow.open.len();
+                    if open == 0 {
                         return Err(refusal);
                     }
-                    self.flow.log_kept(self.sources.len(), &refusal);
+                    self.flow.log_kept(open, &refusal);
                 }
             }
         }
--- a/crates/edge/tests/silence.rs
+++ b/crates/edge/tests/silence.rs
@@ -407,3 +407,38 @@
         assert_eq!(answer.status, 200, "{id}: {answer:?}");
     }
 }
+
+// Guards against a refusal by one endpoint that ends a stream while another endpoint
+// still works on it.
+#[tokio::test]
+async fn a_refusal_by_one_endpoint_does_not_end_the_attempt_at_another() {
+    let served = std::sync::Arc::new(atomic::AtomicUsize::new(0));
+    let start = |id: &'static str| {
+        let served = served.clone();
+        endpoint::Endpoint::start(id, move |request| {
+            match served.fetch_add(1, atomic::Ordering::SeqCst) {
+                0 => break_after_head(request),
+                1 => {
+                    let mut steps = vec![silence()];
+                    steps.extend(silent_before_head(request));
+                    steps
+                }
+                _ => {
+                    let text = endpoint::text(request, 400, "x-signature: sig\r\n", "no");
+                    vec![Step::Bytes(text)]
+                }
+            }
+        })
+    };
+    let endpoints = [start("e1").await, start("e2").await, start("e3").await];
+    let [one, two, three] = &endpoints;
+    let host = common::host(&[one, two, three]).await;
+    let mut plan = plan();
+    plan.routes[2].attempts_max = 3;
+    host.apply_plan(plan, "test");
+    let text = common::request("POST", "/long/a", "r1", DEADLINE, "prompt");
+    let answer = common::call(&host, &text).await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(answer.text(), whole(1, 6));
+    assert_eq!(served.load(atomic::Ordering::SeqCst), 3);
+}
