fix(edge): refuse open requests before the shutdown time-out

Cause: a host that stops waits for its open requests until 400 ms before the shutdown time-out and then ends the process. A request that was read whole and sent to an endpoint, and whose answer has not begun, ends with its connection. This concerns requests whose deadline is later than the time-out: routes with a time-out above the time to stop, behind endpoints that are busy or silent.

Answers that have begun are cut as before. The outcome in logs and metrics is `host_stopped`.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -79,6 +79,9 @@
     pub(crate) buffered_bytes: atomic::AtomicUsize,
     pub(crate) confirmation: confirmation::Confirmation,
     pub(crate) is_leaving: atomic::AtomicBool,
+    /// Signals that requests whose answer has not begun are to be refused, because
+    /// the process is about to end.
+    pub(crate) is_closing: tokio::sync::watch::Sender<bool>,
     has_endpoints: atomic::AtomicBool,
     pub(crate) server: sync::Mutex<Option<front::Server>>,
 }
@@ -132,6 +135,7 @@
             buffered_bytes: atomic::AtomicUsize::new(0),
             confirmation: confirmation::Confirmation::default(),
             is_leaving: atomic::AtomicBool::new(false),
+            is_closing: tokio::sync::watch::Sender::new(false),
             has_endpoints: atomic::AtomicBool::new(false),
             server: sync::Mutex::new(None),
             options,
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -91,10 +91,20 @@
     }
     let is_stream = job.route.kind.is_stream();
     let flow = flow::Flow::new(host.clone(), job);
-    if is_stream {
-        relay::serve(flow).await
-    } else {
-        plain::serve(flow).await
+    let serving = async {
+        if is_stream {
+            relay::serve(flow).await
+        } else {
+            plain::serve(flow).await
+        }
+    };
+    tokio::select! {
+        biased;
+        response = serving => response,
+        () = host.wait_for_closing() => {
+            let text = "the host stops before the endpoint has answered";
+            reply::refusal(&Refusal::new(Kind::EndpointFailed, text))
+        }
     }
 }
 
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -16,12 +16,15 @@
 }
 
 /// Counts a request and writes its outcome, after the decisions that led to
-/// it. No outcome means that the caller disconnected.
+/// it. No outcome means that the caller disconnected, or that the host stops.
 ///
 /// Either all lines of a request are written or none. The lines of failures
 /// have a budget that served requests cannot use up.
 pub(crate) fn write(host: &host::Host, job: &mut job::Job, outcome: Option<&'static str>) {
-    let outcome = outcome.unwrap_or("caller_left");
+    let outcome = outcome.unwrap_or(match *host.is_closing.borrow() {
+        true => "host_stopped",
+        false => "caller_left",
+    });
     let now = host.clock.now();
     let took = now.saturating_sub(job.arrived);
     host.metrics.count(
