fix(front): answer requests that arrive before a listener stops

Cause: when a listener stops, the tasks of its connections are woken before the runtime has polled for bytes that have arrived. A connection that is idle, or has no request yet, is closed although a whole request waits in its socket, and its close resets the connection. Connections that the system has completed and the listener has not accepted are reset likewise: the choice between accepting and stopping is random, and the rest of the queue is dropped.

Change: `wait_for_stop` yields once to the runtime, which polls for events before the task goes on; connections are accepted before the stop is looked at. A caller that sends after that crosses the close as before.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -261,10 +261,12 @@
     }
 }
 
-/// Waits until the listener stops.
-async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
+/// Waits until the listener stops and the runtime has polled for bytes and
+/// connections that arrived before.
+pub(crate) async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
     // An error means that the listener was dropped.
     drop(stopped.wait_for(|&stop| stop).await);
+    tokio::task::yield_now().await;
 }
 
 fn builder(options: &options::Options) -> auto::Builder<rt::TokioExecutor> {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -137,8 +137,10 @@
         let connections = task::TaskTracker::new();
         loop {
             let accepted = tokio::select! {
+                // Connections that are complete when the listener stops are served.
+                biased;
                 accepted = self.listener.accept() => accepted,
-                _ = stopped.wait_for(|&stop| stop) => break,
+                () = connection::wait_for_stop(&mut stopped) => break,
             };
             let (stream, remote) = match accepted {
                 Ok(pair) => pair,
