fix(front): a listener that cannot accept connections stops when it is told to

Cause: since connections are accepted before the stop is looked at, an error of accept that lasts, such as a lack of file descriptors, would keep the listener from stopping. Found when the merge was read; not run, as no test here can exhaust the descriptors of its process without disturbing others.

Change: after such an error the listener stops if it was told to.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -150,6 +150,9 @@
                         "a connection cannot be accepted; retrying in {} ms: {cause}",
                         ACCEPT_RETRY_DELAY.as_millis()
                     );
+                    if *stopped.borrow() {
+                        break;
+                    }
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                     continue;
                 }
