fix(host): refuse open requests at the end of a shutdown

Callers of serve may see a request end with its connection, without an answer, when a host stops while the endpoint works longer than shutdown_max.

Cause: after shutdown_max the host ended with the requests that were still open.

Change: requests whose answer has not begun are answered endpoint_failed (502, not known whether they ran), and the host waits up to 200 ms for that to be sent. Answers that have begun are cut as before.

Conclusion: shown in process, with requests that are idempotent; requests with a key take the same way and were not tried.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -1,3 +1,4 @@
+use core::pin;
 use core::time;
 use std::io;
 use std::net;
@@ -6,6 +7,7 @@
 use anyhow::Context;
 
 use crate::broker;
+use crate::closing;
 use crate::config;
 use crate::console;
 use crate::flow;
@@ -32,6 +34,9 @@
 /// therefore stays usable.
 const LEAVE_PAUSE: time::Duration = view::LIST_TTL.saturating_add(time::Duration::from_secs(1));
 
+/// Time for the refusals of open requests to be sent.
+const REFUSAL_TIME: time::Duration = time::Duration::from_millis(200);
+
 /// A running router host.
 ///
 /// [`Host::shutdown`] stops it gracefully; dropping it aborts its tasks.
@@ -56,6 +61,7 @@
     config: sync::Arc<config::Store>,
     peers: peer::Client,
     flow: flow::Flow,
+    closing: closing::Closing,
 }
 
 impl Host {
@@ -186,23 +192,26 @@
 
     /// Leaves the fleet, waits until the requests in flight are answered, and stops.
     ///
-    /// Requests that are still running after `shutdown_max` are aborted.
+    /// Requests that are still running after `shutdown_max` are refused, or cut if
+    /// their answer has begun.
     pub async fn shutdown(mut self) {
         self.parts.view.leave();
         self.parts.peers.leave();
         if self.parts.view.has_peers() {
             tokio::time::sleep(LEAVE_PAUSE.min(self.shutdown_max)).await;
         }
-        let served = self.front.shutdown();
-        if tokio::time::timeout(self.shutdown_max, served)
+        let mut served = pin::pin!(self.front.shutdown());
+        if tokio::time::timeout(self.shutdown_max, served.as_mut())
             .await
             .is_err()
         {
             log::warn!(
                 target: "host",
-                "shutdown aborted the requests that were running after {} s",
+                "shutdown ends the requests that are running after {} s",
                 self.shutdown_max.as_secs()
             );
+            self.parts.closing.set();
+            drop(tokio::time::timeout(REFUSAL_TIME, served).await);
         }
         self.parts.keyed.wait_until_idle(self.shutdown_max).await;
         self.tasks.shutdown().await;
@@ -302,6 +311,7 @@
         config: sync::Arc::new(config),
         peers,
         flow,
+        closing: closing::Closing::new(),
     })
 }
 
@@ -311,6 +321,7 @@
         view: parts.view.clone(),
         keyed: parts.keyed.clone(),
         flow: parts.flow.clone(),
+        closing: parts.closing.clone(),
     };
     let limits = &options.settings.limits;
     let limits = front::Options {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -28,6 +28,7 @@
 mod attempt;
 mod broker;
 mod build;
+mod closing;
 mod config;
 mod console;
 mod flow;
--- a/crates/host/src/service.rs
+++ b/crates/host/src/service.rs
@@ -4,6 +4,7 @@
 
 use answer::{Kind, Refusal};
 
+use crate::closing;
 use crate::flow;
 use crate::keyed;
 use crate::state;
@@ -22,6 +23,7 @@
     pub(crate) view: sync::Arc<view::View>,
     pub(crate) keyed: sync::Arc<keyed::Runner>,
     pub(crate) flow: flow::Flow,
+    pub(crate) closing: closing::Closing,
 }
 
 impl front::Service for Service {
@@ -45,13 +47,25 @@
             let mut terms = terms::Terms::from(&resolved);
             let trace = records.open(&request, &resolved);
             terms.trace = trace.clone();
-            let outcome = match request.idempotency_key.clone() {
-                Some(key) if !terms.is_idempotent => self.keyed.serve(request, terms, &key).await,
-                _ => {
-                    let streamed = flow::Delivery::Streamed;
-                    self.flow
-                        .serve(&request, &terms, streamed, &|| Ok(()))
-                        .await
+            let serving = async {
+                match request.idempotency_key.clone() {
+                    Some(key) if !terms.is_idempotent => {
+                        self.keyed.serve(request, terms, &key).await
+                    }
+                    _ => {
+                        let streamed = flow::Delivery::Streamed;
+                        self.flow
+                            .serve(&request, &terms, streamed, &|| Ok(()))
+                            .await
+                    }
+                }
+            };
+            let outcome = tokio::select! {
+                biased;
+                outcome = serving => outcome,
+                () = self.closing.wait() => {
+                    let text = "the host stops before the endpoint has answered";
+                    Err(Refusal::new(Kind::EndpointFailed, text))
                 }
             };
             trace.record_outcome(&outcome);
