test(edge): scripts of silent endpoints are shared by two test files

The scripts and that set-up move to tests/common/silence.rs, the tests of an endpoint that takes over to takeover.rs.

--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub mod endpoint;
 pub mod engine;
 pub mod mortal;
+pub mod silence;
 
 use core::time;
 use std::net;
