refactor(edge): the configuration of a host has a file of its own

What puts a configuration in force moves to configuration.rs, unchanged. The signal that open requests are to be refused is called `closing`, since it is no flag.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -50,7 +50,7 @@
     pub(crate) table: arc_swap::ArcSwapOption<plan::Table>,
     pub(crate) eras: sync::Mutex<eras::Eras>,
     /// Newest era of the platform that is known.
-    era: atomic::AtomicU64,
+    pub(crate) era: atomic::AtomicU64,
     pub(crate) balancer: sync::Mutex<steer::Balancer>,
     pub(crate) registry: sync::Mutex<registry::Registry>,
     pub(crate) budgets: sync::Mutex<collections::HashMap<String, steer::Budget>>,
@@ -88,7 +88,7 @@
     pub(crate) is_leaving: atomic::AtomicBool,
     /// Signals that requests whose answer has not begun are to be refused, because
     /// the process is about to end.
-    pub(crate) is_closing: tokio::sync::watch::Sender<bool>,
+    pub(crate) closing: tokio::sync::watch::Sender<bool>,
     has_endpoints: atomic::AtomicBool,
     pub(crate) server: sync::Mutex<Option<front::Server>>,
 }
@@ -144,7 +144,7 @@
             buffered_bytes: atomic::AtomicUsize::new(0),
             confirmation: confirmation::Confirmation::default(),
             is_leaving: atomic::AtomicBool::new(false),
-            is_closing: tokio::sync::watch::Sender::new(false),
+            closing: tokio::sync::watch::Sender::new(false),
             has_endpoints: atomic::AtomicBool::new(false),
             server: sync::Mutex::new(None),
             options,
@@ -167,103 +167,6 @@
         Ok(host)
     }
 
-    /// Puts a configuration in force if its version is above the current one;
-    /// returns whether it did. `source` is where the configuration comes from,
-    /// for the log.
-    pub fn apply_plan(&self, plan: plan::Plan, source: &str) -> bool {
-        let known = self.plan_version();
-        let version = plan.version();
-        if known.is_some() && version <= known {
-            return false;
-        }
-        let (routes, teams) = (plan.routes.len(), plan.teams.len());
-        let before = self.table.load_full();
-        let has_moved = before.is_some_and(|before| plan.moves_routes_of(before.plan()));
-        let services: Vec<u64> = plan
-            .services
-            .iter()
-            .map(|service| gossip::name_hash(&service.name))
-            .collect();
-        let table = sync::Arc::new(plan::Table::new(plan));
-        // Two sources may call this concurrently; the higher version wins.
-        self.table.rcu(|current| match current {
-            Some(current) if current.plan().version() >= version => Some(current.clone()),
-            _ => Some(table.clone()),
-        });
-        if let Some(server) = &*mutex::lock(&self.server)
-            && let Some(current) = &*self.table.load()
-        {
-            server.set_options(self.front_options(&current.plan().limits));
-        }
-        {
-            let mut balancer = mutex::lock(&self.balancer);
-            if let Some(current) = &*self.table.load() {
-                balancer.set_services(&current.plan().services);
-            }
-        }
-        if self.plan_version() != version {
-            return false;
-        }
-        if has_moved {
-            // A stream may have begun at another service than its route has now.
-            self.confirmation.restart(self.clock.now());
-            self.publish_builds(&services);
-        }
-        mutex::lock(&self.membership)
-            .set_version(version.revision, mesh::digest_content(version.era));
-        self.metrics.set("plan_revision", &[], version.revision);
-        self.metrics.set("plan_era", &[], version.era);
-        self.changed.notify_one();
-        log::info!(
-            target: "edge",
-            version = version.to_string().as_str(), before = known.to_string().as_str(), source = source;
-            "configuration in force with {routes} routes and {teams} teams"
-        );
-        true
-    }
-
-    /// Takes a configuration that was read from the platform. `item` is the
-    /// platform's version of its last change. See [`Eras`](eras::Eras) for the
-    /// configuration of an older copy.
-    pub fn read_plan(&self, plan: plan::Plan, item: plan::Version) {
-        self.record_era(item.era, "platform");
-        let now = self.clock.now();
-        let plan = mutex::lock(&self.eras).read(now, plan, item);
-        if let Some(plan) = plan {
-            self.apply_plan(plan, "platform");
-        }
-    }
-
-    /// Records that the platform has just confirmed, in this era, the configuration
-    /// that was read last.
-    pub fn confirm_read(&self, era: u64) {
-        let plan = mutex::lock(&self.eras).confirm(self.clock.now(), era);
-        if let Some(plan) = plan {
-            self.apply_plan(plan, "platform");
-        }
-        self.confirm_plan();
-    }
-
-    /// Records the newest era of the platform; `source` is where it was learned.
-    /// Logs a change, because it means that the platform lost its newest changes.
-    pub fn record_era(&self, era: u64, source: &str) {
-        let before = self.era.fetch_max(era, atomic::Ordering::AcqRel);
-        if era <= before {
-            return;
-        }
-        self.confirmation.restart(self.clock.now());
-        self.metrics.set("platform_era", &[], era);
-        let (plan, endpoints) = (self.plan_version(), self.endpoint_version());
-        if before > 0 {
-            log::warn!(
-                target: "edge",
-                era = era, before = before, source = source,
-                plan = plan.to_string().as_str(), endpoints = endpoints.to_string().as_str();
-                "the platform was restored from an older copy"
-            );
-        }
-    }
-
     /// Changes the list of endpoints and puts the result in force. The closure
     /// gets the time since the start of the process.
     pub fn update_endpoints(&self, change: impl FnOnce(time::Duration, &mut registry::Registry)) {
@@ -387,14 +290,6 @@
         self.is_leaving.load(atomic::Ordering::Acquire)
     }
 
-    /// Returns the version of the configuration in force.
-    pub(crate) fn plan_version(&self) -> plan::Version {
-        let table = self.table.load();
-        table
-            .as_ref()
-            .map_or_else(plan::Version::default, |table| table.plan().version())
-    }
-
     pub(crate) fn use_endpoints(&self, registry: &registry::Registry) {
         let endpoints = registry.endpoints();
         let count = endpoints.len();
@@ -467,18 +362,6 @@
             window_s: all.window_s,
         }
     }
-
-    fn front_options(&self, limits: &plan::Limits) -> front::Options {
-        front::Options {
-            body_bytes_max: limits.body_bytes,
-            header_bytes_max: limits.header_bytes,
-            idle_timeout: limits.header_timeout,
-            keep_alive: limits.idle_timeout,
-            connections_max: self.options.connections_max,
-            address_connections_max: self.options.connections_max,
-            ..front::Options::default()
-        }
-    }
 }
 
 /// Number of live hosts in a caller's data centre from which on the caller is
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,6 +31,7 @@
 mod attempt;
 mod builds;
 mod catch_up;
+mod configuration;
 mod confirmation;
 mod connection;
 mod connections;
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -21,7 +21,7 @@
 /// Either all lines of a request are written or none. The lines of failures
 /// have a budget that served requests cannot use up.
 pub(crate) fn write(host: &host::Host, job: &mut job::Job, outcome: Option<&'static str>) {
-    let outcome = outcome.unwrap_or(match *host.is_closing.borrow() {
+    let outcome = outcome.unwrap_or(match *host.closing.borrow() {
         true => "host_stopped",
         false => "caller_left",
     });
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -38,16 +38,17 @@
             .is_err()
         {
             log::warn!(target: "edge", "stopped with open requests: the shutdown time-out has passed");
-            self.is_closing.send_replace(true);
+            self.closing.send_replace(true);
             // Answers that have begun cannot be refused; those are cut.
             drop(tokio::time::timeout(REFUSAL_TIME, shutdown).await);
         }
         log::info!(target: "edge", "stopped");
     }
+
     /// Waits until the requests whose answer has not begun are to be refused.
     pub(crate) async fn wait_for_closing(&self) {
-        let mut is_closing = self.is_closing.subscribe();
+        let mut receiver = self.closing.subscribe();
         // The sender lives as long as the host.
-        drop(is_closing.wait_for(|&is_closing| is_closing).await);
+        drop(receiver.wait_for(|&is_set| is_set).await);
     }
 }
