--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -64,7 +64,7 @@
     }
 
     /// Takes a configuration that was read from the platform. `item` is the
-    /// platform's version of its last change. See [`Eras`](eras::Eras) for the
+    /// platform's version of its last change. See [`Eras`](crate::eras::Eras) for the
     /// configuration of an older copy.
     pub fn read_plan(&self, plan: plan::Plan, item: plan::Version) {
         self.record_era(item.era, "platform");
