fix(steer): short prompts never count as bulk work

Cause: work counted as bulk if its prompt was ten times its expected answer. Short prompts of the most urgent kind with short expected answers did, and were refused for the backlog of the engines for long prompts.

Change: a prompt of up to 3,000 tokens, tens of milliseconds of an engine, is never bulk work. Two of the three cases of the test failed before (tests/ranks.rs).

--- a/crates/steer/src/work.rs
+++ b/crates/steer/src/work.rs
@@ -29,6 +29,10 @@
 /// work.
 const BULK_RATIO: u32 = 10;
 
+/// Prompt tokens up to which a request never counts as bulk work. An engine
+/// processes them in tens of milliseconds, which other answers hardly notice.
+const BULK_PROMPT_MIN: u32 = 3_000;
+
 impl Work {
     /// Returns the parts that other requests may share.
     pub fn shared(&self) -> &[Part] {
@@ -38,7 +42,8 @@
     /// Returns whether prefill dominates the work. Such a request delays the
     /// tokens of all other requests in the batch.
     pub fn is_bulk(&self) -> bool {
-        self.prompt_tokens > self.expected_output().saturating_mul(BULK_RATIO)
+        self.prompt_tokens > BULK_PROMPT_MIN
+            && self.prompt_tokens > self.expected_output().saturating_mul(BULK_RATIO)
     }
 
     /// Returns the expected tokens of the answer, at most the upper bound.
--- /dev/null
+++ b/crates/steer/tests/ranks.rs
@@ -0,0 +1,82 @@
+//! A peak of long prompts of low urgency, beside more urgent kinds of work with
+//! tighter targets: the least urgent work is refused first, whatever the targets.
+
+mod common;
+
+use common::{Host, SERVICE, bulk, endpoint, ms};
+use rstest::rstest;
+
+const ENGINES: usize = 10;
+
+/// A long prompt of low urgency whose target is several times that of urgent work.
+const LENIENT: steer::Objective = steer::Objective {
+    urgency: 0.0,
+    remaining: ms_const(10_000),
+    target_first: ms_const(2_000),
+};
+
+/// A long prompt that is more urgent and has a tighter target.
+const TIGHT: steer::Objective = steer::Objective {
+    urgency: 0.2,
+    remaining: ms_const(5_000),
+    target_first: ms_const(600),
+};
+
+const fn ms_const(ms: u64) -> core::time::Duration {
+    core::time::Duration::from_millis(ms)
+}
+
+/// Returns a host that has seen both kinds of long prompts, with `backlog_ms` of
+/// prompts pending at each engine.
+fn busy_host(backlog_ms: u32) -> Host {
+    let mut host = Host::new(1, "dc0", 1);
+    let list: Vec<plan::Endpoint> = (0..ENGINES).map(|index| endpoint(index, 1)).collect();
+    host.balancer.replace(&list);
+    for (own, objective) in [(1, LENIENT), (2, TIGHT)] {
+        is_admitted(&mut host, 0, &bulk(own, own), objective);
+    }
+    let mut other = Host::new(2, "dc0", 1);
+    other.balancer.replace(&list);
+    for own in 0..400 {
+        other.send_as(0, &bulk(own, own), 1.0);
+    }
+    let mut loads = other.balancer.loads(ms(0));
+    // Prompt tokens at the assumed initial speed.
+    loads
+        .iter_mut()
+        .for_each(|load| load.prefill_tokens = backlog_ms * 45);
+    host.balancer.apply_loads(ms(0), 7, &loads);
+    host
+}
+
+fn is_admitted(host: &mut Host, now: u64, work: &steer::Work, objective: steer::Objective) -> bool {
+    let picked = host
+        .balancer
+        .pick(ms(now), SERVICE, work, objective, &[], &mut host.rng);
+    matches!(picked, steer::Decision::Selected(_))
+}
+
+#[rstest]
+#[case::no_answer_to_speak_of(20)]
+#[case::short_answer(100)]
+#[case::long_answer(400)]
+fn a_short_urgent_prompt_is_not_refused_for_the_backlog_of_long_ones(#[case] output: u32) {
+    // Guards against short prompts with short answers that count as bulk work, so that they
+    // are refused while long prompts of less urgent work begin.
+    let mut host = busy_host(1_500);
+    let work = steer::Work {
+        parts: vec![steer::Part {
+            id: 3_000_001,
+            tokens: 1_460,
+        }],
+        prompt_tokens: 1_460,
+        output_tokens_max: 4 * output,
+        expected_tokens: Some(output),
+    };
+    let objective = steer::Objective {
+        urgency: 0.4,
+        remaining: ms(10_000),
+        target_first: ms(400),
+    };
+    assert!(is_admitted(&mut host, 0, &work, objective));
+}
