fix(steer): the target of urgent long prompts bounds the backlog for less urgent ones

Drafts with a target of 2 s were admitted at a backlog of up to 2 s, the more urgent swap-adjust with a target of 0.6 s was refused at 0.72 s, so a crest of drafts shut it out.

Change: the balancer keeps the targets of the bulk work of the last 30 s by urgency; a request is bounded by the tightest target of work that is at least as urgent. The test failed at a backlog of 750 ms (tests/ranks.rs).

--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -12,6 +12,7 @@
 use crate::report;
 use crate::run;
 use crate::sum;
+use crate::targets;
 use crate::work;
 
 /// Assumed prefill speed of an engine in tokens per millisecond, until answers
@@ -67,6 +68,8 @@
     pub(crate) services: collections::HashMap<String, Vec<key::Key>>,
     pub(crate) speeds: collections::HashMap<String, Speed>,
     pub(crate) demands: collections::HashMap<String, demand::Tracker>,
+    /// Targets of recent bulk work, by service.
+    pub(crate) targets: collections::HashMap<String, targets::Targets>,
     /// KV cache capacity of one engine in tokens, by service.
     pub(crate) kv_capacities: collections::HashMap<String, f64>,
     /// When loads of another host were last received.
@@ -86,6 +89,7 @@
             services: collections::HashMap::new(),
             speeds: collections::HashMap::new(),
             demands: collections::HashMap::new(),
+            targets: collections::HashMap::new(),
             kv_capacities: collections::HashMap::new(),
             last_peer_update: None,
             sums: rustc_hash::FxHashMap::default(),
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -85,8 +85,12 @@
     /// Selects an endpoint of a service for a request.
     ///
     /// Endpoints marked unreachable are considered only if no reachable one is left.
+    ///
+    /// Bulk work is bounded by the tightest target of recent bulk work that is at
+    /// least as urgent, so that a longer target does not admit a request where a
+    /// more urgent one is refused.
     pub fn pick<'a>(
-        &self,
+        &mut self,
         now: time::Duration,
         service: &str,
         work: &work::Work,
@@ -95,6 +99,10 @@
         rng: &mut impl rand::Rng,
     ) -> pick::Decision {
         let scope = scope.into();
+        if work.is_bulk() {
+            let targets = self.targets.entry(service.to_owned()).or_default();
+            targets.record(now, objective.urgency, objective.target_first);
+        }
         let is_allowed = |key: key::Key| {
             let build = self.endpoints.get(key).and_then(|endpoint| endpoint.build);
             scope.build.is_none_or(|allowed| build == Some(allowed))
@@ -144,6 +152,19 @@
         })
     }
 
+    /// Returns the target by which the backlog for bulk work is bounded.
+    fn bulk_target(
+        &self,
+        now: time::Duration,
+        service: &str,
+        objective: work::Objective,
+    ) -> time::Duration {
+        self.targets
+            .get(service)
+            .and_then(|targets| targets.tightest(now, objective.urgency))
+            .unwrap_or(objective.target_first)
+    }
+
     /// Returns whether only a random sample of the engines is compared, because
     /// other hosts choose among the same engines.
     fn samples_engines(&self, now: time::Duration, service: &str) -> bool {
@@ -173,7 +194,7 @@
         let wait_bound_ms = objective.remaining.as_secs_f64() * 1_000.0 * self.options.wait_share;
         let urgent_targets = self.options.backlog_urgent_targets * objective.urgency;
         let targets = self.options.backlog_targets + urgent_targets;
-        let target_ms = objective.target_first.as_secs_f64() * 1_000.0;
+        let target_ms = self.bulk_target(now, service, objective).as_secs_f64() * 1_000.0;
         let kv_capacity = self.kv_capacities.get(service).copied();
         let compared = match is_sampled {
             true => self.shortlist(work, keys, &partition, rng),
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -41,6 +41,7 @@
 
 mod shortlist;
 mod sum;
+mod targets;
 
 pub use balancer::Balancer;
 pub use budget::{Allowance, Budget};
--- a/crates/steer/tests/faults.rs
+++ b/crates/steer/tests/faults.rs
@@ -35,7 +35,12 @@
     balancer
 }
 
-fn pick(balancer: &steer::Balancer, now: u64, tried: &[steer::Key], seed: u64) -> steer::Decision {
+fn pick(
+    balancer: &mut steer::Balancer,
+    now: u64,
+    tried: &[steer::Key],
+    seed: u64,
+) -> steer::Decision {
     let objective = steer::Objective {
         urgency: 0.0,
         remaining: ms(800),
@@ -46,7 +51,7 @@
     balancer.pick(ms(now), SERVICE, &work, objective, tried, &mut rng)
 }
 
-fn sent(balancer: &steer::Balancer, now: u64, seed: u64) -> steer::Pick {
+fn sent(balancer: &mut steer::Balancer, now: u64, seed: u64) -> steer::Pick {
     match pick(balancer, now, &[], seed) {
         steer::Decision::Selected(pick) => pick,
         other => panic!("{other:?}"),
@@ -70,12 +75,12 @@
 fn an_unreachable_endpoint_is_avoided_until_its_back_off_ends() {
     // Guards against requests that wait for connections to a crashed process.
     let mut balancer = balancer(2);
-    let down = sent(&balancer, 0, 1);
+    let down = sent(&mut balancer, 0, 1);
     balancer.mark_unreachable(ms(0), down.key);
     for seed in 0..50 {
-        assert_ne!(sent(&balancer, 100, seed).id, down.id);
+        assert_ne!(sent(&mut balancer, 100, seed).id, down.id);
     }
-    let returned = (0..50).any(|seed| sent(&balancer, 2_000, seed).id == down.id);
+    let returned = (0..50).any(|seed| sent(&mut balancer, 2_000, seed).id == down.id);
     assert!(returned, "the endpoint was not tried again within 2 s");
 }
 
@@ -83,9 +88,9 @@
 fn an_unreachable_endpoint_is_tried_if_it_is_the_only_one() {
     // Guards against refusing every request after one connection failure of the only endpoint.
     let mut balancer = balancer(1);
-    let only = sent(&balancer, 0, 1);
+    let only = sent(&mut balancer, 0, 1);
     balancer.mark_unreachable(ms(0), only.key);
-    assert_eq!(sent(&balancer, 1, 1).id, only.id);
+    assert_eq!(sent(&mut balancer, 1, 1).id, only.id);
 }
 
 #[test]
@@ -132,9 +137,9 @@
     changed[0].phase = plan::Phase::Leaving;
     let changes = balancer.replace(&changed);
     assert_eq!(changes, [steer::Change::Leaving("e0".into())]);
-    let pick_one = sent(&balancer, 0, 1);
+    let pick_one = sent(&mut balancer, 0, 1);
     assert_eq!(pick_one.id, "e1");
-    let none = pick(&balancer, 0, &[pick_one.key], 1);
+    let none = pick(&mut balancer, 0, &[pick_one.key], 1);
     assert_eq!(none, steer::Decision::NoEndpoint);
 }
 
@@ -142,7 +147,7 @@
 fn a_restarted_endpoint_with_the_same_id_starts_without_load() {
     // Guards against counting requests that ended with the previous process.
     let mut balancer = balancer(1);
-    let pick = sent(&balancer, 0, 1);
+    let pick = sent(&mut balancer, 0, 1);
     let run = balancer.start(ms(0), &pick, &steer::Work::default());
     let mut restarted = list(1);
     restarted[0].started_ms = 2;
@@ -202,7 +207,7 @@
     // Guards against every host finding out by its own requests that an endpoint is down.
     let mut one = balancer(2);
     let mut others = [balancer(2), balancer(2)];
-    let down = sent(&one, 0, 1);
+    let down = sent(&mut one, 0, 1);
     for other in &mut others {
         let key = (0..20)
             .map(|seed| sent(other, 0, seed))
@@ -211,9 +216,9 @@
         other.mark_unreachable(ms(0), key.key);
     }
     one.apply_loads(ms(10), 1, &others[0].loads(ms(10)));
-    assert!((0..40).any(|seed| sent(&one, 20, seed).id == down.id));
+    assert!((0..40).any(|seed| sent(&mut one, 20, seed).id == down.id));
     one.apply_loads(ms(10), 2, &others[1].loads(ms(10)));
-    assert!((0..40).all(|seed| sent(&one, 20, seed).id != down.id));
+    assert!((0..40).all(|seed| sent(&mut one, 20, seed).id != down.id));
 }
 
 #[test]
@@ -221,8 +226,8 @@
     // Guards against sending more requests to an endpoint that has just refused one.
     let mut balancer = balancer(2);
     let full = run(&mut balancer, 0, 1, |_| steer::End::Full);
-    assert!((0..40).all(|seed| sent(&balancer, 50, seed).id != full));
-    assert!((0..40).any(|seed| sent(&balancer, 1_000, seed).id == full));
+    assert!((0..40).all(|seed| sent(&mut balancer, 50, seed).id != full));
+    assert!((0..40).any(|seed| sent(&mut balancer, 1_000, seed).id == full));
 }
 
 #[test]
--- a/crates/steer/tests/ranks.rs
+++ b/crates/steer/tests/ranks.rs
@@ -56,6 +56,42 @@
     matches!(picked, steer::Decision::Selected(_))
 }
 
+#[test]
+fn a_lenient_target_admits_no_long_prompt_where_a_more_urgent_one_is_refused() {
+    // Guards against urgent prompts that are refused at a backlog at which less urgent ones
+    // with a longer target are still admitted.
+    let mut is_lenient_admitted = true;
+    for backlog_ms in (0..3_000).step_by(50) {
+        let mut host = busy_host(backlog_ms);
+        let lenient = is_admitted(&mut host, 0, &bulk(7, 7), LENIENT);
+        let tight = is_admitted(&mut host, 0, &bulk(8, 8), TIGHT);
+        assert!(
+            tight || !lenient,
+            "only the less urgent prompt is admitted at a backlog of {backlog_ms} ms"
+        );
+        is_lenient_admitted = lenient;
+    }
+    assert!(!is_lenient_admitted, "no prompt was refused");
+}
+
+#[test]
+fn a_lenient_target_applies_again_after_the_more_urgent_prompts_have_ended() {
+    // Guards against a bound that outlasts the kind of work that it protects.
+    let mut host = busy_host(0);
+    let mut loads = host.balancer.loads(ms(0));
+    assert!(loads.is_empty());
+    let mut other = busy_host(0);
+    for own in 0..400 {
+        other.send_as(60_000, &bulk(own, own), 1.0);
+    }
+    loads = other.balancer.loads(ms(60_000));
+    loads
+        .iter_mut()
+        .for_each(|load| load.prefill_tokens = 1_400 * 45);
+    host.balancer.apply_loads(ms(60_000), 7, &loads);
+    assert!(is_admitted(&mut host, 60_000, &bulk(7, 7), LENIENT));
+}
+
 #[rstest]
 #[case::no_answer_to_speak_of(20)]
 #[case::short_answer(100)]
