fix(steer): a crest on cold caches no longer spreads each prompt over all engines

Cause: at a crest, the engines that have a prompt cached exceed their backlog bound and the request is admitted at any other engine, which must read the shared part again. That costs an engine 4.6 times the time of a cached prompt, so the overflow of a crest takes the capacity for the crest itself and lasts longer than it.

Change: an engine that has not cached the shared parts of a prompt, and does not rank first for it, accepts it only at a quarter of the backlog bound. Idle engines still take over a popular prompt.

--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -37,6 +37,12 @@
 /// accepts bulk work.
 const LIGHT_LOAD_SHARE: f64 = 0.25;
 
+/// Share of the backlog bound up to which an engine that must read the shared
+/// parts of a prompt accepts it, unless it ranks first for the prompt. Without
+/// this, a crest spreads each prompt over many engines, and reading it again
+/// everywhere adds the load of several crests.
+const SPILL_SHARE: f64 = 0.25;
+
 /// Cost in milliseconds of an endpoint outside the shared ranking of a bulk
 /// prompt. Other hosts place the same prompt within the ranking.
 const UNRANKED_PENALTY_MS: f64 = 30.0;
@@ -238,12 +244,17 @@
             if work.is_bulk() && !partition.ranked.contains(&key) {
                 cost += UNRANKED_PENALTY_MS;
             }
+            let is_cached = endpoint.cache.prefix_len(work.shared()) == work.shared().len();
+            let bulk_bound_ms = match is_cached || first == Some(key) {
+                true => target_ms * targets,
+                false => target_ms * targets * SPILL_SHARE,
+            };
             let backlog_ms = total.prefill_tokens / speed.tokens_per_ms;
             // Short prompts hardly add to a backlog; bulk work is refused first.
             let backlog_bound_ms = match (work.is_bulk(), partition.reserved.contains(&key)) {
                 (false, _) => f64::INFINITY,
-                (true, true) => target_ms * targets,
-                (true, false) if is_lightly_loaded(endpoint, total) => target_ms * targets,
+                (true, true) => bulk_bound_ms,
+                (true, false) if is_lightly_loaded(endpoint, total) => bulk_bound_ms,
                 (true, false) => f64::NEG_INFINITY,
             };
             Candidate {
@@ -255,7 +266,7 @@
                 share: partition.share,
                 is_reserved: partition.reserved.contains(&key),
                 rank: partition.ranked.iter().position(|ranked| *ranked == key),
-                is_cached: endpoint.cache.prefix_len(work.shared()) == work.shared().len(),
+                is_cached,
                 excess_ms: (wait_ms - wait_bound_ms).max(backlog_ms - backlog_bound_ms),
                 prefill_tokens: prefill_tokens as u32,
             }
