fix(steer): engines for interactive work accept only long prompts that they have cached

Cause: an engine reserved for interactive work accepted a long prompt while it looked lightly loaded. Many hosts see the same engine so at the same moment.

Change: such an engine accepts a long prompt only if it has its shared parts cached, which delays the tokens of others by one chunk. The test fails without it (tests/ranks.rs, hosts_without_news_of_each_other_pile_no_long_prompts_on_an_idle_engine).

--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -254,7 +254,7 @@
             let backlog_bound_ms = match (work.is_bulk(), partition.reserved.contains(&key)) {
                 (false, _) => f64::INFINITY,
                 (true, true) => bulk_bound_ms,
-                (true, false) if is_lightly_loaded(endpoint, total) => bulk_bound_ms,
+                (true, false) if is_cached && is_lightly_loaded(endpoint, total) => bulk_bound_ms,
                 (true, false) => f64::NEG_INFINITY,
             };
             Candidate {
@@ -352,8 +352,8 @@
 }
 
 /// Returns whether an engine reserved for interactive work can accept a long
-/// prompt. Only a few running answers are then delayed, and no second long
-/// prompt follows immediately.
+/// prompt whose shared parts it has cached. Only a few running answers are then
+/// delayed, and no second long prompt follows immediately.
 fn is_lightly_loaded(endpoint: &endpoint::Endpoint, total: endpoint::Total) -> bool {
     total.running < f64::from(endpoint.listed.slots) * LIGHT_LOAD_SHARE
         && total.prefill_tokens < 1.0
--- a/crates/steer/tests/ranks.rs
+++ b/crates/steer/tests/ranks.rs
@@ -116,3 +116,37 @@
     };
     assert!(is_admitted(&mut host, 0, &work, objective));
 }
+
+#[test]
+fn hosts_without_news_of_each_other_pile_no_long_prompts_on_an_idle_engine() {
+    // Guards against several hosts that each send a long prompt to the same engine for
+    // interactive work, because it is idle in the last loads that they received.
+    let list: Vec<plan::Endpoint> = (0..ENGINES).map(|index| endpoint(index, 1)).collect();
+    let mut other = Host::new(2, "dc0", 1);
+    other.balancer.replace(&list);
+    for own in 0..400 {
+        other.send_as(0, &bulk(own, own), 1.0);
+    }
+    // The engines for bulk work are busy; those for interactive work are idle.
+    let loads = other.balancer.loads(ms(0));
+    let busy: Vec<u32> = loads.iter().map(|load| load.tag).collect();
+    assert!(busy.len() < ENGINES, "no engine is idle");
+    let mut piled = 0;
+    for seed in 0..16 {
+        let mut host = Host::new(seed, "dc0", 1);
+        host.balancer.replace(&list);
+        host.balancer.apply_loads(ms(0), 7, &loads);
+        let picked = host.balancer.pick(
+            ms(0),
+            SERVICE,
+            &bulk(900 + seed, seed),
+            LENIENT,
+            &[],
+            &mut host.rng,
+        );
+        if let steer::Decision::Selected(pick) = picked {
+            piled += u32::from(!pick.is_reserved);
+        }
+    }
+    assert_eq!(piled, 0, "of 16 hosts");
+}
