fix(edge): endpoints that send bytes without end are left early

Reported for similar systems: bytes that are no answer may come without end, and stalled streams that send a byte now and then never end.

Causes: an event was buffered until its blank line, however long; interim heads were read without end, because each of them is complete; comments counted as events, so a stalled stream with comments was never resumed.

Changes: an event with the comments before it has at most 64 KiB; the bytes before the head of an answer have at most 256 KiB, counted below the HTTP parser; comments are passed on with the event that follows. Such an endpoint is left, another one is asked where the kind of work allows it, and answers_oversized counts it.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -24,6 +24,9 @@
     Leaving,
     /// The request may have reached the endpoint.
     Broken(String),
+    /// The request may have reached the endpoint, which sent a head beyond the
+    /// bound.
+    Oversized(String),
 }
 
 /// The head of the answer to an attempt, and the connection on which it arrived.
@@ -132,6 +135,9 @@
             match connection.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(connection::Failure::Broken(cause)) => return Err(Failure::Broken(cause)),
+                Err(connection::Failure::Oversized(cause)) => {
+                    return Err(Failure::Oversized(cause));
+                }
                 // The endpoint had already closed the reused connection.
                 Err(connection::Failure::NotSent(unsent)) => request = *unsent,
             }
--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -5,8 +5,14 @@
 use hyper::client::conn::http1;
 use hyper_util::rt;
 
+use crate::intake;
+
 /// Largest read buffer, in bytes. It also bounds the head of an answer.
-const BUFFER_MAX_BYTES: usize = 64 * 1024;
+const BUFFER_MAX_BYTES: usize = 32 * 1024;
+
+/// Most bytes that an endpoint may send before the head of its answer is
+/// complete, interim answers included.
+const HEAD_MAX_BYTES: usize = 8 * BUFFER_MAX_BYTES;
 
 pub(crate) type Request = http::Request<http_body_util::Full<Bytes>>;
 pub(crate) type Response = http::Response<hyper::body::Incoming>;
@@ -18,6 +24,9 @@
     NotSent(Box<Request>),
     /// The request may have reached the endpoint.
     Broken(String),
+    /// The request may have reached the endpoint, which sent a head beyond the
+    /// bound.
+    Oversized(String),
 }
 
 /// A connection to an endpoint that carries one request at a time. Dropping it
@@ -26,6 +35,8 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<http_body_util::Full<Bytes>>,
     task: tokio::task::AbortHandle,
+    /// Bytes that the endpoint may send.
+    allowance: intake::Allowance,
     /// Address of the endpoint.
     pub(crate) address: net::SocketAddr,
     /// Whether the connection has carried a request before.
@@ -50,6 +61,8 @@
         stream
             .set_nodelay(true)
             .map_err(|cause| cause.to_string())?;
+        let allowance = intake::Allowance::unbounded();
+        let stream = intake::Stream::new(stream, allowance.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
             .handshake(rt::TokioIo::new(stream))
@@ -63,6 +76,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            allowance,
             address,
             is_reused: false,
         })
@@ -75,13 +89,20 @@
     /// The failure distinguishes whether the request may have reached the
     /// endpoint.
     pub(crate) async fn send(&mut self, request: Request) -> Result<Response, Failure> {
-        let sending = self.sender.try_send_request(request);
-        sending
-            .await
-            .map_err(|mut failure| match failure.take_message() {
-                Some(request) => Failure::NotSent(Box::new(request)),
-                None => Failure::Broken(back::error_chain(failure.error())),
-            })
+        self.allowance.set(HEAD_MAX_BYTES);
+        let sent = self.sender.try_send_request(request).await;
+        self.allowance.set(usize::MAX);
+        sent.map_err(|mut failure| {
+            if let Some(request) = failure.take_message() {
+                return Failure::NotSent(Box::new(request));
+            }
+            let error = failure.error();
+            let cause = back::error_chain(error);
+            match error.is_parse_too_large() || intake::is_exceeded(error) {
+                true => Failure::Oversized(cause),
+                false => Failure::Broken(cause),
+            }
+        })
     }
 
     /// Returns whether the connection can carry another request now.
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -97,6 +97,12 @@
         self.host.metrics.time("first_event_ms", &tags, took);
     }
 
+    /// Counts an answer that was given up because it exceeds a bound.
+    pub(crate) fn count_oversized(&self) {
+        let tags = [("service", self.job.service.as_str())];
+        self.host.metrics.count("answers_oversized", &tags);
+    }
+
     /// Sets the outcome under which the request is logged and counted.
     pub(crate) const fn conclude(&mut self, outcome: &'static str) {
         self.outcome = Some(outcome);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -49,6 +49,7 @@
 mod host;
 mod incoming;
 mod ingress;
+mod intake;
 mod job;
 mod log_budget;
 mod mesh;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -51,6 +51,8 @@
     End(usize),
     /// The run at this place of the list broke.
     Broken(usize, String),
+    /// The run at this place of the list sent an event that exceeds its bound.
+    Oversized(usize, String),
     /// No event arrived within the stall time-out.
     Stalled,
     /// Another endpoint answered, or no attempt is left.
@@ -116,6 +118,11 @@
                     self.record_lost(index, cause);
                     self.replace_lost()?;
                 }
+                Turn::Oversized(index, cause) => {
+                    self.flow.count_oversized();
+                    self.record_lost(index, cause);
+                    self.replace_lost()?;
+                }
                 Turn::Stalled => {
                     self.record_stall();
                     if let Err(refusal) = self.flow.ask(self.last) {
@@ -311,6 +318,7 @@
         source::Read::Events(events, last) => Turn::Events(index, events, last),
         source::Read::End => Turn::End(index),
         source::Read::Broken(cause) => Turn::Broken(index, cause),
+        source::Read::Oversized(cause) => Turn::Oversized(index, cause),
     }
 }
 
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -87,6 +87,11 @@
                 let end = steer::End::Lost;
                 return self.outcome_unknown(&ended.pick, ended.guard, end, cause);
             }
+            attempt::Failure::Oversized(cause) => {
+                self.count_oversized();
+                let end = steer::End::Failed;
+                return self.outcome_unknown(&ended.pick, ended.guard, end, cause);
+            }
             attempt::Failure::Unreachable(cause) => {
                 ended.guard.end(steer::End::Unreachable);
                 ("unreachable", cause)
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -7,12 +7,17 @@
 use crate::event;
 use crate::incoming;
 
+/// Most bytes of an event, with the comments before it.
+const EVENT_MAX_BYTES: usize = 64 * 1024;
+
 /// Result of reading the next events of a run.
 pub(crate) enum Read {
     /// Complete events, and the id of the last one that has an id.
     Events(Bytes, Option<u64>),
     End,
     Broken(String),
+    /// An event exceeds the bound; its source may never end it.
+    Oversized(String),
 }
 
 /// The events of one run of a stream.
@@ -52,8 +57,11 @@
                     };
                     self.splitter.push(data);
                     match self.take_events(after) {
-                        Ok((events, _)) if events.is_empty() => continue,
-                        Ok((events, last)) => Read::Events(events, last),
+                        Ok((events, last)) if !events.is_empty() => Read::Events(events, last),
+                        Ok(_) if self.splitter.pending() > EVENT_MAX_BYTES => {
+                            Read::Oversized(format!("an event exceeds {EVENT_MAX_BYTES} bytes"))
+                        }
+                        Ok(_) => continue,
                         Err(cause) => Read::Broken(cause),
                     }
                 }
--- a/crates/edge/tests/common/endpoint.rs
+++ b/crates/edge/tests/common/endpoint.rs
@@ -16,6 +16,9 @@
     Reset,
     /// Sends nothing until the router closes the connection.
     Hang,
+    /// Sends a text again and again, up to this number of bytes or until the router
+    /// closes the connection.
+    Flood(String, usize),
     /// Resets the connection and closes the listener.
     Crash,
     /// Closes the listener and sends nothing until the router closes the
@@ -50,6 +53,8 @@
     pub requests: sync::Arc<sync::Mutex<Vec<Request>>>,
     /// Number of requests that were cancelled during [`Step::Hang`].
     pub cancelled: sync::Arc<sync::atomic::AtomicUsize>,
+    /// Bytes that were sent in [`Step::Flood`].
+    pub flooded: sync::Arc<sync::atomic::AtomicUsize>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -70,9 +75,11 @@
         let address = listener.local_addr().expect("address");
         let requests: sync::Arc<sync::Mutex<Vec<Request>>> = sync::Arc::default();
         let cancelled: sync::Arc<sync::atomic::AtomicUsize> = sync::Arc::default();
+        let flooded: sync::Arc<sync::atomic::AtomicUsize> = sync::Arc::default();
         let script: sync::Arc<Script> = sync::Arc::new(script);
         let stop = sync::Arc::new(tokio::sync::Notify::new());
         let (log, count) = (requests.clone(), cancelled.clone());
+        let sent = flooded.clone();
         let task = tokio::spawn(async move {
             for connection in 0.. {
                 let accepted = tokio::select! {
@@ -86,6 +93,7 @@
                     script.clone(),
                     log.clone(),
                     count.clone(),
+                    sent.clone(),
                     stop.clone(),
                 );
                 tokio::spawn(served);
@@ -96,6 +104,7 @@
             address,
             requests,
             cancelled,
+            flooded,
             task,
         }
     }
@@ -128,6 +137,7 @@
     script: sync::Arc<Script>,
     log: sync::Arc<sync::Mutex<Vec<Request>>>,
     cancelled: sync::Arc<sync::atomic::AtomicUsize>,
+    flooded: sync::Arc<sync::atomic::AtomicUsize>,
     stop: sync::Arc<tokio::sync::Notify>,
 ) {
     let mut bytes = Vec::new();
@@ -140,6 +150,17 @@
                         return;
                     }
                 }
+                Step::Flood(text, most) => {
+                    let mut left = most;
+                    while left > 0 {
+                        if stream.write_all(text.as_bytes()).await.is_err() {
+                            cancelled.fetch_add(1, sync::atomic::Ordering::SeqCst);
+                            return;
+                        }
+                        flooded.fetch_add(text.len(), sync::atomic::Ordering::SeqCst);
+                        left = left.saturating_sub(text.len());
+                    }
+                }
                 Step::Pause(pause) => tokio::time::sleep(pause).await,
                 Step::Close => return,
                 Step::Reset => return reset(&stream),
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -6,6 +6,7 @@
 )]
 
 pub mod builds;
+pub mod endless;
 pub mod endpoint;
 pub mod engine;
 pub mod mortal;
--- a/crates/edge/tests/streams.rs
+++ b/crates/edge/tests/streams.rs
@@ -200,3 +200,80 @@
         assert!(splitter.rest().is_empty());
     }
 }
+
+/// Sends two events and then a text again and again, which never completes an event.
+fn trickles(text: &'static str) -> impl Fn(&endpoint::Request) -> Vec<Step> {
+    move |request| match request.header("last-event-id") {
+        None => {
+            let mut steps = vec![
+                endpoint::stream_head(request),
+                endpoint::chunk(&whole(1, 2)),
+            ];
+            for _ in 0..40 {
+                steps.push(Step::Pause(common::ms(100)));
+                steps.push(endpoint::chunk(text));
+            }
+            steps.push(Step::Hang);
+            steps
+        }
+        Some(_) => rest(request),
+    }
+}
+
+#[rstest]
+#[case::comments(": wait\n\n")]
+#[case::comment_lines(": wait\n")]
+#[case::bytes_of_an_event("x")]
+#[case::lines_of_an_event("data: x\n")]
+#[tokio::test]
+async fn a_stalled_stream_that_sends_bytes_now_and_then_is_resumed(#[case] text: &'static str) {
+    // Guards against stalled streams that never end, because each byte counts as progress.
+    let one = endpoint::Endpoint::start("e1", trickles(text)).await;
+    let two = endpoint::Endpoint::start("e2", trickles(text)).await;
+    let host = common::host(&[&one, &two]).await;
+    let answer = common::call(&host, &common::request("POST", "/long/a", "r1", "", "p")).await;
+    assert!(answer.is_whole, "{}", answer.text());
+    assert_eq!(answer.text(), whole(1, 6));
+}
+
+#[tokio::test]
+async fn comments_are_passed_on_with_the_event_that_follows() {
+    // Guards against answers that are changed on the way.
+    let body = format!(": a\n\n: b\n{}: c\n\n", whole(1, 1));
+    let sent = body.clone();
+    let script =
+        move |request: &endpoint::Request| {
+            let mut steps = vec![endpoint::stream_head(request)];
+            steps.extend(sent.as_bytes().chunks(3).map(|bytes| {
+                endpoint::chunk(core::str::from_utf8(bytes).expect("the text is ASCII"))
+            }));
+            steps.push(endpoint::stream_end());
+            steps
+        };
+    let one = endpoint::Endpoint::start("e1", script).await;
+    let host = common::host(&[&one]).await;
+    let answer = common::call(&host, &common::request("POST", "/live/a", "r1", "", "p")).await;
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), body);
+}
+
+#[tokio::test]
+async fn a_slow_but_sound_stream_is_not_cut() {
+    // Guards against streams that are cut for pauses which the deadline allows.
+    let slow = |request: &endpoint::Request| {
+        let mut steps = vec![endpoint::stream_head(request)];
+        for id in 1..=3 {
+            steps.push(Step::Pause(common::ms(600)));
+            steps.push(endpoint::chunk(&endpoint::event(id)));
+        }
+        steps.push(endpoint::stream_end());
+        steps
+    };
+    for path in ["/long/a", "/live/a"] {
+        let one = endpoint::Endpoint::start("e1", slow).await;
+        let host = common::host(&[&one]).await;
+        let answer = common::call(&host, &common::request("POST", path, "r1", "", "p")).await;
+        assert!(answer.is_whole, "{path}: {}", answer.text());
+        assert_eq!(answer.text(), whole(1, 3));
+    }
+}
