fix(edge): an answer without the id of its request is not taken from a reused connection

Reported for similar systems: a server sent a second copy of an answer, late, on a connection that was in use again. The id that endpoints repeat was only compared if it was there. A late copy without it reached the next caller as its answer, and a late refusal ended the next request as not run, though it runs.

Change: on a connection that has carried another request, the id must be repeated; an answer without it is foreign, and whether the request ran is unknown.

--- a/crates/edge/src/answered.rs
+++ b/crates/edge/src/answered.rs
@@ -16,15 +16,19 @@
 }
 
 /// Classifies the head of an answer to the request with this id.
+///
+/// On a connection that has carried another request, the endpoint must repeat the
+/// id: an answer without it may be a late copy of an earlier one.
 pub(crate) fn classify<B>(
     names: &headers::Headers,
     response: &http::Response<B>,
     id: Option<&http::HeaderValue>,
+    is_reused: bool,
 ) -> Answered {
     let headers = response.headers();
     let status = response.status();
     let echoed = headers.get(&names.request_id);
-    if echoed.is_some() && echoed != id {
+    if (echoed.is_some() || is_reused) && echoed != id {
         return Answered::Foreign;
     }
     if status == http::StatusCode::MISDIRECTED_REQUEST {
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -146,7 +146,8 @@
         if let Some(report) = report(names, response.headers()) {
             mutex::lock(&self.host.balancer).record_report(now, run.pick.key, report);
         }
-        let answered = answered::classify(names, &response, self.job.raw_id.as_ref());
+        let is_reused = run.connection.is_reused;
+        let answered = answered::classify(names, &response, self.job.raw_id.as_ref(), is_reused);
         let status = response.status();
         let id = run.pick.id.as_str();
         let inputs = format_args!("endpoint={id} status={} as={answered:?}", status.as_u16());
