perf(fleet): six hosts of a fleet read the platform, whatever the number of data centres

That follows from neither the size of the fleet nor what it has to survive.

Change: the selection moves to the crate fleet, without network, and takes six hosts for the fleet, at least one in each data centre.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -28,7 +28,6 @@
 use crate::resend;
 use crate::resume;
 use crate::snapshot;
-use crate::watchers;
 
 /// Share of the fleet's fixed retry allowance that the known hosts divide among
 /// themselves. The rest is a reserve for hosts that do not know of each other.
@@ -79,7 +78,7 @@
     pub(crate) log_budget: log_budget::Budget,
     /// Metrics of this host; the program may record its own.
     pub metrics: metrics::Recorder,
-    pub(crate) watchers: sync::Mutex<watchers::Watchers>,
+    pub(crate) watchers: sync::Mutex<fleet::Watchers>,
     /// Signals a change that is published to other hosts immediately.
     pub(crate) changed: tokio::sync::Notify,
     pub(crate) membership: sync::Mutex<fleet::Membership>,
@@ -231,9 +230,14 @@
         let near = live
             .iter()
             .filter(|entry| entry.data_centre == self.options.data_centre)
-            .map(|entry| entry.name.as_str());
+            .map(|entry| (entry.name.as_str(), gossip::name_hash(&entry.name)));
+        let data_centres: collections::HashSet<&str> = live
+            .iter()
+            .map(|entry| entry.data_centre.as_str())
+            .collect();
         let own = (self.options.name.as_str(), self.options.cpu_millicores);
-        mutex::lock(&self.watchers).is_watcher(now, own, near)
+        let watchers = mutex::lock(&self.watchers);
+        watchers.is_watcher(now, own, near, data_centres.len())
     }
 
     /// Returns whether this host takes the endpoints from other hosts, because
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -75,7 +75,6 @@
 mod step;
 mod stop;
 mod transition;
-mod watchers;
 mod witness;
 
 pub use eras::Eras;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,6 +35,7 @@
 mod state;
 mod tombstones;
 mod version;
+mod watchers;
 
 pub use action::Action;
 pub use comparison::{Comparison, Source};
@@ -46,3 +47,4 @@
 pub use poller::Poller;
 pub use state::State;
 pub use version::{Outcome, Rejection, Version};
+pub use watchers::Watchers;
