fix(steer): refused work counts as demand

Cause: engines are divided between kinds of work by the demand, and only requests that were sent counted. Once long prompts were refused, their engines went to interactive work and stayed there, so long prompts went on being refused beside idle engines.

Change: a request that is refused at its first attempt counts with the least engine time that it would have taken. The test fails without it (tests/ranks.rs).

--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -215,23 +215,35 @@
             if let Some(part) = work.placement() {
                 self.placements.record(now, part, endpoint.tag);
             }
-            if work.prompt_tokens > 0 {
-                let service = endpoint.listed.service.as_str();
-                let speed = self.speeds.get(service).copied().unwrap_or_default();
-                let engine_ms = f64::from(pick.prefill_tokens) / speed.tokens_per_ms
-                    + f64::from(work.expected_output()) * OUTPUT_TOKEN_MS;
-                if !self.demands.contains_key(service) {
-                    self.demands
-                        .insert(service.to_owned(), demand::Tracker::default());
-                }
-                if let Some(demand) = self.demands.get_mut(service) {
-                    demand.record(now, engine_ms, work.is_bulk());
-                }
-            }
+            let service = endpoint.listed.service.clone();
+            self.record_demand(now, &service, work, pick.prefill_tokens);
         }
         run
     }
 
+    /// Records the engine time that a request needs, whether it was sent or refused.
+    pub(crate) fn record_demand(
+        &mut self,
+        now: time::Duration,
+        service: &str,
+        work: &work::Work,
+        prefill_tokens: u32,
+    ) {
+        if work.prompt_tokens == 0 {
+            return;
+        }
+        let speed = self.speeds.get(service).copied().unwrap_or_default();
+        let engine_ms = f64::from(prefill_tokens) / speed.tokens_per_ms
+            + f64::from(work.expected_output()) * OUTPUT_TOKEN_MS;
+        if !self.demands.contains_key(service) {
+            self.demands
+                .insert(service.to_owned(), demand::Tracker::default());
+        }
+        if let Some(demand) = self.demands.get_mut(service) {
+            demand.record(now, engine_ms, work.is_bulk());
+        }
+    }
+
     /// Records that a connection to the endpoint was established.
     pub fn mark_reachable(&mut self, key: key::Key) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -150,12 +150,22 @@
         let Some(best) = candidates.iter().min_by(by_cost) else {
             return pick::Decision::NoEndpoint;
         };
-        pick::Decision::Refused(pick::Refusal {
+        let refusal = pick::Refusal {
             retry_after: retry_after(best.excess_ms, rng),
             wait_ms: best.wait_ms,
             backlog_ms: best.backlog_ms,
             has_room: best.has_room,
-        })
+        };
+        let prefill_tokens = candidates
+            .iter()
+            .map(|candidate| candidate.prefill_tokens)
+            .min();
+        // Engines are divided by the demand, of which refused work is a part. A
+        // request that was sent before has been counted.
+        if let Some(tokens) = prefill_tokens.filter(|_| scope.tried.is_empty()) {
+            self.record_demand(now, service, work, tokens);
+        }
+        pick::Decision::Refused(refusal)
     }
 
     /// Returns the target by which the backlog for bulk work is bounded.
--- a/crates/steer/tests/ranks.rs
+++ b/crates/steer/tests/ranks.rs
@@ -150,3 +150,32 @@
     }
     assert_eq!(piled, 0, "of 16 hosts");
 }
+
+#[test]
+fn refused_work_counts_as_demand() {
+    // Guards against engines that stay reserved for interactive work, because long prompts
+    // are refused and therefore do not count as demand for the other engines.
+    let mut host = Host::new(1, "dc0", 1);
+    let list: Vec<plan::Endpoint> = (0..ENGINES).map(|index| endpoint(index, 1)).collect();
+    host.balancer.replace(&list);
+    for own in 0..20 {
+        host.send(0, &common::interactive(own)).expect("endpoint");
+    }
+    // The few engines for long prompts are busy.
+    for own in 0..400 {
+        host.send_as(0, &bulk(own, own), 0.0);
+    }
+    let before = host.balancer.demands(ms(0))[0].1.bulk_ms;
+    let mut refused = 0;
+    for own in 0..50 {
+        let picked = host.pick(0, &bulk(500 + own, own), 0.0);
+        refused += u32::from(matches!(picked, steer::Decision::Refused(_)));
+    }
+    assert_eq!(refused, 50);
+    let after = host.balancer.demands(ms(0))[0].1.bulk_ms;
+    // Each refused prompt would have taken its own part at least, 2,900 of 45 tokens a ms.
+    assert!(
+        after - before >= 50.0 * 60.0,
+        "{before} ms before and {after} ms after"
+    );
+}
