fix(steer): a small fleet keeps an engine for interactive work

Cause: with few engines in each data centre, a share for interactive work below the first position leaves it no engine at all, and short answers run beside long prompts.

Change: if the share leaves no engine to interactive work that there is, all hosts keep the same one for it.

--- a/crates/steer/src/demand.rs
+++ b/crates/steer/src/demand.rs
@@ -80,6 +80,11 @@
         self.sums.insert(data_centre, (demand, now));
     }
 
+    /// Returns whether there was interactive work lately.
+    pub(crate) fn has_interactive(&self, now: time::Duration) -> bool {
+        add(self.data_centre_sum(now), now, &self.sums).interactive_ms >= 1.0
+    }
+
     /// Returns the share of the engines to reserve for interactive work.
     ///
     /// Interactive work takes precedence and gets the engines that it needs.
--- a/crates/steer/src/partition.rs
+++ b/crates/steer/src/partition.rs
@@ -29,6 +29,8 @@
     /// Engines that rank first for the request's prompt, best first.
     pub(crate) ranked: Vec<key::Key>,
     positions: collections::HashMap<key::Key, Position>,
+    /// The only engine for interactive work, if the share is smaller than one.
+    sole: Option<key::Key>,
 }
 
 impl Partition {
@@ -37,7 +39,10 @@
     pub(crate) fn misplaced(&self, key: key::Key, work: &work::Work) -> f64 {
         match self.positions.get(&key) {
             Some(position) if work.prompt_tokens > 0 => {
-                let bulk = position.bulk(self.share);
+                let bulk = match self.sole == Some(key) {
+                    true => 0.0,
+                    false => position.bulk(self.share),
+                };
                 if work.is_bulk() { 1.0 - bulk } else { bulk }
             }
             _ => 0.0,
@@ -80,9 +85,17 @@
             .map_or(demand::SHARE_DEFAULT, |demand| {
                 demand.interactive_share(now, keys.len())
             });
+        let has_interactive = self
+            .demands
+            .get(service)
+            .is_some_and(|demand| demand.has_interactive(now));
+        let sole = match has_interactive {
+            true => self.sole_interactive(share, keys, &positions),
+            false => None,
+        };
         let is_bulk = |key: &key::Key| {
             let position = positions.get(key);
-            position.is_none_or(|position| position.at >= share)
+            sole != Some(*key) && position.is_none_or(|position| position.at >= share)
         };
         let placed: Vec<key::Key> = match work.is_bulk() && keys.iter().any(is_bulk) {
             true => keys.iter().copied().filter(is_bulk).collect(),
@@ -101,7 +114,27 @@
             reserved,
             ranked,
             positions,
+            sole,
+        }
+    }
+
+    /// Returns the engine that is left to interactive work if the share leaves it
+    /// none. All hosts with the same list choose the same one.
+    fn sole_interactive(
+        &self,
+        share: f64,
+        keys: &[key::Key],
+        positions: &collections::HashMap<key::Key, Position>,
+    ) -> Option<key::Key> {
+        let is_left_out = positions.values().all(|position| position.at >= share);
+        // A single engine serves both kinds of work.
+        if !is_left_out || keys.len() < 2 {
+            return None;
         }
+        keys.iter().copied().min_by_key(|&key| {
+            let id = &self.endpoints[key].listed.id;
+            (::fleet::rank::score(id, INTERACTIVE_KEY), key)
+        })
     }
 
     /// Returns the endpoints that rank first for a prompt part by rendezvous
--- a/crates/steer/tests/kinds.rs
+++ b/crates/steer/tests/kinds.rs
@@ -213,3 +213,34 @@
         );
     }
 }
+
+#[test]
+fn a_crest_of_long_prompts_leaves_a_small_fleet_an_engine_for_short_requests() {
+    // Guards against a share for interactive work that is smaller than one engine, so that no
+    // engine is free of long prompts.
+    for data_centres in [1, 2, 3, 4] {
+        let mut host = Host::new(1, "dc0", 1);
+        let list: Vec<plan::Endpoint> = (0..9).map(|index| endpoint(index, data_centres)).collect();
+        host.balancer.replace(&list);
+        host.send(0, &interactive(0));
+        let service = host.balancer.demands(ms(0))[0].0;
+        let amounts = steer::Demand {
+            bulk_ms: 9_000.0 * 2.5,
+            interactive_ms: 100.0,
+        };
+        host.balancer
+            .apply_demands_sum(ms(0), 1, &vec![(service, amounts)]);
+        let mut long = collections::HashSet::new();
+        for own in 0..400 {
+            if let Some(pick) = host.send_as(0, &bulk(own, own), 0.0) {
+                long.insert(pick.id);
+            }
+        }
+        let short = spread(&mut host, 0);
+        let beside: Vec<&String> = short.keys().filter(|id| long.contains(*id)).collect();
+        assert!(
+            beside.is_empty() && long.len() >= 5,
+            "{data_centres} data centres: short requests beside long prompts at {beside:?}"
+        );
+    }
+}
