--- a/crates/edge/tests/endless.rs
+++ b/crates/edge/tests/endless.rs
@@ -82,7 +82,7 @@
             steps
         }
     };
-    let other = answer.clone();
+    let other = answer;
     let one = endpoint::Endpoint::start("e1", move |request| answer(&first, request)).await;
     let two = endpoint::Endpoint::start("e2", move |request| other(&second, request)).await;
     let host = common::host(&[&one, &two]).await;
