fix(steer): an uncached urgent prompt is not refused for cached less urgent ones

Change: the quarter applies only to the least urgent bulk work that the service has had in the last 30 s. Without it the test refuses 13 of 20 urgent prompts at a backlog of 200 ms (tests/ranks.rs); tests/crest.rs holds.

--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -40,7 +40,8 @@
 /// Share of the backlog bound up to which an engine that must read the shared
 /// parts of a prompt accepts it, unless it ranks first for the prompt. Without
 /// this, a crest spreads each prompt over many engines, and reading it again
-/// everywhere adds the load of several crests.
+/// everywhere adds the load of several crests. It applies to the least urgent bulk
+/// work, so that no cached prompt displaces a more urgent one.
 const SPILL_SHARE: f64 = 0.25;
 
 /// Cost in milliseconds of an endpoint outside the shared ranking of a bulk
@@ -211,6 +212,10 @@
         let urgent_targets = self.options.backlog_urgent_targets * objective.urgency;
         let targets = self.options.backlog_targets + urgent_targets;
         let target_ms = self.bulk_target(now, service, objective).as_secs_f64() * 1_000.0;
+        let is_least_urgent = self
+            .targets
+            .get(service)
+            .is_none_or(|targets| !targets.has_less_urgent(now, objective.urgency));
         let kv_capacity = self.kv_capacities.get(service).copied();
         let compared = match is_sampled {
             true => self.shortlist(work, keys, &partition, rng),
@@ -255,7 +260,7 @@
                 cost += UNRANKED_PENALTY_MS;
             }
             let is_cached = endpoint.cache.prefix_len(work.shared()) == work.shared().len();
-            let bulk_bound_ms = match is_cached || first == Some(key) {
+            let bulk_bound_ms = match is_cached || first == Some(key) || !is_least_urgent {
                 true => target_ms * targets,
                 false => target_ms * targets * SPILL_SHARE,
             };
--- a/crates/steer/src/targets.rs
+++ b/crates/steer/src/targets.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Returns whether there was work that is less urgent.
+    pub(crate) fn has_less_urgent(&self, now: time::Duration, urgency: f64) -> bool {
+        self.0
+            .iter()
+            .filter(|target| now.saturating_sub(target.seen) < KEPT)
+            .any(|target| target.urgency < urgency)
+    }
+
     /// Returns the tightest target of the kinds of work that are at least as
     /// urgent, or `None` if there was none.
     pub(crate) fn tightest(&self, now: time::Duration, urgency: f64) -> Option<time::Duration> {
--- a/crates/steer/tests/ranks.rs
+++ b/crates/steer/tests/ranks.rs
@@ -179,3 +179,55 @@
         "{before} ms before and {after} ms after"
     );
 }
+
+#[test]
+fn an_uncached_urgent_prompt_is_not_refused_where_a_cached_less_urgent_one_is_admitted() {
+    // Guards against a crest on cold caches that refuses urgent prompts which have to be read,
+    // while less urgent ones whose shared parts were read before begin.
+    let mut admitted = 0;
+    for backlog_ms in (0..900).step_by(50) {
+        let mut host = busy_host(backlog_ms);
+        let mut other = Host::new(2, "dc0", 1);
+        let list: Vec<plan::Endpoint> = (0..ENGINES).map(|index| endpoint(index, 1)).collect();
+        other.balancer.replace(&list);
+        for own in 0..400 {
+            other.send_as(0, &bulk(own, own), 1.0);
+        }
+        // Half of the engines are far beyond the bound, so that the engines that rank first
+        // for some prompts refuse them.
+        let mut loads = other.balancer.loads(ms(0));
+        for (index, load) in loads.iter_mut().enumerate() {
+            let is_full = index.is_multiple_of(2);
+            load.prefill_tokens = if is_full { 3_000 } else { backlog_ms } * 45;
+        }
+        host.balancer.apply_loads(ms(0), 7, &loads);
+        // Every engine has read the prompt of the less urgent request.
+        let work = bulk(7, 1_000);
+        let placements: Vec<steer::Placement> = loads
+            .iter()
+            .flat_map(|load| {
+                work.shared().iter().map(|part| steer::Placement {
+                    part: part.id,
+                    tokens: part.tokens,
+                    endpoint: load.tag,
+                })
+            })
+            .collect();
+        host.balancer.apply_placements(ms(0), &placements);
+        if !is_admitted(&mut host, 0, &work, LENIENT) {
+            continue;
+        }
+        admitted += 1;
+        let refused = (0..20)
+            .filter(|own| !is_admitted(&mut host, 0, &bulk(100 + own, 2_000 + own), TIGHT))
+            .count();
+        assert_eq!(
+            refused, 0,
+            "of 20 urgent prompts at a backlog of {backlog_ms} ms"
+        );
+    }
+    assert!(
+        admitted > 4,
+        "a less urgent prompt was admitted {admitted} times"
+    );
+}
