feat(edge): the line of a crash names the request and the parts of its prompt

The line named only a hash of the whole request, so requests that have a part in common could not be seen to have crashed endpoints together. It now names the request's id, the shared parts and for how long the answer had been arriving. No effect on decisions.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -6,7 +6,9 @@
 use base::mutex;
 
 use crate::gossip;
+use crate::guard;
 use crate::host;
+use crate::job;
 
 /// Delay before an endpoint that broke a connection is probed. A process that
 /// crashes closes its listener at the same time as its connections.
@@ -22,6 +24,36 @@
 /// it.
 const REQUEST_CRASHES_MAX: usize = 2;
 
+/// Most shared parts of a prompt that are kept, the last ones; the first ones are the
+/// most widely shared.
+const PARTS_MAX: usize = 8;
+
+/// A request at an endpoint that may have crashed.
+#[derive(Clone, Debug)]
+pub(crate) struct Flight {
+    /// Request id for logs.
+    request: String,
+    fingerprint: u64,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    parts: Vec<u64>,
+    /// For how long the answer had been arriving; `None` before its first event.
+    answering: Option<time::Duration>,
+}
+
+impl Flight {
+    /// Returns the flight of a request whose run at the endpoint is guarded by `guard`.
+    pub(crate) fn new(job: &job::Job, guard: &guard::Guard) -> Self {
+        let shared = job.work.shared();
+        let shared = &shared[shared.len().saturating_sub(PARTS_MAX)..];
+        Self {
+            request: job.id.clone(),
+            fingerprint: job.fingerprint,
+            parts: shared.iter().map(|part| part.id).collect(),
+            answering: guard.answering(),
+        }
+    }
+}
+
 /// Sign that an endpoint may have crashed with a request in flight.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Sign {
@@ -37,7 +69,7 @@
     pub(crate) fn check_for_crash(
         self: &sync::Arc<Self>,
         pick: &steer::Pick,
-        fingerprint: u64,
+        flight: Flight,
         sign: Sign,
     ) {
         let host = self.clone();
@@ -54,11 +86,13 @@
             mutex::lock(&host.balancer).mark_unreachable(now, key);
             log::warn!(
                 target: "edge",
-                endpoint = address.to_string().as_str(), fingerprint = fingerprint;
+                request = flight.request.as_str(), endpoint = address.to_string().as_str(),
+                fingerprint = flight.fingerprint, parts = part_names(&flight.parts).as_str(),
+                answering_ms = flight.answering.map_or(-1, |time| time.as_millis() as i64);
                 "an endpoint crashed with the request in flight"
             );
             let crash = gossip::Crash {
-                fingerprint,
+                fingerprint: flight.fingerprint,
                 endpoint,
             };
             host.record_crash(now, crash, "own");
@@ -105,6 +139,12 @@
     }
 }
 
+/// Returns the ids of prompt parts as they are written in logs.
+fn part_names(parts: &[u64]) -> String {
+    let names: Vec<_> = parts.iter().map(|part| format!("{part:x}")).collect();
+    names.join(",")
+}
+
 /// Returns whether an endpoint has crashed, judged by a connection attempt. A
 /// silent endpoint may be partitioned from this host, so only a refused connection
 /// shows that its process has ended.
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -7,6 +7,7 @@
 
 use crate::attempt;
 use crate::crash;
+use crate::guard;
 use crate::host;
 use crate::incoming;
 use crate::job;
@@ -277,8 +278,14 @@
     }
 
     /// Checks whether the endpoint has crashed with this request in flight.
-    pub(crate) fn check_for_crash(&self, pick: &steer::Pick, sign: crash::Sign) {
-        self.host.check_for_crash(pick, self.job.fingerprint, sign);
+    pub(crate) fn check_for_crash(
+        &self,
+        pick: &steer::Pick,
+        guard: &guard::Guard,
+        sign: crash::Sign,
+    ) {
+        let flight = crash::Flight::new(&self.job, guard);
+        self.host.check_for_crash(pick, flight, sign);
     }
 
     /// Clears the request of suspicion after a complete answer. An answer without
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -1,3 +1,4 @@
+use core::time;
 use std::sync;
 
 use base::mutex;
@@ -10,6 +11,9 @@
 pub(crate) struct Guard {
     host: sync::Arc<host::Host>,
     run: Option<steer::Run>,
+    /// When the first event or the head of a plain answer arrived, since the start of
+    /// the process.
+    begun: Option<time::Duration>,
 }
 
 impl Guard {
@@ -23,16 +27,26 @@
         Self {
             host: host.clone(),
             run: Some(run),
+            begun: None,
         }
     }
 
     /// Records the first event, or the head of a plain answer.
     pub(crate) fn record_first_event(&mut self) {
+        let now = self.host.clock.now();
+        self.begun.get_or_insert(now);
         if let Some(run) = &mut self.run {
-            mutex::lock(&self.host.balancer).record_first_event(self.host.clock.now(), run);
+            mutex::lock(&self.host.balancer).record_first_event(now, run);
         }
     }
 
+    /// Returns for how long the answer has been arriving, or `None` before its first
+    /// event.
+    pub(crate) fn answering(&self) -> Option<time::Duration> {
+        let now = self.host.clock.now();
+        self.begun.map(|begun| now.saturating_sub(begun))
+    }
+
     /// Ends the run.
     pub(crate) fn end(mut self, end: steer::End) {
         self.finish(end);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -107,7 +107,8 @@
         let inputs = format_args!("endpoint={} cause={cause}", answer.pick.id);
         self.flow.job.log_step(now, "spoiled", inputs);
         self.flow.failure = Some(cause);
-        self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
+        self.flow
+            .check_for_crash(&answer.pick, &answer.guard, crash::Sign::Broken);
         answer.guard.end(steer::End::Lost);
         let is_last = self.answers.is_empty() && self.flow.open.is_empty();
         if !is_last || self.flow.may_retry() || self.use_fallback() {
@@ -120,7 +121,8 @@
     fn time_out(&mut self) -> Option<answer::Refusal> {
         for answer in self.answers.drain(..) {
             let answer = answer.incoming;
-            self.flow.check_for_crash(&answer.pick, crash::Sign::Silent);
+            self.flow
+                .check_for_crash(&answer.pick, &answer.guard, crash::Sign::Silent);
             answer.guard.end(steer::End::Lost);
         }
         (!self.use_fallback()).then(|| self.flow.timed_out())
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -231,8 +231,10 @@
         let last = self.last;
         for source in self.sources.iter_mut().filter(|source| !source.is_silent) {
             source.is_silent = true;
-            let pick = &source.answer.pick;
-            self.flow.check_for_crash(pick, crash::Sign::Silent);
+            let answer = &source.answer;
+            let pick = &answer.pick;
+            self.flow
+                .check_for_crash(pick, &answer.guard, crash::Sign::Silent);
             let inputs = format_args!("endpoint={} last={last:?}", pick.id);
             self.flow.job.log_step(now, "stalled", inputs);
         }
@@ -246,7 +248,8 @@
             answer.pick.id, self.last
         );
         self.flow.job.log_step(now, "broken", inputs);
-        self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
+        self.flow
+            .check_for_crash(&answer.pick, &answer.guard, crash::Sign::Broken);
         answer.guard.end(steer::End::Lost);
         self.flow.failure = Some(cause);
     }
@@ -283,8 +286,9 @@
 
     fn time_out(&mut self) -> answer::Refusal {
         for source in self.sources.drain(..) {
-            let pick = &source.answer.pick;
-            self.flow.check_for_crash(pick, crash::Sign::Silent);
+            let answer = &source.answer;
+            self.flow
+                .check_for_crash(&answer.pick, &answer.guard, crash::Sign::Silent);
             source.answer.guard.end(steer::End::Lost);
         }
         self.flow.timed_out()
--- a/crates/edge/src/remainder.rs
+++ b/crates/edge/src/remainder.rs
@@ -48,7 +48,8 @@
             let answer = self.answer.as_mut()?;
             let Ok(frame) = time::timeout(left, answer.body.frame()).await else {
                 let refusal = self.flow.timed_out();
-                self.flow.check_for_crash(&answer.pick, crash::Sign::Silent);
+                self.flow
+                    .check_for_crash(&answer.pick, &answer.guard, crash::Sign::Silent);
                 return Some(self.truncate(&refusal));
             };
             match frame {
@@ -58,7 +59,8 @@
                 }
                 Some(Err(cause)) => {
                     self.flow.failure = Some(cause.to_string());
-                    self.flow.check_for_crash(&answer.pick, crash::Sign::Broken);
+                    self.flow
+                        .check_for_crash(&answer.pick, &answer.guard, crash::Sign::Broken);
                     let refusal = self.flow.failed("the answer was not complete");
                     return Some(self.truncate(&refusal));
                 }
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -83,7 +83,7 @@
         let id = ended.pick.id.as_str();
         let (step, cause) = match cause {
             attempt::Failure::Broken(cause) => {
-                self.check_for_crash(&ended.pick, crash::Sign::Broken);
+                self.check_for_crash(&ended.pick, &ended.guard, crash::Sign::Broken);
                 let end = steer::End::Lost;
                 return self.outcome_unknown(&ended.pick, ended.guard, end, cause);
             }
@@ -113,8 +113,8 @@
         for attempt in self.open.iter_mut().filter(|attempt| !attempt.is_silent) {
             attempt.is_silent = true;
             let pick = &attempt.pick;
-            self.host
-                .check_for_crash(pick, self.job.fingerprint, crash::Sign::Silent);
+            let flight = crash::Flight::new(&self.job, &attempt.guard);
+            self.host.check_for_crash(pick, flight, crash::Sign::Silent);
             let inputs = format_args!("endpoint={} reused={}", pick.id, attempt.is_reused);
             self.job.log_step(now, "silent", inputs);
             self.failure = Some("the endpoint did not answer in time".to_owned());
