--- a/crates/edge/tests/common/engine.rs
+++ b/crates/edge/tests/common/engine.rs
@@ -8,7 +8,11 @@
 
 use super::endpoint;
 
-/// When the process ends that runs a request whose path contains `/bad`.
+/// A prompt part that ends the process that runs a request with it.
+pub const BAD_PART: &str = "bad0";
+
+/// When the process ends that runs a request whose path contains `/bad` or whose
+/// prompt contains [`BAD_PART`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Crash {
     /// Before any byte of the answer.
@@ -29,13 +33,13 @@
     pub answer: time::Duration,
 }
 
-/// An engine that runs many requests at once. A request whose path contains
-/// `/bad` ends the process, which resets all its connections and listens again
+/// An engine that runs many requests at once. A request that [`Crash`]
+/// describes ends the process, which resets all its connections and listens again
 /// after a time.
 pub struct Engine {
     pub id: String,
     pub address: net::SocketAddr,
-    /// Times at which a `/bad` request arrived, each of which was a crash.
+    /// Times at which a request arrived that ended the process.
     pub crashes: sync::Arc<sync::Mutex<Vec<tokio::time::Instant>>>,
     starts: sync::Arc<atomic::AtomicU64>,
     stop: sync::Arc<tokio::sync::Notify>,
@@ -130,7 +134,10 @@
     endpoint::reset(&stream);
     let mut bytes = Vec::new();
     while let Some(request) = endpoint::read(&mut stream, &mut bytes, 0).await {
-        let is_bad = request.head.contains("/bad");
+        let has_bad_part = request
+            .header("x-prompt")
+            .is_some_and(|parts| parts.contains(BAD_PART));
+        let is_bad = request.head.contains("/bad") || has_bad_part;
         if is_bad {
             mutex::lock(&log).push(tokio::time::Instant::now());
         }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub mod endless;
 pub mod endpoint;
 pub mod engine;
+pub mod fleet;
 pub mod mortal;
 pub mod silence;
 
