fix(edge): a prompt part that crashes endpoints is refused by the whole fleet

Callers saw their answers cut and requests refused while one endpoint after the other ended.

Cause: crashes were counted by request, by a hash of caller, path and body. Requests that are different but share a part of their prompts never met in a count, so each was a suspect after one crash and the next one was sent.

Change: crashes are also counted by the shared parts of the prompt, for requests whose answer had not begun or began within a second before. A part is refused after crashes of three endpoints under three requests, if no answer on it was complete in the 10 s before or since, at any host. Among parts that crash together the verdict follows from the sets of crashes and complete answers alone: later parts explain the crashes for those before them. Hosts publish both with the reports they already send, and tell a host that refuses a part of complete answers that it does not know. Older hosts ignore the bytes.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -22,6 +22,8 @@
     Unreachable(String),
     /// The endpoint began to leave before the request was sent.
     Leaving,
+    /// A part of the prompt was found to crash endpoints before the request was sent.
+    Quarantined,
     /// The request may have reached the endpoint.
     Broken(String),
     /// The request may have reached the endpoint, which sent a head beyond the
@@ -38,6 +40,7 @@
     /// Deadline of the answer, since the start of the process.
     pub(crate) due: time::Duration,
     pub(crate) pick: steer::Pick,
+    pub(crate) work: steer::Work,
     /// An idle connection to the endpoint.
     pub(crate) connection: Option<connection::Connection>,
     /// The request, without the time that is left.
@@ -122,6 +125,9 @@
         if !mutex::lock(&self.host.balancer).is_accepting(self.pick.key) {
             return Err(Failure::Leaving);
         }
+        if self.host.poison_part(&self.work).is_some() {
+            return Err(Failure::Quarantined);
+        }
         let mut request = self.request.clone();
         loop {
             let left = self.left();
--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use base::mutex;
+use xxhash_rust::xxh3;
 
 use crate::gossip;
 use crate::guard;
@@ -34,6 +35,8 @@
     /// Request id for logs.
     request: String,
     fingerprint: u64,
+    /// Hash of the request and its whole prompt; equal for its repeats.
+    content: u64,
     /// Ids of the parts of the prompt that other requests may share, in order.
     parts: Vec<u64>,
     /// For how long the answer had been arriving; `None` before its first event.
@@ -48,6 +51,9 @@
         Self {
             request: job.id.clone(),
             fingerprint: job.fingerprint,
+            content: job.work.parts.iter().fold(job.fingerprint, |hash, part| {
+                xxh3::xxh3_64_with_seed(&part.id.to_le_bytes(), hash)
+            }),
             parts: shared.iter().map(|part| part.id).collect(),
             answering: guard.answering(),
         }
@@ -96,9 +102,15 @@
                 endpoint,
             };
             host.record_crash(now, crash, "own");
-            if !mutex::lock(&host.reports).add(now, crash) {
+            if !mutex::lock(&host.reports).crashes.add(now, crash) {
                 host.metrics.count("crash_reports_dropped", &[]);
             }
+            let run = route::parts::Crash {
+                endpoint,
+                request: flight.content,
+                parts: flight.parts,
+            };
+            host.blame_parts(now, run, flight.answering);
             host.crashed.notify_one();
         });
     }
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -293,21 +293,26 @@
     pub(crate) fn record_completion(&self, answer: &incoming::Answer) {
         if answer.status.is_success() && answer.is_framed() {
             mutex::lock(&self.host.quarantine).clear(self.job.fingerprint);
+            self.host.record_complete_parts(&self.job.work);
         }
     }
 
     fn refuse_quarantined(&mut self, now: time::Duration) -> Option<Refusal> {
-        let quarantine = mutex::lock(&self.host.quarantine);
-        if quarantine.verdict(now, self.job.fingerprint) != route::Verdict::Poison {
-            return None;
-        }
-        drop(quarantine);
-        self.job.log_step(
-            now,
-            "quarantined",
-            format_args!("the request crashed endpoints"),
-        );
-        let text = "the request crashed the endpoints that ran it";
+        let verdict = mutex::lock(&self.host.quarantine).verdict(now, self.job.fingerprint);
+        let part = self.host.poison_part(&self.job.work);
+        let text = match part {
+            Some(part) => {
+                let inputs = format_args!("endpoints crashed on the prompt part {part:x}");
+                self.job.log_step(now, "quarantined", inputs);
+                "a part of the prompt crashed the endpoints that began to answer on it"
+            }
+            None if verdict == route::Verdict::Poison => {
+                let inputs = format_args!("the request crashed endpoints");
+                self.job.log_step(now, "quarantined", inputs);
+                "the request crashed the endpoints that ran it"
+            }
+            None => return None,
+        };
         Some(match self.possible_runs {
             0 => Refusal::new(Kind::Quarantined, text)
                 .with_retry_after(time::Duration::from_secs(10)),
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,3 +1,5 @@
+use core::time;
+
 use xxhash_rust::xxh3;
 
 use crate::extension;
@@ -65,6 +67,42 @@
     /// of builds without them ignore the bytes.
     #[serde(skip)]
     pub(crate) origins: Vec<Origin>,
+    /// What the sender knows of prompt parts. It follows the builds; hosts without it
+    /// ignore the bytes.
+    #[serde(skip)]
+    pub(crate) blame: Blame,
+}
+
+/// Crashes under prompt parts, and parts on which an answer was complete.
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+pub(crate) struct Blame {
+    pub(crate) crashes: Vec<route::parts::Crash>,
+    pub(crate) completions: Vec<Completion>,
+}
+
+impl Blame {
+    fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.completions.is_empty()
+    }
+}
+
+/// A complete answer on a prompt part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub(crate) struct Completion {
+    pub(crate) part: u64,
+    /// Time since the end of the answer, in milliseconds.
+    pub(crate) age_ms: u32,
+}
+
+impl Completion {
+    /// Returns a complete answer that ended at `at`.
+    pub(crate) fn new(now: time::Duration, part: u64, at: time::Duration) -> Self {
+        let age = now.saturating_sub(at).as_millis();
+        Self {
+            part,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
 }
 
 /// Loads of endpoints in a message.
@@ -96,9 +134,12 @@
         loop {
             let bytes = postcard::to_allocvec(self)?;
             let mut bytes = postcard::to_extend(&self.extension, bytes)?;
-            if !self.origins.is_empty() {
+            if !self.origins.is_empty() || !self.blame.is_empty() {
                 bytes = postcard::to_extend(&self.origins, bytes)?;
             }
+            if !self.blame.is_empty() {
+                bytes = postcard::to_extend(&self.blame, bytes)?;
+            }
             if bytes.len() <= DATAGRAM_MAX_BYTES {
                 return Ok(bytes);
             }
@@ -125,8 +166,13 @@
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         let rest = message.extension.take(rest)?;
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        let (origins, rest) = postcard::take_from_bytes(rest)?;
+        message.origins = origins;
         if !rest.is_empty() {
-            message.origins = postcard::from_bytes(rest)?;
+            message.blame = postcard::from_bytes(rest)?;
         }
         Ok(message)
     }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -62,9 +62,10 @@
     pub(crate) registry: sync::Mutex<registry::Registry>,
     pub(crate) budgets: sync::Mutex<collections::HashMap<String, steer::Budget>>,
     pub(crate) quarantine: sync::Mutex<route::Quarantine>,
-    /// Crash reports of this host that are still to be published.
-    pub(crate) reports: sync::Mutex<resend::Queue<gossip::Crash>>,
-    /// Signals a crash report that is to be published.
+    pub(crate) parts: sync::Mutex<route::parts::Quarantine>,
+    /// Reports of this host that are still to be published.
+    pub(crate) reports: sync::Mutex<reports::Reports>,
+    /// Signals a report that is to be published.
     pub(crate) crashed: tokio::sync::Notify,
     pub(crate) rng: sync::Mutex<rand_pcg::Pcg64Mcg>,
     pub(crate) connections: connections::Pool,
@@ -131,7 +132,8 @@
             registry: sync::Mutex::new(registry::Registry::new(options.removal_grace)),
             budgets: sync::Mutex::default(),
             quarantine: sync::Mutex::new(route::Quarantine::new()),
-            reports: sync::Mutex::new(resend::Queue::new(reports::SCHEDULE)),
+            parts: sync::Mutex::new(route::parts::Quarantine::new()),
+            reports: sync::Mutex::default(),
             crashed: tokio::sync::Notify::new(),
             rng: sync::Mutex::new(rand_pcg::Pcg64Mcg::seed_from_u64(seed)),
             connections: connections::Pool::default(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod admit;
 mod answered;
 mod attempt;
+mod blame;
 mod builds;
 mod catch_up;
 mod configuration;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -146,6 +146,7 @@
         transitions.update(&host);
         host.connections.expire();
         mutex::lock(&host.quarantine).evict_expired(now);
+        host.evict_parts(now);
         mutex::lock(&host.origins).evict_expired(now);
         let before = current_since;
         current_since = host.confirmation.current_since(now);
@@ -240,8 +241,8 @@
         }
     }
 
-    /// Publishes the crashes that this host detects to all hosts immediately, and
-    /// again after the delays of [`crate::reports::SCHEDULE`].
+    /// Publishes the crashes that this host detects, and complete answers on parts
+    /// that are suspected of crashes, to all hosts immediately and again after delays.
     async fn publish_crashes(self) {
         loop {
             if mutex::lock(&self.host.reports).is_empty() {
@@ -249,8 +250,12 @@
             }
             tokio::time::sleep(CHANGE_PAUSE).await;
             let due = mutex::lock(&self.host.reports).take_due(self.host.clock.now());
-            if !due.is_empty() {
-                self.publish_reports(due).await;
+            if !due.crashes.is_empty() {
+                self.publish_reports(due.crashes, gossip::Blame::default())
+                    .await;
+            }
+            if due.blame != gossip::Blame::default() {
+                self.publish_reports(Vec::new(), due.blame).await;
             }
         }
     }
@@ -314,6 +319,7 @@
         for crash in &message.crashes {
             host.record_crash(now, *crash, "peer");
         }
+        host.apply_blame(now, from, message);
         mutex::lock(&host.watchers).record_capacity(now, message.sender, message.cpu_millicores);
         let own_plan = host.plan_version();
         let (plan, endpoints) = (message.plan_version(), message.endpoint_version());
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -44,11 +44,12 @@
         near.len()
     }
 
-    /// Sends crash reports to all hosts.
-    pub(crate) async fn publish_reports(&self, crashes: Vec<gossip::Crash>) {
+    /// Sends reports of crashes and of prompt parts to all hosts.
+    pub(crate) async fn publish_reports(&self, crashes: Vec<gossip::Crash>, blame: gossip::Blame) {
         let (near, far) = self.targets();
         let message = gossip::Message {
             crashes,
+            blame,
             ..self.host.message(gossip::Work::None)
         };
         self.send(message, &[near, far].concat()).await;
@@ -94,23 +95,43 @@
 impl host::Host {
     /// Sends the builds of streams to another host, without waiting.
     pub(crate) fn send_origins(&self, origins: &[gossip::Origin], address: net::SocketAddr) {
-        let Some(socket) = self.loads.get() else {
-            return;
-        };
         let mut message = self.message(gossip::Work::None);
         message.crashes.clear();
         message.origins.extend_from_slice(origins);
+        if !self.send_now(message, address) {
+            self.metrics.count("origins_dropped", &[]);
+        }
+    }
+
+    /// Sends complete answers on prompt parts to another host, without waiting.
+    pub(crate) fn send_completions(
+        &self,
+        completions: Vec<gossip::Completion>,
+        address: net::SocketAddr,
+    ) {
+        let mut message = self.message(gossip::Work::None);
+        message.crashes.clear();
+        message.blame.completions = completions;
+        self.send_now(message, address);
+    }
+
+    /// Sends a message without waiting; returns whether it was sent.
+    fn send_now(&self, mut message: gossip::Message, address: net::SocketAddr) -> bool {
+        let Some(socket) = self.loads.get() else {
+            return false;
+        };
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(cause) => {
-                log::error!(target: "edge", "builds of streams not encoded: {cause}");
-                return;
+                log::error!(target: "edge", "datagram not encoded: {cause}");
+                return false;
             }
         };
-        if let Err(cause) = socket.try_send_to(&bytes, address) {
-            self.metrics.count("origins_dropped", &[]);
-            log::debug!(target: "edge", "builds of streams not sent to {address}: {cause}");
+        let sent = socket.try_send_to(&bytes, address);
+        if let Err(cause) = &sent {
+            log::debug!(target: "edge", "datagram to {address} not sent: {cause}");
         }
+        sent.is_ok()
     }
 
     fn message(&self, work: gossip::Work) -> gossip::Message {
@@ -132,6 +153,10 @@
             let registry = mutex::lock(&host.registry);
             (registry.version(), registry.is_unreachable())
         };
+        let blame = match work {
+            gossip::Work::None => gossip::Blame::default(),
+            _ => host.sample_blame(),
+        };
         let plan = host.plan_version();
         gossip::Message {
             sender: gossip::name_hash(&host.options.name),
@@ -150,6 +175,7 @@
             work,
             extension: extension::Extension::new(plan, endpoints),
             origins: Vec::new(),
+            blame,
         }
     }
 }
--- a/crates/edge/src/resend.rs
+++ b/crates/edge/src/resend.rs
@@ -30,7 +30,7 @@
     waiting: collections::VecDeque<Waiting<T>>,
 }
 
-impl<T: Copy> Queue<T> {
+impl<T: Clone> Queue<T> {
     /// Creates an empty queue.
     pub(crate) const fn new(schedule: Schedule) -> Self {
         Self {
@@ -65,7 +65,7 @@
             if waiting.due > now || due.len() >= batch_max {
                 continue;
             }
-            due.push(waiting.item);
+            due.push(waiting.item.clone());
             waiting.sent += 1;
             let delay = delays.get(waiting.sent).copied();
             waiting.due = now + delay.unwrap_or_default();
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -56,6 +56,7 @@
             host: self.host.clone(),
             due: self.job.due,
             request: self.request(&pick, after),
+            work: self.job.work.clone(),
             connection: idle.flatten(),
             pick,
         };
@@ -97,6 +98,7 @@
                 ("unreachable", cause)
             }
             attempt::Failure::Leaving => ("skipped", "it is leaving".to_owned()),
+            attempt::Failure::Quarantined => ("skipped", "the prompt is quarantined".to_owned()),
         };
         self.sends -= 1;
         self.possible_runs -= 1;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,8 +1,8 @@
 //! Endpoint choice, concurrency limits, ejection and retry budgets of one shard.
 //!
 //! [`Table`] holds the endpoints of one shard and the requests that run on
-//! them. [`Budget`], [`Length`], [`Latency`], [`Throughput`] and [`Quarantine`]
-//! are independent parts that the owner, crate `pool`, combines with it. Nothing
+//! them. [`Budget`], [`Length`], [`Latency`], [`Throughput`], [`Quarantine`] and
+//! [`parts::Quarantine`] are independent parts that the owner, crate `pool`, combines with it. Nothing
 //! here does I/O or reads a clock; times are durations since the start of the
 //! process.
 //!
@@ -22,6 +22,7 @@
 mod mean;
 mod options;
 mod outcome;
+pub mod parts;
 mod quarantine;
 mod report;
 mod request;
