feat(edge): the line of an answer states the limit of its endpoint

Endpoints in need state in their answers how many requests a second they take. No line named it, so whether a host knew the limit could not be told from its log. No effect on decisions.

--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -21,6 +21,9 @@
     /// Load of the endpoint: running and waiting requests, slots and, if known,
     /// slowness in percent, separated by commas.
     pub load: HeaderName,
+    /// Requests a second that the endpoint takes from all hosts together. Absent if it
+    /// states no limit.
+    pub limit: HeaderName,
     /// The caller's estimate of the tokens of the answer.
     pub expected_tokens: HeaderName,
     /// Number of prompt tokens and the largest number of output tokens,
@@ -50,6 +53,7 @@
             signature: name("x-signature"),
             not_run: name("x-not-run"),
             load: name("x-load"),
+            limit: name("x-limit"),
             expected_tokens: name("x-expected-tokens"),
             tokens: name("x-tokens"),
             prompt: name("x-prompt"),
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -152,7 +152,10 @@
         let answered = answered::classify(names, &response, self.job.raw_id.as_ref(), is_reused);
         let status = response.status();
         let id = run.pick.id.as_str();
-        let inputs = format_args!("endpoint={id} status={} as={answered:?}", status.as_u16());
+        let limit = headers::text(response.headers(), &names.limit).unwrap_or("-");
+        let status_code = status.as_u16();
+        let inputs =
+            format_args!("endpoint={id} status={status_code} as={answered:?} limit={limit}");
         self.job.log_step(now, "answered", inputs);
         match answered {
             answered::Answered::NotRun => {
