fix(steer): hosts keep the limit that an endpoint states together

An endpoint in need that states how many requests a second it takes from all hosts got as many as before; callers saw nothing of it until it failed.

Cause: no host read the limit, and nothing bounded what all hosts together send to one endpoint: concurrency is bounded by slots and by the loads that hosts publish, a rate was not.

Change: an answer that states a limit, or the first one without it to a request sent later, changes the quota of the endpoint. Hosts publish the change to all at once and twice again, and what they know with the loads. Three hosts, and one more for each request a second, share the limit by token buckets; they follow from the names of the live hosts, those of the endpoint's data centre first, so no request needs an agreement and the burst is bounded by their number. The others leave the endpoint out, and try it at a low rate after 30 s without news. If the limits of all endpoints of a service are used up, the request is refused as not run, with the time to come back. Older hosts ignore the bytes.

--- a/crates/edge/src/gauge.rs
+++ b/crates/edge/src/gauge.rs
@@ -28,6 +28,8 @@
         ] {
             metrics.set("endpoints", &[("state", state)], count);
         }
+        let limited = mutex::lock(&self.balancer).limited(now).len();
+        metrics.set("endpoints", &[("state", "limited")], limited as u64);
         metrics.set("requests_at_endpoints", &[], counts.running);
         let buffered = self.buffered_bytes.load(atomic::Ordering::Relaxed);
         metrics.set("body_bytes", &[], buffered as u64);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -71,6 +71,9 @@
     /// ignore the bytes.
     #[serde(skip)]
     pub(crate) blame: Blame,
+    /// Limits of endpoints. They follow the state of prompt parts.
+    #[serde(skip)]
+    pub(crate) limits: Vec<steer::Limit>,
 }
 
 /// Crashes under prompt parts, and parts on which an answer was complete.
@@ -134,12 +137,17 @@
         loop {
             let bytes = postcard::to_allocvec(self)?;
             let mut bytes = postcard::to_extend(&self.extension, bytes)?;
-            if !self.origins.is_empty() || !self.blame.is_empty() {
+            let has_limits = !self.limits.is_empty();
+            let has_blame = has_limits || !self.blame.is_empty();
+            if has_blame || !self.origins.is_empty() {
                 bytes = postcard::to_extend(&self.origins, bytes)?;
             }
-            if !self.blame.is_empty() {
+            if has_blame {
                 bytes = postcard::to_extend(&self.blame, bytes)?;
             }
+            if has_limits {
+                bytes = postcard::to_extend(&self.limits, bytes)?;
+            }
             if bytes.len() <= DATAGRAM_MAX_BYTES {
                 return Ok(bytes);
             }
@@ -171,8 +179,13 @@
         }
         let (origins, rest) = postcard::take_from_bytes(rest)?;
         message.origins = origins;
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        let (blame, rest) = postcard::take_from_bytes(rest)?;
+        message.blame = blame;
         if !rest.is_empty() {
-            message.blame = postcard::from_bytes(rest)?;
+            message.limits = postcard::from_bytes(rest)?;
         }
         Ok(message)
     }
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -40,6 +40,13 @@
         }
     }
 
+    /// Returns when the request was sent, since the start of the process.
+    pub(crate) fn sent(&self) -> time::Duration {
+        self.run
+            .as_ref()
+            .map_or(time::Duration::ZERO, |run| run.sent)
+    }
+
     /// Returns for how long the answer has been arriving, or `None` before its first
     /// event.
     pub(crate) fn answering(&self) -> Option<time::Duration> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -52,6 +52,7 @@
 mod ingress;
 mod intake;
 mod job;
+mod limits;
 mod log_budget;
 mod mesh;
 pub mod metrics;
--- /dev/null
+++ b/crates/edge/src/limits.rs
@@ -0,0 +1,93 @@
+use core::cmp;
+use core::time;
+
+use base::mutex;
+use rand::seq::IteratorRandom;
+
+use crate::answered;
+use crate::gossip;
+use crate::headers;
+use crate::host;
+
+/// Most limits of endpoints in a periodic message.
+const LIMITS_MAX: usize = 8;
+
+impl host::Host {
+    /// Records the limit that an answer of an endpoint states, or that it states none.
+    /// `sent` is when its request was sent.
+    pub(crate) fn record_limit(
+        &self,
+        now: time::Duration,
+        key: steer::Key,
+        sent: time::Duration,
+        answered: answered::Answered,
+        headers: &http::HeaderMap,
+    ) {
+        use answered::Answered;
+        let stated = headers::text(headers, &self.options.headers.limit);
+        let per_s = match (stated.map(parse), answered) {
+            // Another process may have sent the answer.
+            (_, Answered::Foreign | Answered::Misdirected) => return,
+            (Some(None), _) => {
+                self.metrics.count("limits_malformed", &[]);
+                return;
+            }
+            (Some(per_s), _) => per_s,
+            (None, Answered::Own) => None,
+            (None, Answered::Failed | Answered::NotRun) => return,
+        };
+        let changed = mutex::lock(&self.balancer).record_limit(now, key, sent, per_s);
+        if let Some(tag) = changed {
+            self.share_limits(now);
+            mutex::lock(&self.reports).limits.add(now, tag);
+            self.crashed.notify_one();
+        }
+    }
+
+    /// Applies limits that another host published.
+    pub(crate) fn apply_limits(&self, now: time::Duration, limits: &[steer::Limit]) {
+        if mutex::lock(&self.balancer).apply_limits(now, limits) {
+            self.share_limits(now);
+        }
+    }
+
+    /// Returns some of the known limits, for hosts that have missed a change.
+    pub(crate) fn sample_limits(&self, now: time::Duration) -> Vec<steer::Limit> {
+        let limits = mutex::lock(&self.balancer).limits(now);
+        limits
+            .into_iter()
+            .sample(&mut *mutex::lock(&self.rng), LIMITS_MAX)
+    }
+
+    /// Divides the limits of endpoints among the hosts. A few hosts take an endpoint,
+    /// so that even a low limit is used without an agreement for each request: those
+    /// of its own data centre first, in an order that all hosts derive from the names.
+    pub(crate) fn share_limits(&self, now: time::Duration) {
+        let mut balancer = mutex::lock(&self.balancer);
+        if balancer.limited(now).is_empty() {
+            return;
+        }
+        let membership = mutex::lock(&self.membership);
+        let live = membership.live();
+        balancer.share_limits(now, live.len(), |endpoint| {
+            let id = gossip::name_hash(&endpoint.id);
+            let place = |name: &str, data_centre: &str| {
+                let is_remote = data_centre != endpoint.data_centre;
+                (is_remote, cmp::Reverse(gossip::score(name, id)))
+            };
+            let own = membership.own();
+            let own_place = place(&own.name, &own.data_centre);
+            let before = live
+                .iter()
+                .filter(|entry| place(&entry.name, &entry.data_centre) < own_place);
+            let is_live = live.iter().any(|entry| entry.name == own.name);
+            is_live.then(|| before.count())
+        });
+    }
+}
+
+/// Parses a limit: a finite decimal number that is not negative.
+fn parse(text: &str) -> Option<f64> {
+    let limit: f64 = text.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
+}
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -147,6 +147,7 @@
         host.connections.expire();
         mutex::lock(&host.quarantine).evict_expired(now);
         host.evict_parts(now);
+        host.share_limits(now);
         mutex::lock(&host.origins).evict_expired(now);
         let before = current_since;
         current_since = host.confirmation.current_since(now);
@@ -257,6 +258,9 @@
             if due.blame != gossip::Blame::default() {
                 self.publish_reports(Vec::new(), due.blame).await;
             }
+            if !due.limits.is_empty() {
+                self.publish_limits(&due.limits).await;
+            }
         }
     }
 
@@ -320,6 +324,7 @@
             host.record_crash(now, *crash, "peer");
         }
         host.apply_blame(now, from, message);
+        host.apply_limits(now, &message.limits);
         mutex::lock(&host.watchers).record_capacity(now, message.sender, message.cpu_millicores);
         let own_plan = host.plan_version();
         let (plan, endpoints) = (message.plan_version(), message.endpoint_version());
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -55,6 +55,21 @@
         self.send(message, &[near, far].concat()).await;
     }
 
+    /// Sends the limits of the endpoints with these tags to all hosts.
+    pub(crate) async fn publish_limits(&self, tags: &[u32]) {
+        let (near, far) = self.targets();
+        let now = self.host.clock.now();
+        let limits = {
+            let balancer = mutex::lock(&self.host.balancer);
+            let limits = tags.iter().filter_map(|&tag| balancer.limit(now, tag));
+            limits.collect()
+        };
+        let mut message = self.host.message(gossip::Work::None);
+        message.crashes.clear();
+        message.limits = limits;
+        self.send(message, &[near, far].concat()).await;
+    }
+
     async fn send(&self, mut message: gossip::Message, targets: &[net::SocketAddr]) {
         let bytes = match message.encode() {
             Ok(bytes) => bytes,
@@ -157,6 +172,10 @@
             gossip::Work::None => gossip::Blame::default(),
             _ => host.sample_blame(),
         };
+        let limits = match work {
+            gossip::Work::None => Vec::new(),
+            _ => host.sample_limits(now),
+        };
         let plan = host.plan_version();
         gossip::Message {
             sender: gossip::name_hash(&host.options.name),
@@ -176,6 +195,7 @@
             extension: extension::Extension::new(plan, endpoints),
             origins: Vec::new(),
             blame,
+            limits,
         }
     }
 }
--- a/crates/edge/src/reports.rs
+++ b/crates/edge/src/reports.rs
@@ -23,7 +23,7 @@
     ..CRASHES
 };
 
-/// When complete answers on prompt parts are published.
+/// When complete answers on prompt parts, and limits of endpoints, are published.
 const COMPLETIONS: resend::Schedule = resend::Schedule {
     batch_max: 20,
     ..CRASHES
@@ -37,6 +37,8 @@
     pub(crate) runs: resend::Queue<route::parts::Crash>,
     /// Prompt parts, and when an answer on them was complete.
     pub(crate) completions: resend::Queue<(u64, time::Duration)>,
+    /// Tags of endpoints whose limits have changed.
+    pub(crate) limits: resend::Queue<u32>,
 }
 
 /// Reports that are published now.
@@ -44,6 +46,8 @@
 pub(crate) struct Due {
     pub(crate) crashes: Vec<gossip::Crash>,
     pub(crate) blame: gossip::Blame,
+    /// Tags of endpoints.
+    pub(crate) limits: Vec<u32>,
 }
 
 impl Default for Reports {
@@ -52,6 +56,7 @@
             crashes: resend::Queue::new(CRASHES),
             runs: resend::Queue::new(RUNS),
             completions: resend::Queue::new(COMPLETIONS),
+            limits: resend::Queue::new(COMPLETIONS),
         }
     }
 }
@@ -69,11 +74,15 @@
                     .map(|(part, at)| gossip::Completion::new(now, part, at))
                     .collect(),
             },
+            limits: self.limits.take_due(now),
         }
     }
 
     /// Returns whether no report waits.
     pub(crate) fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.runs.is_empty() && self.completions.is_empty()
+        self.crashes.is_empty()
+            && self.runs.is_empty()
+            && self.completions.is_empty()
+            && self.limits.is_empty()
     }
 }
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -150,6 +150,13 @@
         }
         let is_reused = run.connection.is_reused;
         let answered = answered::classify(names, &response, self.job.raw_id.as_ref(), is_reused);
+        self.host.record_limit(
+            now,
+            run.pick.key,
+            run.guard.sent(),
+            answered,
+            response.headers(),
+        );
         let status = response.status();
         let id = run.pick.id.as_str();
         let limit = headers::text(response.headers(), &names.limit).unwrap_or("-");
--- a/crates/edge/src/transition.rs
+++ b/crates/edge/src/transition.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Log {
     hosts: collections::HashMap<String, fleet::State>,
     down: collections::BTreeSet<String>,
+    /// Limits by endpoint, as text.
+    limited: collections::BTreeMap<String, String>,
 }
 
 impl Log {
@@ -17,6 +19,7 @@
     pub(crate) fn update(&mut self, host: &host::Host) {
         self.update_hosts(host);
         self.update_endpoints(host);
+        self.update_limits(host);
     }
 
     fn update_hosts(&mut self, host: &host::Host) {
@@ -45,6 +48,34 @@
         self.hosts = now;
     }
 
+    fn update_limits(&mut self, host: &host::Host) {
+        let now = mutex::lock(&host.balancer).limited(host.clock.now());
+        let texts = now.iter().map(|limited| {
+            let text = format!("{}", limited.per_s);
+            (limited.id.clone(), text)
+        });
+        let texts: collections::BTreeMap<String, String> = texts.collect();
+        for limited in &now {
+            let text = &texts[&limited.id];
+            if self.limited.get(&limited.id) == Some(text) {
+                continue;
+            }
+            let source = if limited.is_own { "own" } else { "peer" };
+            log::warn!(
+                target: "edge", endpoint = limited.id.as_str(), state = "limited",
+                per_s = text.as_str(), source = source, age_ms = limited.age.as_millis() as u64;
+                "endpoint states how many requests it takes from all hosts"
+            );
+        }
+        for id in self.limited.keys().filter(|id| !texts.contains_key(*id)) {
+            log::info!(
+                target: "edge", endpoint = id.as_str(), state = "unlimited";
+                "endpoint states no limit any more, or is no longer listed"
+            );
+        }
+        self.limited = texts;
+    }
+
     fn update_endpoints(&mut self, host: &host::Host) {
         let now = mutex::lock(&host.balancer).unreachable(host.clock.now());
         for id in now.difference(&self.down) {
--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -77,7 +77,7 @@
     /// The last accepted sum of each other data centre, by the hash of its name.
     pub(crate) sums: rustc_hash::FxHashMap<u64, sum::Latest>,
     placements: placement::Placements,
-    tags: rustc_hash::FxHashMap<u32, key::Key>,
+    pub(crate) tags: rustc_hash::FxHashMap<u32, key::Key>,
 }
 
 impl Balancer {
@@ -206,6 +206,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(pick.key) {
             run.ahead_tokens = endpoint.total(now, &self.options).prefill_tokens as u32;
             endpoint.running += 1;
+            endpoint.quota.take(now);
             endpoint.prefill_tokens = endpoint.prefill_tokens.saturating_add(pick.prefill_tokens);
             endpoint.kv_tokens = endpoint.kv_tokens.saturating_add(run.kv_tokens);
             let room = cache_room(&self.kv_capacities, endpoint);
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -123,13 +123,21 @@
             .filter(|key| !scope.tried.contains(key) && self.is_accepting(*key))
             .filter(|key| is_allowed(*key))
             .collect();
-        let reachable: Vec<key::Key> = accepting
+        let open: Vec<key::Key> = accepting
+            .iter()
+            .copied()
+            .filter(|&key| self.endpoints[key].quota.wait(now) == Some(time::Duration::ZERO))
+            .collect();
+        if open.is_empty() && !accepting.is_empty() {
+            return pick::Decision::Refused(self.refuse_limited(now, &accepting, rng));
+        }
+        let reachable: Vec<key::Key> = open
             .iter()
             .copied()
             .filter(|&key| !self.endpoints[key].is_down(now, &self.options))
             .collect();
         let list = if reachable.is_empty() {
-            accepting
+            open
         } else {
             reachable
         };
@@ -169,6 +177,23 @@
         pick::Decision::Refused(refusal)
     }
 
+    /// Returns the refusal of a request while the limits of all endpoints are used up.
+    fn refuse_limited(
+        &self,
+        now: time::Duration,
+        keys: &[key::Key],
+        rng: &mut impl rand::Rng,
+    ) -> pick::Refusal {
+        let wait = self.quota_wait(now, keys);
+        let wait_ms = wait.map_or(f64::INFINITY, |wait| wait.as_secs_f64() * 1_000.0);
+        pick::Refusal {
+            retry_after: retry_after(wait_ms, rng),
+            wait_ms,
+            backlog_ms: 0.0,
+            has_room: false,
+        }
+    }
+
     /// Returns the target by which the backlog for bulk work is bounded.
     fn bulk_target(
         &self,
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::fault;
 use crate::load;
 use crate::options;
+use crate::quota;
 use crate::report;
 
 /// The last load that another host published, or the last sum of another data
@@ -34,6 +35,7 @@
     pub(crate) is_report_own: bool,
     pub(crate) fault: fault::Fault,
     pub(crate) cache: cache::Cache,
+    pub(crate) quota: quota::Quota,
 }
 
 /// Load of an endpoint over all hosts.
@@ -59,6 +61,7 @@
             is_report_own: false,
             fault: fault::Fault::default(),
             cache: cache::Cache::default(),
+            quota: quota::Quota::default(),
         }
     }
 
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -15,7 +15,7 @@
     /// Whether the first event has arrived.
     pub(crate) has_begun: bool,
     /// When the request was sent.
-    pub(crate) sent: core::time::Duration,
+    pub sent: core::time::Duration,
     /// Unprocessed prompt tokens of other requests at the endpoint at that time.
     pub(crate) ahead_tokens: u32,
 }
