test(pool): a part of many prompts crashes engines of serve, failing

The same class of fault as in crates/edge: serve counts crashes by a hash of the whole request, so 30 different requests with one leading part crash 30 engines; 8 are allowed.

--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -136,6 +136,27 @@
     assert!(lost.count() - 20 <= 16, "two batches of eight at most");
 }
 
+/// Guards against a leading part of many prompts that crashes one engine after the
+/// other, because no two requests with it are alike.
+#[test]
+fn different_requests_with_a_part_that_crashes_engines_are_refused() {
+    let mut trace = mixed(6, [30.0, 0.1, 0.1, 0.1], 60 * SECOND);
+    for (index, request) in trace.iter_mut().enumerate() {
+        request.fingerprint = 1_000 + index as u64;
+        request.prefix = 2;
+    }
+    for send in 0..30 {
+        let mut request = Request::new((10 + send) * SECOND, 0, 50);
+        request.fingerprint = 1 + u64::from(send);
+        request.prefix = 1;
+        request.is_poison = true;
+        trace.push(request);
+    }
+    let engines = vec![Engine::new(8, 8); 8];
+    let run = Sim::new(Current::new(&sim::options(4)), engines, trace, 6).run();
+    assert!(run.crashes <= 5 + 3, "{} engines crashed", run.crashes);
+}
+
 fn run_plate_checks(stragglers: bool) -> Sim<Current> {
     let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(8);
     let mut trace = Vec::new();
--- a/crates/pool/tests/sim/mod.rs
+++ b/crates/pool/tests/sim/mod.rs
@@ -178,7 +178,7 @@
             caller: request.caller,
             prompt_tokens: 80,
             max_tokens: request.max_tokens,
-            prefix_hash: 0,
+            prefix_hash: request.prefix,
             fingerprint: request.fingerprint,
             deadline: request.at + request.timeout,
             attempt,
--- a/crates/pool/tests/sim/request.rs
+++ b/crates/pool/tests/sim/request.rs
@@ -10,6 +10,8 @@
     pub output: u32,
     pub max_tokens: Option<u32>,
     pub fingerprint: u64,
+    /// Hash of the leading part of the prompt.
+    pub prefix: u64,
     /// Time from arrival to deadline.
     pub timeout: Duration,
     /// Whether it crashes each engine that runs it.
@@ -28,6 +30,7 @@
             output,
             max_tokens: None,
             fingerprint: 0,
+            prefix: 0,
             timeout: Duration::from_secs(30),
             is_poison: false,
             retries_max: 0,
