feat(steer): endpoints that leave or ask for a pause get no requests

Endpoints say in their answers that they are leaving, and how long they want nothing from a host after a 503. No host read either: a leaving endpoint was used until its entry changed, and one that had asked for a pause was tried again after 150 ms by everything that came.

One function without I/O, Balancer::gate, decides whether an endpoint may be sent to and says why not; the choice and each send ask it, after a connect and on kept connections too. Leaving holds for the process, a pause for this host, an hour at most. After a pause a host sends one request per 100 ms for a second. If no endpoint takes requests, the caller is refused as not run with the time of the first that does. A pause is no failure.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -20,8 +20,8 @@
 pub(crate) enum Failure {
     /// A connection could not be opened; nothing was sent.
     Unreachable(String),
-    /// The endpoint began to leave before the request was sent.
-    Leaving,
+    /// The endpoint began to leave or to pause before the request was sent.
+    Shut(steer::Gate),
     /// A part of the prompt was found to crash endpoints before the request was sent.
     Quarantined,
     /// The request may have reached the endpoint.
@@ -121,15 +121,9 @@
             Some(connection) => connection,
             None => self.connect().await?,
         };
-        // The endpoint may have started to drain during the connect.
-        if !mutex::lock(&self.host.balancer).is_accepting(self.pick.key) {
-            return Err(Failure::Leaving);
-        }
-        if self.host.poison_part(&self.work).is_some() {
-            return Err(Failure::Quarantined);
-        }
         let mut request = self.request.clone();
         loop {
+            self.check()?;
             let left = self.left();
             if left.is_zero() {
                 return Err(Failure::Unreachable("the deadline has passed".to_owned()));
@@ -151,6 +145,19 @@
         }
     }
 
+    /// Checks what may have changed since the choice, in particular during a connect.
+    fn check(&self) -> Result<(), Failure> {
+        let now = self.host.clock.now();
+        let gate = mutex::lock(&self.host.balancer).gate(now, self.pick.key);
+        if gate.is_shut() {
+            return Err(Failure::Shut(gate));
+        }
+        match self.host.poison_part(&self.work) {
+            Some(_) => Err(Failure::Quarantined),
+            None => Ok(()),
+        }
+    }
+
     async fn connect(&self) -> Result<connection::Connection, Failure> {
         self.host.metrics.count("connections", &[]);
         let timeout = CONNECT_TIMEOUT.min(self.left());
--- a/crates/edge/src/gauge.rs
+++ b/crates/edge/src/gauge.rs
@@ -24,6 +24,7 @@
         for (state, count) in [
             ("up", counts.up),
             ("leaving", counts.leaving),
+            ("pausing", counts.pausing),
             ("down", counts.down),
         ] {
             metrics.set("endpoints", &[("state", state)], count);
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -24,6 +24,8 @@
     /// Requests a second that the endpoint takes from all hosts together. Absent if it
     /// states no limit.
     pub limit: HeaderName,
+    /// `1` on an answer of an endpoint that is leaving.
+    pub leaving: HeaderName,
     /// The caller's estimate of the tokens of the answer.
     pub expected_tokens: HeaderName,
     /// Number of prompt tokens and the largest number of output tokens,
@@ -54,6 +56,7 @@
             not_run: name("x-not-run"),
             load: name("x-load"),
             limit: name("x-limit"),
+            leaving: name("x-leaving"),
             expected_tokens: name("x-expected-tokens"),
             tokens: name("x-tokens"),
             prompt: name("x-prompt"),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -74,6 +74,7 @@
 mod send;
 mod snapshot;
 mod source;
+mod stated;
 mod step;
 mod stop;
 mod transition;
--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -8,35 +8,27 @@
 use crate::gossip;
 use crate::headers;
 use crate::host;
+use crate::stated;
 
 /// Most limits of endpoints in a periodic message.
 const LIMITS_MAX: usize = 8;
 
 impl host::Host {
     /// Records the limit that an answer of an endpoint states, or that it states none.
-    /// `sent` is when its request was sent.
-    pub(crate) fn record_limit(
-        &self,
-        now: time::Duration,
-        key: steer::Key,
-        sent: time::Duration,
-        answered: answered::Answered,
-        headers: &http::HeaderMap,
-    ) {
+    pub(crate) fn record_limit(&self, now: time::Duration, head: &stated::Head<'_>) {
         use answered::Answered;
-        let stated = headers::text(headers, &self.options.headers.limit);
-        let per_s = match (stated.map(parse), answered) {
-            // Another process may have sent the answer.
-            (_, Answered::Foreign | Answered::Misdirected) => return,
-            (Some(None), _) => {
+        let text = headers::text(head.headers, &self.options.headers.limit);
+        let per_s = match text.map(parse) {
+            Some(None) => {
                 self.metrics.count("limits_malformed", &[]);
                 return;
             }
-            (Some(per_s), _) => per_s,
-            (None, Answered::Own) => None,
-            (None, Answered::Failed | Answered::NotRun) => return,
+            Some(per_s) => per_s,
+            // Only a whole answer of its own shows that the endpoint states none.
+            None if head.answered == Answered::Own => None,
+            None => return,
         };
-        let changed = mutex::lock(&self.balancer).record_limit(now, key, sent, per_s);
+        let changed = mutex::lock(&self.balancer).record_limit(now, head.key, head.sent, per_s);
         if let Some(tag) = changed {
             self.share_limits(now);
             mutex::lock(&self.reports).limits.add(now, tag);
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -13,6 +13,7 @@
 use crate::headers;
 use crate::incoming;
 use crate::request_log;
+use crate::stated;
 use crate::step;
 
 /// Time-out of an attempt at plain work, as a share of the route's target for
@@ -97,7 +98,7 @@
                 ended.guard.end(steer::End::Unreachable);
                 ("unreachable", cause)
             }
-            attempt::Failure::Leaving => ("skipped", "it is leaving".to_owned()),
+            attempt::Failure::Shut(gate) => ("skipped", format!("it is {}", gate.name())),
             attempt::Failure::Quarantined => ("skipped", "the prompt is quarantined".to_owned()),
         };
         self.sends -= 1;
@@ -150,14 +151,20 @@
         }
         let is_reused = run.connection.is_reused;
         let answered = answered::classify(names, &response, self.job.raw_id.as_ref(), is_reused);
-        self.host.record_limit(
-            now,
-            run.pick.key,
-            run.guard.sent(),
-            answered,
-            response.headers(),
-        );
         let status = response.status();
+        let head = stated::Head {
+            key: run.pick.key,
+            sent: run.guard.sent(),
+            answered,
+            status,
+            headers: response.headers(),
+        };
+        self.host.record_stated(now, &head);
+        // A pause that the endpoint asks for is no fault of it.
+        let failed = match head.pause() {
+            Some(Ok(_)) => steer::End::Full,
+            _ => steer::End::Failed,
+        };
         let id = run.pick.id.as_str();
         let limit = headers::text(response.headers(), &names.limit).unwrap_or("-");
         let status_code = status.as_u16();
@@ -184,11 +191,11 @@
             answered::Answered::Failed => {
                 self.failure = Some(format!("status {}", status.as_u16()));
                 if self.can_retry(now) {
-                    run.guard.end(steer::End::Failed);
+                    run.guard.end(failed);
                     return Outcome::Retry;
                 }
                 if self.must_hide(&response) {
-                    run.guard.end(steer::End::Failed);
+                    run.guard.end(failed);
                 } else {
                     self.fallback = Some(Box::new(run.into_answer(response)));
                 }
--- a/crates/edge/src/transition.rs
+++ b/crates/edge/src/transition.rs
@@ -12,6 +12,8 @@
     down: collections::BTreeSet<String>,
     /// Limits by endpoint, as text.
     limited: collections::BTreeMap<String, String>,
+    /// Endpoints that do not take requests by what their answers said.
+    shut: collections::BTreeMap<String, steer::Gate>,
 }
 
 impl Log {
@@ -20,6 +22,7 @@
         self.update_hosts(host);
         self.update_endpoints(host);
         self.update_limits(host);
+        self.update_shut(host);
     }
 
     fn update_hosts(&mut self, host: &host::Host) {
@@ -48,6 +51,32 @@
         self.hosts = now;
     }
 
+    fn update_shut(&mut self, host: &host::Host) {
+        let now = mutex::lock(&host.balancer).shut(host.clock.now());
+        for (id, gate) in &now {
+            let before = self.shut.get(id).map(|gate| gate.name());
+            if before == Some(gate.name()) {
+                continue;
+            }
+            let left = match gate {
+                steer::Gate::Pausing(left) => left.as_millis() as i64,
+                _ => -1,
+            };
+            log::info!(
+                target: "edge", endpoint = id.as_str(), state = gate.name(),
+                source = "own", left_ms = left;
+                "endpoint says that it takes no requests"
+            );
+        }
+        for id in self.shut.keys().filter(|id| !now.contains_key(*id)) {
+            log::info!(
+                target: "edge", endpoint = id.as_str(), state = "open";
+                "endpoint takes requests again, or is no longer listed"
+            );
+        }
+        self.shut = now;
+    }
+
     fn update_limits(&mut self, host: &host::Host) {
         let now = mutex::lock(&host.balancer).limited(host.clock.now());
         let texts = now.iter().map(|limited| {
--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -148,6 +148,7 @@
                     Some(change::Change::Leaving(listed.id.clone()))
                 }
                 (plan::Phase::Leaving, plan::Phase::Up) => {
+                    known.is_leaving = false;
                     Some(change::Change::Returned(listed.id.clone()))
                 }
                 _ => None,
@@ -186,13 +187,6 @@
         self.endpoints.is_empty()
     }
 
-    /// Returns whether the endpoint is listed and accepts new requests.
-    pub fn is_accepting(&self, key: key::Key) -> bool {
-        self.endpoints
-            .get(key)
-            .is_some_and(|endpoint| endpoint.listed.phase == plan::Phase::Up)
-    }
-
     /// Records that a request is sent to the selected endpoint.
     pub fn start(&mut self, now: time::Duration, pick: &pick::Pick, work: &work::Work) -> run::Run {
         let mut run = run::Run {
@@ -207,6 +201,7 @@
             run.ahead_tokens = endpoint.total(now, &self.options).prefill_tokens as u32;
             endpoint.running += 1;
             endpoint.quota.take(now);
+            endpoint.pause.take(now);
             endpoint.prefill_tokens = endpoint.prefill_tokens.saturating_add(pick.prefill_tokens);
             endpoint.kv_tokens = endpoint.kv_tokens.saturating_add(run.kv_tokens);
             let room = cache_room(&self.kv_capacities, endpoint);
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -4,6 +4,7 @@
 
 use crate::balancer;
 use crate::endpoint;
+use crate::gate;
 use crate::key;
 use crate::pick;
 use crate::scope;
@@ -63,6 +64,13 @@
 /// Bounds of the suggested retry delay in milliseconds, before jitter.
 const RETRY_AFTER_RANGE_MS: (f64, f64) = (200.0, 2_000.0);
 
+/// Shortest retry delay for callers while no endpoint takes requests.
+const RETRY_SHUT_MIN: time::Duration = time::Duration::from_millis(100);
+
+/// Longest retry delay for callers while no endpoint takes requests. Another host may
+/// send meanwhile.
+const RETRY_SHUT_MAX: time::Duration = time::Duration::from_secs(4);
+
 /// An endpoint that is considered for a request.
 struct Candidate {
     key: key::Key,
@@ -117,30 +125,24 @@
         let Some(keys) = self.services.get(service) else {
             return pick::Decision::NoEndpoint;
         };
-        let accepting: Vec<key::Key> = keys
-            .iter()
-            .copied()
-            .filter(|key| !scope.tried.contains(key) && self.is_accepting(*key))
-            .filter(|key| is_allowed(*key))
-            .collect();
-        let open: Vec<key::Key> = accepting
-            .iter()
-            .copied()
-            .filter(|&key| self.endpoints[key].quota.wait(now) == Some(time::Duration::ZERO))
-            .collect();
-        if open.is_empty() && !accepting.is_empty() {
-            return pick::Decision::Refused(self.refuse_limited(now, &accepting, rng));
-        }
-        let reachable: Vec<key::Key> = open
+        let accepting: Vec<(key::Key, gate::Gate)> = keys
             .iter()
-            .copied()
-            .filter(|&key| !self.endpoints[key].is_down(now, &self.options))
+            .filter(|key| !scope.tried.contains(key) && is_allowed(**key))
+            .map(|&key| (key, self.gate(now, key)))
+            .filter(|(_, gate)| *gate != gate::Gate::Leaving)
             .collect();
-        let list = if reachable.is_empty() {
-            open
-        } else {
-            reachable
+        let with = |states: fn(gate::Gate) -> bool| -> Vec<key::Key> {
+            let matching = accepting.iter().filter(|(_, gate)| states(*gate));
+            matching.map(|&(key, _)| key).collect()
         };
+        let mut list = with(|gate| matches!(gate, gate::Gate::Open | gate::Gate::Full));
+        if list.is_empty() {
+            list = with(|gate| gate == gate::Gate::Down);
+        }
+        if list.is_empty() && !accepting.is_empty() {
+            let waits = accepting.iter().filter_map(|(_, gate)| gate.wait());
+            return pick::Decision::Refused(refuse_until(waits.min(), rng));
+        }
         let is_sampled = self.samples_engines(now, service);
         let mut candidates: Vec<Candidate> = self
             .candidates(now, service, work, objective, &list, is_sampled, rng)
@@ -177,23 +179,6 @@
         pick::Decision::Refused(refusal)
     }
 
-    /// Returns the refusal of a request while the limits of all endpoints are used up.
-    fn refuse_limited(
-        &self,
-        now: time::Duration,
-        keys: &[key::Key],
-        rng: &mut impl rand::Rng,
-    ) -> pick::Refusal {
-        let wait = self.quota_wait(now, keys);
-        let wait_ms = wait.map_or(f64::INFINITY, |wait| wait.as_secs_f64() * 1_000.0);
-        pick::Refusal {
-            retry_after: retry_after(wait_ms, rng),
-            wait_ms,
-            backlog_ms: 0.0,
-            has_room: false,
-        }
-    }
-
     /// Returns the target by which the backlog for bulk work is bounded.
     fn bulk_target(
         &self,
@@ -420,3 +405,16 @@
     let spread = rng.random_range(0.8..1.4);
     time::Duration::from_secs_f64(wait * spread / 1_000.0)
 }
+
+/// Returns the refusal of a request for which all endpoints pause or have used up
+/// their limits; the first one takes requests again after `wait`, if that is known.
+fn refuse_until(wait: Option<time::Duration>, rng: &mut impl rand::Rng) -> pick::Refusal {
+    let wait = wait.unwrap_or(RETRY_SHUT_MAX).min(RETRY_SHUT_MAX);
+    let spread = rng.random_range(1.0..1.3);
+    pick::Refusal {
+        retry_after: wait.mul_f64(spread).max(RETRY_SHUT_MIN),
+        wait_ms: wait.as_secs_f64() * 1_000.0,
+        backlog_ms: 0.0,
+        has_room: false,
+    }
+}
--- a/crates/steer/src/counts.rs
+++ b/crates/steer/src/counts.rs
@@ -10,6 +10,8 @@
     pub up: u64,
     /// Endpoints that only finish their requests in flight.
     pub leaving: u64,
+    /// Endpoints that have asked this host to pause.
+    pub pausing: u64,
     /// Endpoints that accept requests but are marked unreachable.
     pub down: u64,
     /// Requests of this host in flight.
@@ -33,6 +35,8 @@
             counts.running += u64::from(endpoint.running);
             let state = match endpoint.listed.phase {
                 plan::Phase::Leaving => &mut counts.leaving,
+                plan::Phase::Up if endpoint.is_leaving => &mut counts.leaving,
+                plan::Phase::Up if !endpoint.pause.left(now).is_zero() => &mut counts.pausing,
                 plan::Phase::Up if endpoint.is_down(now, &self.options) => &mut counts.down,
                 plan::Phase::Up => &mut counts.up,
             };
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::fault;
 use crate::load;
 use crate::options;
+use crate::pause;
 use crate::quota;
 use crate::report;
 
@@ -36,6 +37,9 @@
     pub(crate) fault: fault::Fault,
     pub(crate) cache: cache::Cache,
     pub(crate) quota: quota::Quota,
+    pub(crate) pause: pause::Pause,
+    /// Whether an answer has said that the endpoint is leaving.
+    pub(crate) is_leaving: bool,
 }
 
 /// Load of an endpoint over all hosts.
@@ -62,6 +66,8 @@
             fault: fault::Fault::default(),
             cache: cache::Cache::default(),
             quota: quota::Quota::default(),
+            pause: pause::Pause::default(),
+            is_leaving: false,
         }
     }
 
--- a/crates/steer/src/limit.rs
+++ b/crates/steer/src/limit.rs
@@ -123,18 +123,6 @@
             }
         }
     }
-
-    /// Returns the shortest time until this host may send to one of these endpoints.
-    pub(crate) fn quota_wait(
-        &self,
-        now: time::Duration,
-        keys: &[key::Key],
-    ) -> Option<time::Duration> {
-        let waits = keys
-            .iter()
-            .filter_map(|&key| self.endpoints[key].quota.wait(now));
-        waits.min()
-    }
 }
 
 fn limit(now: time::Duration, endpoint: &endpoint::Endpoint) -> Option<Limit> {
