--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -38,7 +38,7 @@
 
     /// Applies limits that another host published.
     pub(crate) fn apply_limits(&self, now: time::Duration, limits: &[steer::Limit]) {
-        if mutex::lock(&self.balancer).apply_limits(now, limits) {
+        if !limits.is_empty() && mutex::lock(&self.balancer).apply_limits(now, limits) {
             self.share_limits(now);
         }
     }
