fix(steer): a host without a share in a limit sends callers elsewhere soon

While the limits of all endpoints of a service are used up, a host that shares none of them told callers to come back after 4 to 5.2 s, though another host may send at once. It says 0.5 to 0.65 s now. steer/tests/limits.rs, a_host_without_a_share_sends_callers_elsewhere_soon, gave 5.05 s before.

--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -71,6 +71,10 @@
 /// send meanwhile.
 const RETRY_SHUT_MAX: time::Duration = time::Duration::from_secs(4);
 
+/// Retry delay for callers while only other hosts may send to the endpoints. Callers
+/// come back to any host.
+const RETRY_ELSEWHERE: time::Duration = time::Duration::from_millis(500);
+
 /// An endpoint that is considered for a request.
 struct Candidate {
     key: key::Key,
@@ -409,7 +413,7 @@
 /// Returns the refusal of a request for which all endpoints pause or have used up
 /// their limits; the first one takes requests again after `wait`, if that is known.
 fn refuse_until(wait: Option<time::Duration>, rng: &mut impl rand::Rng) -> pick::Refusal {
-    let wait = wait.unwrap_or(RETRY_SHUT_MAX).min(RETRY_SHUT_MAX);
+    let wait = wait.unwrap_or(RETRY_ELSEWHERE).min(RETRY_SHUT_MAX);
     let spread = rng.random_range(1.0..1.3);
     pick::Refusal {
         retry_after: wait.mul_f64(spread).max(RETRY_SHUT_MIN),
--- a/crates/steer/tests/limits.rs
+++ b/crates/steer/tests/limits.rs
@@ -192,3 +192,18 @@
     assert!(refusal.retry_after >= ms(1_600), "{refusal:?}");
     assert!(refusal.retry_after <= ms(2_800), "{refusal:?}");
 }
+
+/// Guards against callers that are kept away from the hosts that may send, because the
+/// host that they asked has no share in the limit.
+#[test]
+fn a_host_without_a_share_sends_callers_elsewhere_soon() {
+    let mut fleet = Fleet::new(20);
+    assert!(fleet.answer(0, 0, Some(1.0)));
+    fleet.tell(20, 0);
+    let decision = fleet.hosts[19].pick(100, &interactive(2), 0.5);
+    let steer::Decision::Refused(refusal) = decision else {
+        panic!("{decision:?}");
+    };
+    assert!(refusal.retry_after >= ms(500), "{refusal:?}");
+    assert!(refusal.retry_after <= ms(650), "{refusal:?}");
+}
