fix(steer): a process that is listed again is still leaving

Callers' requests reached an endpoint long after an answer of it had said that it was leaving.

Cause: what an endpoint says of itself is kept with its entry. When the store is restored from a copy, or another host sends an older list, an entry that was removed comes back for a moment; the host then knew nothing of the process and used it.

steer/tests/gates.rs, a_process_that_is_listed_again_is_still_shut, failed before and without the change.

--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -3,6 +3,7 @@
 
 use crate::change;
 use crate::demand;
+use crate::departed;
 use crate::end;
 use crate::endpoint;
 use crate::key;
@@ -77,6 +78,7 @@
     /// The last accepted sum of each other data centre, by the hash of its name.
     pub(crate) sums: rustc_hash::FxHashMap<u64, sum::Latest>,
     placements: placement::Placements,
+    departed: departed::Departed,
     pub(crate) tags: rustc_hash::FxHashMap<u32, key::Key>,
 }
 
@@ -94,6 +96,7 @@
             last_peer_update: None,
             sums: rustc_hash::FxHashMap::default(),
             placements: placement::Placements::default(),
+            departed: departed::Departed::default(),
             tags: rustc_hash::FxHashMap::default(),
         }
     }
@@ -119,12 +122,14 @@
             .iter()
             .map(|endpoint| (endpoint.id.as_str(), endpoint))
             .collect();
+        let departed = &mut self.departed;
         self.endpoints.retain(|_, known| {
             let stays = listed
                 .get(known.listed.id.as_str())
                 .is_some_and(|endpoint| is_same_process(&known.listed, endpoint));
             if !stays {
                 changes.push(change::Change::Removed(known.listed.id.clone()));
+                departed.keep(known);
             }
             stays
         });
@@ -154,9 +159,9 @@
                 _ => None,
             };
         }
-        let key = self
-            .endpoints
-            .insert(endpoint::Endpoint::new(listed.clone()));
+        let mut endpoint = endpoint::Endpoint::new(listed.clone());
+        self.departed.restore(&mut endpoint);
+        let key = self.endpoints.insert(endpoint);
         self.tags.insert(tag, key);
         Some(change::Change::Added(listed.id.clone()))
     }
@@ -362,7 +367,7 @@
 }
 
 /// Returns whether both entries describe the same process.
-fn is_same_process(known: &plan::Endpoint, listed: &plan::Endpoint) -> bool {
+pub(crate) fn is_same_process(known: &plan::Endpoint, listed: &plan::Endpoint) -> bool {
     known.service == listed.service
         && known.address == listed.address
         && known.started_ms == listed.started_ms
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -24,6 +24,7 @@
 mod counts;
 mod demand;
 mod demands;
+mod departed;
 mod end;
 mod endpoint;
 mod exchange;
--- a/crates/steer/tests/gates.rs
+++ b/crates/steer/tests/gates.rs
@@ -101,3 +101,32 @@
     assert!((5..=11).contains(&sent), "{sent} requests");
     assert!(host.send(1_700, &interactive(1)).is_some());
 }
+
+/// Guards against an endpoint that is used again after it has said that it is leaving,
+/// because an older list of the platform, or of another host, names it once more.
+#[test]
+fn a_process_that_is_listed_again_is_still_shut() {
+    let mut host = Host::new(1, "dc0", 1);
+    let listed = plan::Endpoint {
+        started_ms: 7,
+        ..endpoint(0, 2)
+    };
+    host.balancer.replace(core::slice::from_ref(&listed));
+    let key = host.send(0, &interactive(0)).expect("endpoint").key;
+    host.balancer.mark_leaving(key);
+    host.balancer.replace(&[]);
+    host.balancer.replace(core::slice::from_ref(&listed));
+    assert!(host.send(10, &interactive(1)).is_none(), "leaving");
+    // Another process under its id takes requests, and pauses for a while.
+    let next = plan::Endpoint {
+        started_ms: 8,
+        ..listed
+    };
+    host.balancer.replace(core::slice::from_ref(&next));
+    let key = host.send(20, &interactive(2)).expect("endpoint").key;
+    host.balancer.mark_pausing(ms(20), key, ms(1_000));
+    host.balancer.replace(&[]);
+    host.balancer.replace(core::slice::from_ref(&next));
+    assert!(host.send(900, &interactive(3)).is_none(), "pausing");
+    assert!(host.send(1_100, &interactive(4)).is_some());
+}
