--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -361,10 +361,12 @@
                     now,
                     "busy",
                     format_args!(
-                        "wait_ms={:.0} backlog_ms={:.0} has_room={} tried={}",
+                        "wait_ms={:.0} backlog_ms={:.0} has_room={} compared={} down={} tried={}",
                         busy.wait_ms,
                         busy.backlog_ms,
                         busy.has_room,
+                        busy.compared,
+                        busy.down,
                         self.tried.len()
                     ),
                 );
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -140,7 +140,9 @@
             matching.map(|&(key, _)| key).collect()
         };
         let mut list = with(|gate| matches!(gate, gate::Gate::Open | gate::Gate::Full));
+        let mut down = with(|gate| gate == gate::Gate::Down).len();
         if list.is_empty() {
+            down = 0;
             list = with(|gate| gate == gate::Gate::Down);
         }
         if list.is_empty() && !accepting.is_empty() {
@@ -170,6 +172,8 @@
             wait_ms: best.wait_ms,
             backlog_ms: best.backlog_ms,
             has_room: best.has_room,
+            compared: list.len(),
+            down,
         };
         let prefill_tokens = candidates
             .iter()
@@ -420,5 +424,7 @@
         wait_ms: wait.as_secs_f64() * 1_000.0,
         backlog_ms: 0.0,
         has_room: false,
+        compared: 0,
+        down: 0,
     }
 }
--- a/crates/steer/src/pick.rs
+++ b/crates/steer/src/pick.rs
@@ -60,4 +60,8 @@
     pub backlog_ms: f64,
     /// Whether the endpoint has room in its slots and KV cache.
     pub has_room: bool,
+    /// Endpoints that were compared.
+    pub compared: usize,
+    /// Endpoints that were left out because connections to them fail.
+    pub down: usize,
 }
