--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -10,6 +10,7 @@
 pub mod endpoint;
 pub mod engine;
 pub mod fleet;
+pub mod link;
 pub mod mortal;
 pub mod silence;
 
--- a/crates/steer/tests/common/mod.rs
+++ b/crates/steer/tests/common/mod.rs
@@ -80,6 +80,30 @@
         Some(pick)
     }
 
+    /// Returns the keys of all endpoints, ordered by id.
+    pub fn keys(&mut self, now: u64) -> Vec<steer::Key> {
+        let objective = steer::Objective {
+            urgency: 0.5,
+            remaining: ms(4_000),
+            target_first: ms(500),
+        };
+        let mut picks: Vec<(String, steer::Key)> = Vec::new();
+        loop {
+            let tried: Vec<steer::Key> = picks.iter().map(|(_, key)| *key).collect();
+            let work = interactive(0);
+            let rng = &mut self.rng;
+            let decision = self
+                .balancer
+                .pick(ms(now), SERVICE, &work, objective, &tried[..], rng);
+            let steer::Decision::Selected(pick) = decision else {
+                break;
+            };
+            picks.push((pick.id, pick.key));
+        }
+        picks.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        picks.into_iter().map(|(_, key)| key).collect()
+    }
+
     /// Ends all requests successfully.
     pub fn drain(&mut self, now: u64) {
         for mut run in self.runs.drain(..) {
--- /dev/null
+++ b/crates/steer/tests/partition.rs
@@ -0,0 +1,52 @@
+//! Tests of hosts that cannot reach the endpoints while other hosts can.
+
+mod common;
+
+use common::{Host, ms};
+
+const ENDPOINTS: usize = 9;
+
+/// Returns a host for which connections to all endpoints fail.
+fn cut_off(seed: u64, data_centre: &str, now: u64) -> Host {
+    let mut host = Host::new(seed, data_centre, ENDPOINTS);
+    for key in host.keys(now) {
+        host.balancer.mark_unreachable(ms(now), key);
+    }
+    host
+}
+
+/// Guards against hosts that leave out sound endpoints, because hosts without a link to
+/// any endpoint report them all as unreachable.
+#[test]
+fn reports_of_hosts_without_any_link_take_no_endpoint_from_others() {
+    let mut host = Host::new(1, "dc0", ENDPOINTS);
+    for peer in 2..5 {
+        let cut = cut_off(peer, "dc0", 100);
+        let loads = cut.balancer.loads(ms(110));
+        host.balancer.apply_loads(ms(110), peer, &loads);
+    }
+    for (name, peer) in [(8, 8), (9, 9)] {
+        let cut = cut_off(peer, "dc1", 100);
+        let sum = cut.balancer.sum(ms(110));
+        host.balancer.apply_sum(ms(110), name, &sum);
+    }
+    for key in host.keys(110) {
+        assert_eq!(host.balancer.gate(ms(120), key), steer::Gate::Open);
+    }
+}
+
+/// Guards against reports of a dead endpoint that no longer reach the other hosts.
+#[test]
+fn reports_of_hosts_with_links_are_still_believed() {
+    let mut host = Host::new(1, "dc0", ENDPOINTS);
+    let dead = host.keys(0)[0];
+    for peer in 2..4 {
+        let mut reporter = Host::new(peer, "dc0", ENDPOINTS);
+        let keys = reporter.keys(0);
+        reporter.balancer.mark_reachable(keys[1]);
+        reporter.balancer.mark_unreachable(ms(100), keys[0]);
+        let loads = reporter.balancer.loads(ms(110));
+        host.balancer.apply_loads(ms(110), peer, &loads);
+    }
+    assert_eq!(host.balancer.gate(ms(120), dead), steer::Gate::Down);
+}
