fix(steer): a host that reaches no endpoint reports none as down

Callers of hosts that reach all endpoints got 429 while other hosts were cut off from the endpoints.

A host counts as cut off from a service if connections to two of its endpoints, or to two of all, have failed since the last one that was established. It then reports no endpoint as down.

RECOVER is still broken at the hosts that are cut off.

--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -10,6 +10,7 @@
 use crate::options;
 use crate::pick;
 use crate::placement;
+use crate::reach;
 use crate::report;
 use crate::run;
 use crate::sum;
@@ -79,6 +80,10 @@
     pub(crate) sums: rustc_hash::FxHashMap<u64, sum::Latest>,
     placements: placement::Placements,
     departed: departed::Departed,
+    /// Which of all endpoints this host reaches.
+    pub(crate) reach: reach::Reach,
+    /// Which endpoints of each service this host reaches.
+    pub(crate) service_reach: collections::HashMap<String, reach::Reach>,
     pub(crate) tags: rustc_hash::FxHashMap<u32, key::Key>,
 }
 
@@ -97,6 +102,8 @@
             sums: rustc_hash::FxHashMap::default(),
             placements: placement::Placements::default(),
             departed: departed::Departed::default(),
+            reach: reach::Reach::default(),
+            service_reach: collections::HashMap::new(),
             tags: rustc_hash::FxHashMap::default(),
         }
     }
@@ -123,16 +130,21 @@
             .map(|endpoint| (endpoint.id.as_str(), endpoint))
             .collect();
         let departed = &mut self.departed;
-        self.endpoints.retain(|_, known| {
+        let mut removed = Vec::new();
+        self.endpoints.retain(|key, known| {
             let stays = listed
                 .get(known.listed.id.as_str())
                 .is_some_and(|endpoint| is_same_process(&known.listed, endpoint));
             if !stays {
                 changes.push(change::Change::Removed(known.listed.id.clone()));
                 departed.keep(known);
+                removed.push(key);
             }
             stays
         });
+        for key in removed {
+            self.forget_reach(key);
+        }
         self.index();
         for endpoint in list {
             changes.extend(self.put(endpoint));
@@ -245,20 +257,6 @@
         }
     }
 
-    /// Records that a connection to the endpoint was established.
-    pub fn mark_reachable(&mut self, key: key::Key) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.fault.mark_reachable();
-        }
-    }
-
-    /// Records that the endpoint could not be reached.
-    pub fn mark_unreachable(&mut self, now: time::Duration, key: key::Key) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.fault.mark_unreachable(now);
-        }
-    }
-
     /// Records the first event of a stream, or the head of another answer.
     /// Further calls for the same run have no effect.
     pub fn record_first_event(&mut self, now: time::Duration, run: &mut run::Run) {
@@ -288,6 +286,9 @@
 
     /// Records the end of a run and releases the load that it was counted with.
     pub fn finish(&mut self, now: time::Duration, run: run::Run, end: end::End) {
+        if end == end::End::Unreachable {
+            self.mark_unreachable(now, run.key);
+        }
         let Some(endpoint) = self.endpoints.get_mut(run.key) else {
             return;
         };
@@ -299,9 +300,9 @@
         match end {
             end::End::Served => endpoint.fault.record(now, false),
             end::End::Failed | end::End::Lost => endpoint.fault.record(now, true),
-            end::End::Unreachable | end::End::Misdirected => endpoint.fault.mark_unreachable(now),
+            end::End::Misdirected => endpoint.fault.mark_unreachable(now),
             end::End::Full => endpoint.fault.mark_full(now),
-            end::End::Cancelled => {}
+            end::End::Cancelled | end::End::Unreachable => {}
         }
     }
 
--- a/crates/steer/src/exchange.rs
+++ b/crates/steer/src/exchange.rs
@@ -36,7 +36,8 @@
             kv_tokens: endpoint.kv_tokens,
             // CAST: The share is between 0 and 1.
             failed_percent: (endpoint.fault.failure_share(now) * 100.0) as u8,
-            is_down: endpoint.fault.is_down(now),
+            // A host that reaches no endpoint knows nothing of this one.
+            is_down: endpoint.fault.is_down(now) && !self.is_cut_off(&endpoint.listed.service),
             report,
         }
     }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -39,6 +39,7 @@
 mod pick;
 mod placement;
 mod quota;
+mod reach;
 mod report;
 mod run;
 mod scope;
