fix(edge): hosts without links to the endpoints let other hosts send

Callers of a host that was partitioned from all endpoints were refused, 503, while other hosts reached the endpoints: a host had no way to an endpoint but its own connections, and tried each for 250 ms.

A host that reaches no endpoint of a service now passes the attempt to a host that does, over the port for other hosts. The first host keeps all decisions: endpoint, repeats, builds, loads. The second one sends to the named process of the endpoint only, checks that it does not leave or ask for a pause, records what its answer says, and does not pass a request on again. It says whether anything was sent, so that a host that does not reach the endpoint either costs one round trip, and work that may run once is never sent twice. Hosts that know nothing of this answer 404 and are not asked again for 10 s. A probe every 400 ms notices the end of the cut. A send that is cut short by the deadline no longer counts as a failed connection.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -142,7 +142,7 @@
 
 /// Parses the expected work of a request from its headers. A malformed prompt
 /// part ends the list of parts; the engine validates the header itself.
-fn work(names: &headers::Headers, headers: &http::HeaderMap) -> steer::Work {
+pub(crate) fn work(names: &headers::Headers, headers: &http::HeaderMap) -> steer::Work {
     let mut tokens = headers::text(headers, &names.tokens)
         .unwrap_or_default()
         .split(',')
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -8,6 +8,7 @@
 use base::mutex;
 
 use crate::connection;
+use crate::forward;
 use crate::guard;
 use crate::host;
 
@@ -20,8 +21,11 @@
 pub(crate) enum Failure {
     /// A connection could not be opened; nothing was sent.
     Unreachable(String),
-    /// The endpoint began to leave or to pause before the request was sent.
-    Shut(steer::Gate),
+    /// The endpoint began to leave or to pause before the request was sent; the text
+    /// says which.
+    Shut(String),
+    /// The deadline passed before the request was sent.
+    Expired,
     /// A part of the prompt was found to crash endpoints before the request was sent.
     Quarantined,
     /// The request may have reached the endpoint.
@@ -31,8 +35,37 @@
     Oversized(String),
 }
 
+impl Failure {
+    /// Returns the name in metrics.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::Shut(_) => "shut",
+            Self::Expired => "expired",
+            Self::Quarantined => "quarantined",
+            Self::Broken(_) => "broken",
+            Self::Oversized(_) => "oversized",
+        }
+    }
+
+    /// Returns the outcome and the cause for the host that asked for the attempt.
+    pub(crate) fn into_outcome(self) -> (forward::Outcome, String) {
+        match self {
+            Self::Unreachable(cause) => (forward::Outcome::Unreachable, cause),
+            Self::Shut(cause) => (forward::Outcome::Shut, cause),
+            Self::Expired => (forward::Outcome::Expired, String::new()),
+            Self::Quarantined => (
+                forward::Outcome::Shut,
+                "the prompt is quarantined".to_owned(),
+            ),
+            Self::Broken(cause) => (forward::Outcome::Broken, cause),
+            Self::Oversized(cause) => (forward::Outcome::Oversized, cause),
+        }
+    }
+}
+
 /// The head of the answer to an attempt, and the connection on which it arrived.
-type Head = Result<(connection::Response, connection::Connection), Failure>;
+pub(crate) type Head = Result<(connection::Response, connection::Connection), Failure>;
 
 /// A request on its way to one endpoint.
 pub(crate) struct Dispatch {
@@ -45,6 +78,8 @@
     pub(crate) connection: Option<connection::Connection>,
     /// The request, without the time that is left.
     pub(crate) request: connection::Request,
+    /// What another host needs to send the request; absent if none may.
+    pub(crate) forwarding: Option<forward::Forwarding>,
 }
 
 /// A request that is sent to an endpoint whose answer has not begun. Dropping it
@@ -116,17 +151,30 @@
 }
 
 impl Dispatch {
-    async fn exchange(mut self) -> Head {
+    /// Sends the request, over another host if this one does not reach the service,
+    /// and waits for the head of the answer.
+    pub(crate) async fn exchange(mut self) -> Head {
+        if self.is_cut_off()
+            && let Some(head) = self.forward().await
+        {
+            return head;
+        }
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
-            None => self.connect().await?,
+            None => match self.connect().await {
+                Ok(connection) => connection,
+                Err(failure) if self.is_cut_off() => {
+                    return self.forward().await.unwrap_or(Err(failure));
+                }
+                Err(failure) => return Err(failure),
+            },
         };
         let mut request = self.request.clone();
         loop {
             self.check()?;
             let left = self.left();
             if left.is_zero() {
-                return Err(Failure::Unreachable("the deadline has passed".to_owned()));
+                return Err(Failure::Expired);
             }
             let name = self.host.options.headers.deadline_ms.clone();
             // CAST: A deadline is far below the range.
@@ -146,11 +194,11 @@
     }
 
     /// Checks what may have changed since the choice, in particular during a connect.
-    fn check(&self) -> Result<(), Failure> {
+    pub(crate) fn check(&self) -> Result<(), Failure> {
         let now = self.host.clock.now();
         let gate = mutex::lock(&self.host.balancer).gate(now, self.pick.key);
         if gate.is_shut() {
-            return Err(Failure::Shut(gate));
+            return Err(Failure::Shut(format!("it is {}", gate.name())));
         }
         match self.host.poison_part(&self.work) {
             Some(_) => Err(Failure::Quarantined),
@@ -160,15 +208,36 @@
 
     async fn connect(&self) -> Result<connection::Connection, Failure> {
         self.host.metrics.count("connections", &[]);
-        let timeout = CONNECT_TIMEOUT.min(self.left());
-        let connection = connection::Connection::open(self.pick.address, timeout)
-            .await
-            .map_err(Failure::Unreachable)?;
-        mutex::lock(&self.host.balancer).mark_reachable(self.pick.key);
-        Ok(connection)
+        let left = self.left();
+        let opening = connection::Connection::open(self.pick.address, CONNECT_TIMEOUT);
+        let opened = match tokio::time::timeout(left, opening).await {
+            Ok(opened) => opened,
+            // The endpoint had less than the usual time.
+            Err(_) => return Err(Failure::Expired),
+        };
+        let now = self.host.clock.now();
+        let mut balancer = mutex::lock(&self.host.balancer);
+        match opened {
+            Ok(connection) => {
+                balancer.mark_reachable(self.pick.key);
+                Ok(connection)
+            }
+            Err(cause) => {
+                balancer.mark_unreachable(now, self.pick.key);
+                Err(Failure::Unreachable(cause))
+            }
+        }
+    }
+
+    /// Returns whether this host reaches no endpoint of the service, while others may.
+    fn is_cut_off(&self) -> bool {
+        let forwarding = self.forwarding.as_ref();
+        forwarding.is_some_and(|forwarding| {
+            mutex::lock(&self.host.balancer).is_cut_off(&forwarding.service)
+        })
     }
 
-    fn left(&self) -> time::Duration {
+    pub(crate) fn left(&self) -> time::Duration {
         self.due.saturating_sub(self.host.clock.now())
     }
 }
--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -46,18 +46,28 @@
 impl Flight {
     /// Returns the flight of a request whose run at the endpoint is guarded by `guard`.
     pub(crate) fn new(job: &job::Job, guard: &guard::Guard) -> Self {
-        let shared = job.work.shared();
+        Self::forwarded(&job.id, job.fingerprint, &job.work).answering_for(guard.answering())
+    }
+
+    /// Returns the flight of a request of another host.
+    pub(crate) fn forwarded(request: &str, fingerprint: u64, work: &steer::Work) -> Self {
+        let shared = work.shared();
         let shared = &shared[shared.len().saturating_sub(PARTS_MAX)..];
         Self {
-            request: job.id.clone(),
-            fingerprint: job.fingerprint,
-            content: job.work.parts.iter().fold(job.fingerprint, |hash, part| {
+            request: request.to_owned(),
+            fingerprint,
+            content: work.parts.iter().fold(fingerprint, |hash, part| {
                 xxh3::xxh3_64_with_seed(&part.id.to_le_bytes(), hash)
             }),
             parts: shared.iter().map(|part| part.id).collect(),
-            answering: guard.answering(),
+            answering: None,
         }
     }
+
+    /// Sets for how long the answer had been arriving.
+    pub(crate) fn answering_for(self, answering: Option<time::Duration>) -> Self {
+        Self { answering, ..self }
+    }
 }
 
 /// Sign that an endpoint may have crashed with a request in flight.
--- a/crates/edge/src/flow.rs
+++ b/crates/edge/src/flow.rs
@@ -291,7 +291,7 @@
     /// Clears the request of suspicion after a complete answer. An answer without
     /// framing may have been cut by a crash.
     pub(crate) fn record_completion(&self, answer: &incoming::Answer) {
-        if answer.status.is_success() && answer.is_framed() {
+        if answer.status.is_success() && answer.is_framed {
             mutex::lock(&self.host.quarantine).clear(self.job.fingerprint);
             self.host.record_complete_parts(&self.job.work);
         }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -23,6 +23,7 @@
 use crate::options;
 use crate::origins;
 use crate::peers;
+use crate::reach;
 use crate::registry;
 use crate::reports;
 use crate::resend;
@@ -49,6 +50,12 @@
 /// and knows whether it is a watcher.
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(2_000);
 
+/// Largest head of a request of another host, in bytes.
+const PEER_HEAD_BYTES_MAX: usize = 128 * 1024;
+
+/// Most header fields of a request of another host.
+const PEER_HEAD_FIELDS_MAX: usize = 128;
+
 /// One host that serves opaque traffic.
 pub struct Host {
     pub(crate) options: options::Options,
@@ -92,6 +99,11 @@
     pub(crate) changed: tokio::sync::Notify,
     pub(crate) membership: sync::Mutex<fleet::Membership>,
     pub(crate) buffered_bytes: atomic::AtomicUsize,
+    /// Which other hosts reach the endpoints of services.
+    pub(crate) forwarders: sync::Mutex<fleet::Forwarders>,
+    pub(crate) probe: sync::Mutex<reach::Probe>,
+    /// Requests of other hosts in flight.
+    pub(crate) forwarding: atomic::AtomicUsize,
     pub(crate) confirmation: confirmation::Confirmation,
     pub(crate) is_leaving: atomic::AtomicBool,
     /// Signals that requests whose answer has not begun are to be refused, because
@@ -151,6 +163,9 @@
             changed: tokio::sync::Notify::new(),
             membership: sync::Mutex::new(membership),
             buffered_bytes: atomic::AtomicUsize::new(0),
+            forwarders: sync::Mutex::default(),
+            probe: sync::Mutex::default(),
+            forwarding: atomic::AtomicUsize::new(0),
             confirmation: confirmation::Confirmation::default(),
             is_leaving: atomic::AtomicBool::new(false),
             closing: tokio::sync::watch::Sender::new(false),
@@ -164,7 +179,13 @@
         let server = front::Server::start_with_handler(listen, limits, ingress).await?;
         *mutex::lock(&host.server) = Some(server);
         let exchange = sync::Arc::new(peers::Peers(host.clone()));
-        let limits = front::Options::default();
+        // Heads of callers are checked by the host that accepts them.
+        let limits = front::Options {
+            header_bytes_max: PEER_HEAD_BYTES_MAX as u64,
+            header_count_max: PEER_HEAD_FIELDS_MAX,
+            uri_bytes_max: PEER_HEAD_BYTES_MAX,
+            ..front::Options::default()
+        };
         let listen = host.options.peer_listen;
         let state = front::Server::start_with_handler(listen, limits, exchange).await?;
         mesh::start(&host, state).await?;
--- a/crates/edge/src/incoming.rs
+++ b/crates/edge/src/incoming.rs
@@ -3,6 +3,7 @@
 use http::header;
 
 use crate::connection;
+use crate::forward;
 use crate::guard;
 use crate::host;
 
@@ -19,7 +20,9 @@
     /// Returns the answer with this head.
     pub(crate) fn into_answer(self, response: connection::Response) -> Answer {
         let (parts, body) = response.into_parts();
+        let way = parts.extensions.get::<forward::Way>();
         Answer {
+            is_framed: way.map_or_else(|| is_framed(&parts.headers), |way| way.is_framed),
             number: self.number,
             status: parts.status,
             headers: parts.headers,
@@ -37,6 +40,9 @@
     /// Number of the attempt within its request.
     pub(crate) number: u32,
     pub(crate) status: http::StatusCode,
+    /// Whether the answer declares the end of its body. Otherwise the body ends when
+    /// the connection closes.
+    pub(crate) is_framed: bool,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: hyper::body::Incoming,
     pub(crate) connection: connection::Connection,
@@ -45,17 +51,10 @@
 }
 
 impl Answer {
-    /// Returns whether the answer declares the end of its body. Otherwise the
-    /// body ends when the connection closes.
-    pub(crate) fn is_framed(&self) -> bool {
-        self.headers.contains_key(header::CONTENT_LENGTH)
-            || self.headers.contains_key(header::TRANSFER_ENCODING)
-    }
-
     /// Records the end of a complete answer, returns the connection to the pool
     /// and returns the headers.
     pub(crate) fn finish(self, host: &host::Host) -> http::HeaderMap {
-        let idle_time = self.idle_time();
+        let idle_time = idle_time(&self.headers);
         let end = match self.status.is_server_error() {
             true => steer::End::Failed,
             false => steer::End::Served,
@@ -64,14 +63,19 @@
         host.connections.keep(self.connection, idle_time);
         self.headers
     }
+}
 
-    /// Returns the idle time-out that the endpoint states in `Keep-Alive`.
-    fn idle_time(&self) -> Option<time::Duration> {
-        let value = self.headers.get("keep-alive")?.to_str().ok()?;
-        value
-            .split(',')
-            .filter_map(|part| part.trim().strip_prefix("timeout="))
-            .find_map(|seconds| seconds.parse().ok())
-            .map(time::Duration::from_secs)
-    }
+/// Returns whether an answer with these headers declares the end of its body.
+pub(crate) fn is_framed(headers: &http::HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Returns the idle time-out that an endpoint states in `Keep-Alive`.
+pub(crate) fn idle_time(headers: &http::HeaderMap) -> Option<time::Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    value
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.parse().ok())
+        .map(time::Duration::from_secs)
 }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -115,9 +115,9 @@
 
 /// A request body in memory. Its bytes count against the memory for request
 /// bodies until it is dropped.
-struct BufferedBody<'a> {
+pub(crate) struct BufferedBody<'a> {
     host: &'a host::Host,
-    bytes: Bytes,
+    pub(crate) bytes: Bytes,
     counted: usize,
 }
 
@@ -128,7 +128,13 @@
     }
 }
 
-async fn read(
+/// Reads the body of a request.
+///
+/// # Errors
+///
+/// Refuses a body that is too large, malformed or too slow, or for which there is no
+/// memory.
+pub(crate) async fn read(
     host: &host::Host,
     mut body: hyper::body::Incoming,
 ) -> Result<BufferedBody<'_>, Refusal> {
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -148,6 +148,7 @@
         mutex::lock(&host.quarantine).evict_expired(now);
         host.evict_parts(now);
         host.share_limits(now);
+        host.probe_cut_off(now);
         mutex::lock(&host.origins).evict_expired(now);
         let before = current_since;
         current_since = host.confirmation.current_since(now);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,6 +4,8 @@
 
 use http_body_util::BodyExt;
 
+use crate::forward;
+use crate::forwarder;
 use crate::host;
 use crate::snapshot;
 use crate::witness;
@@ -30,10 +32,13 @@
     fn handle(
         &self,
         request: http::Request<hyper::body::Incoming>,
-        _remote: net::SocketAddr,
+        remote: net::SocketAddr,
     ) -> front::HandlerFuture {
         let host = self.0.clone();
         Box::pin(async move {
+            if request.uri().path().starts_with(forward::PATH) {
+                return forwarder::serve(&host, request, remote).await;
+            }
             let mut response = http::Response::new(axum::body::Body::empty());
             let query = request.uri().query().unwrap_or_default();
             let encoded = match request.uri().path() {
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -9,6 +9,7 @@
 use crate::connection;
 use crate::crash;
 use crate::flow;
+use crate::forward;
 use crate::guard;
 use crate::headers;
 use crate::incoming;
@@ -60,6 +61,11 @@
             work: self.job.work.clone(),
             connection: idle.flatten(),
             pick,
+            forwarding: Some(forward::Forwarding {
+                service: self.job.service.clone(),
+                fingerprint: self.job.fingerprint,
+                may_reuse,
+            }),
         };
         let attempt = attempt::Attempt::start(self.attempts, guard, dispatch);
         self.open.push(attempt);
@@ -98,7 +104,8 @@
                 ended.guard.end(steer::End::Unreachable);
                 ("unreachable", cause)
             }
-            attempt::Failure::Shut(gate) => ("skipped", format!("it is {}", gate.name())),
+            attempt::Failure::Shut(cause) => ("skipped", cause),
+            attempt::Failure::Expired => ("skipped", "the deadline has passed".to_owned()),
             attempt::Failure::Quarantined => ("skipped", "the prompt is quarantined".to_owned()),
         };
         self.sends -= 1;
@@ -168,8 +175,11 @@
         let id = run.pick.id.as_str();
         let limit = headers::text(response.headers(), &names.limit).unwrap_or("-");
         let status_code = status.as_u16();
-        let inputs =
-            format_args!("endpoint={id} status={status_code} as={answered:?} limit={limit}");
+        let way = response.extensions().get::<forward::Way>();
+        let via = way.map_or_else(|| "-".to_owned(), |way| way.host.to_string());
+        let inputs = format_args!(
+            "endpoint={id} status={status_code} as={answered:?} limit={limit} via={via}"
+        );
         self.job.log_step(now, "answered", inputs);
         match answered {
             answered::Answered::NotRun => {
@@ -273,7 +283,7 @@
 
 /// Parses the load that an endpoint reports in its answer. A missing slowness
 /// counts as 100 percent, normal speed.
-fn report(names: &headers::Headers, headers: &http::HeaderMap) -> Option<steer::Report> {
+pub(crate) fn report(names: &headers::Headers, headers: &http::HeaderMap) -> Option<steer::Report> {
     let text = headers::text(headers, &names.load)?;
     let mut figures = text.split(',').map(|figure| figure.trim().parse().ok());
     let running = figures.next()??;
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -78,7 +78,7 @@
         if rest.is_empty() {
             return Read::End;
         }
-        if self.answer.is_framed() {
+        if self.answer.is_framed {
             return Read::Events(rest, after);
         }
         Read::Broken("the connection ended within an event".to_owned())
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -14,6 +14,9 @@
 /// requests and refuses them.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(400);
 
+/// Pause between two looks at the requests of other hosts.
+const FORWARD_PAUSE: time::Duration = time::Duration::from_millis(20);
+
 /// Time for the refusals to be sent.
 const REFUSAL_TIME: time::Duration = time::Duration::from_millis(200);
 
@@ -42,6 +45,10 @@
             // Answers that have begun cannot be refused; those are cut.
             drop(tokio::time::timeout(REFUSAL_TIME, shutdown).await);
         }
+        // Answers on their way to other hosts.
+        while self.forwarding_count() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(FORWARD_PAUSE).await;
+        }
         log::info!(target: "edge", "stopped");
     }
 
--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -286,9 +286,6 @@
 
     /// Records the end of a run and releases the load that it was counted with.
     pub fn finish(&mut self, now: time::Duration, run: run::Run, end: end::End) {
-        if end == end::End::Unreachable {
-            self.mark_unreachable(now, run.key);
-        }
         let Some(endpoint) = self.endpoints.get_mut(run.key) else {
             return;
         };
@@ -301,8 +298,11 @@
             end::End::Served => endpoint.fault.record(now, false),
             end::End::Failed | end::End::Lost => endpoint.fault.record(now, true),
             end::End::Misdirected => endpoint.fault.mark_unreachable(now),
+            // The failed connection may have been recorded when it failed.
+            end::End::Unreachable if endpoint.fault.is_down(now) => {}
+            end::End::Unreachable => endpoint.fault.mark_unreachable(now),
             end::End::Full => endpoint.fault.mark_full(now),
-            end::End::Cancelled | end::End::Unreachable => {}
+            end::End::Cancelled => {}
         }
     }
 
--- a/crates/steer/src/reach.rs
+++ b/crates/steer/src/reach.rs
@@ -1,5 +1,12 @@
+use core::time;
+use std::net;
+
+use rand::seq::IteratorRandom;
+
 use crate::balancer;
+use crate::gate;
 use crate::key;
+use crate::pick;
 
 /// Endpoints for which connections must fail, without one that is established
 /// meanwhile, before a host counts as cut off. A single one may have crashed.
@@ -58,14 +65,96 @@
     }
 
     /// Records that a connection to the endpoint failed.
-    pub fn mark_unreachable(&mut self, now: core::time::Duration, key: key::Key) {
+    pub fn mark_unreachable(&mut self, now: time::Duration, key: key::Key) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
         endpoint.fault.mark_unreachable(now);
-        self.reach.failed(key);
         let service = endpoint.listed.service.clone();
-        self.service_reach.entry(service).or_default().failed(key);
+        let was_cut_off = self.is_cut_off(&service);
+        self.reach.failed(key);
+        let of_service = self.service_reach.entry(service.clone()).or_default();
+        of_service.failed(key);
+        if !was_cut_off && self.is_cut_off(&service) {
+            self.forget_down();
+        }
+    }
+
+    /// Forgets which endpoints are down, of the services that this host does not reach.
+    /// Their failures are those of this host, and other hosts may reach them.
+    fn forget_down(&mut self) {
+        let cut_off: Vec<String> = {
+            let services = self.services.keys();
+            let services = services.filter(|service| self.is_cut_off(service));
+            services.cloned().collect()
+        };
+        for endpoint in self.endpoints.values_mut() {
+            if cut_off.contains(&endpoint.listed.service) {
+                endpoint.fault.mark_reachable();
+            }
+        }
+    }
+
+    /// Returns the names of the services that this host does not reach.
+    pub fn cut_off(&self) -> Vec<&str> {
+        let services = self.services.keys().map(String::as_str);
+        let mut cut_off: Vec<&str> = services.filter(|name| self.is_cut_off(name)).collect();
+        cut_off.sort_unstable();
+        cut_off
+    }
+
+    /// Returns a random endpoint of a service that this host does not reach, by which
+    /// the end of that can be noticed.
+    pub fn probed(&self, rng: &mut impl rand::Rng) -> Option<(key::Key, net::SocketAddr)> {
+        let keys = self.cut_off().into_iter();
+        let keys = keys.flat_map(|service| &self.services[service]);
+        let key = *keys.choose(rng)?;
+        Some((key, self.endpoints[key].listed.address))
+    }
+
+    /// Returns the endpoint that another host has selected, without the figures of a
+    /// choice. An endpoint that has started again is another one.
+    pub fn locate(&self, id: &str, started_ms: u64) -> Option<pick::Pick> {
+        let mut endpoints = self.endpoints.iter();
+        let (key, endpoint) = endpoints.find(|(_, endpoint)| endpoint.listed.id == id)?;
+        let listed = &endpoint.listed;
+        (listed.started_ms == started_ms).then(|| pick::Pick {
+            key,
+            id: listed.id.clone(),
+            started_ms,
+            build: listed.build.clone(),
+            address: listed.address,
+            is_local: listed.data_centre == self.options.data_centre,
+            wait_ms: 0.0,
+            rank: None,
+            is_cached: false,
+            interactive_share: 0.0,
+            is_reserved: false,
+            prefill_tokens: 0,
+            report_age: None,
+        })
+    }
+
+    /// Returns whether a request that another host has selected the endpoint for may
+    /// be sent from here. The other host has counted it against the limit, while a pause
+    /// holds for the host that the endpoint sees.
+    pub fn forward_gate(&self, now: time::Duration, key: key::Key) -> gate::Gate {
+        let gate = self.gate(now, key);
+        if gate.is_shut() {
+            return gate;
+        }
+        let ramp = self.endpoints[key].pause.ramp(now);
+        match ramp.is_zero() {
+            true => gate::Gate::Open,
+            false => gate::Gate::Limited(Some(ramp)),
+        }
+    }
+
+    /// Records that a request of another host is sent to the endpoint.
+    pub fn take_forward(&mut self, now: time::Duration, key: key::Key) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.pause.take(now);
+        }
     }
 
     /// Forgets the failures at an endpoint that is no longer listed.
