fix(edge): a host whose links fail takes no endpoint for crashed

When the connections of a host to all endpoints were reset, it took every one for a crash: its probes failed as well. Two such reports convict a request, and the whole fleet refused those like it as poison; in the test nothing was served at any host. The same would have convicted prompt parts.

Before an endpoint counts as crashed, the host now connects to another one, up to three. If that fails too, its links have failed. Tests of crashes and prompt parts pass unchanged.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -18,6 +18,10 @@
 /// Time-out of the probe.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
+/// Most other endpoints that are probed before an endpoint counts as crashed. Some may
+/// have crashed as well.
+const CONTROLS_MAX: usize = 3;
+
 /// Most crashes of poison requests in a periodic message.
 const POISON_CRASHES_MAX: usize = 16;
 
@@ -90,6 +94,10 @@
     ) {
         let host = self.clone();
         let (address, key) = (pick.address, pick.key);
+        if mutex::lock(&self.balancer).is_cut_off_from(key) {
+            self.metrics.count("crash_probes", &[("result", "unknown")]);
+            return;
+        }
         let endpoint = gossip::start_hash(&pick.id, pick.started_ms);
         tokio::spawn(async move {
             tokio::time::sleep(PROBE_DELAY).await;
@@ -97,9 +105,14 @@
                 host.metrics.count("crash_probes", &[("result", "alive")]);
                 return;
             }
-            host.metrics.count("crash_probes", &[("result", "crashed")]);
             let now = host.clock.now();
             mutex::lock(&host.balancer).mark_unreachable(now, key);
+            if !host.reaches_another(key).await {
+                host.metrics.count("crash_probes", &[("result", "unknown")]);
+                return;
+            }
+            host.metrics.count("crash_probes", &[("result", "crashed")]);
+            let now = host.clock.now();
             log::warn!(
                 target: "edge",
                 request = flight.request.as_str(), endpoint = address.to_string().as_str(),
@@ -125,6 +138,27 @@
         });
     }
 
+    /// Returns whether connections to another endpoint succeed, or there is none to try.
+    /// Otherwise the links of this host have failed, not the endpoint.
+    async fn reaches_another(&self, key: steer::Key) -> bool {
+        let controls = {
+            let balancer = mutex::lock(&self.balancer);
+            balancer.others(key, CONTROLS_MAX, &mut *mutex::lock(&self.rng))
+        };
+        for &(control, address) in &controls {
+            let connecting = tokio::net::TcpStream::connect(address);
+            let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
+            let now = self.clock.now();
+            let mut balancer = mutex::lock(&self.balancer);
+            if matches!(connected, Ok(Ok(_))) {
+                balancer.mark_reachable(control);
+                return true;
+            }
+            balancer.mark_unreachable(now, control);
+        }
+        controls.is_empty()
+    }
+
     /// Records a crash that this host detected or another one reported. `source` is
     /// where the report comes from, for the log and the metrics.
     pub(crate) fn record_crash(&self, now: time::Duration, crash: gossip::Crash, source: &str) {
--- a/crates/steer/src/reach.rs
+++ b/crates/steer/src/reach.rs
@@ -103,6 +103,24 @@
         cut_off
     }
 
+    /// Returns whether this host reaches no endpoint of the service of this one.
+    pub fn is_cut_off_from(&self, key: key::Key) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.is_some_and(|endpoint| self.is_cut_off(&endpoint.listed.service))
+    }
+
+    /// Returns random other endpoints than this one, up to `count`.
+    pub fn others(
+        &self,
+        key: key::Key,
+        count: usize,
+        rng: &mut impl rand::Rng,
+    ) -> Vec<(key::Key, net::SocketAddr)> {
+        let others = self.endpoints.iter().filter(|(other, _)| *other != key);
+        let others = others.map(|(other, endpoint)| (other, endpoint.listed.address));
+        others.sample(rng, count)
+    }
+
     /// Returns a random endpoint of a service that this host does not reach, by which
     /// the end of that can be noticed.
     pub fn probed(&self, rng: &mut impl rand::Rng) -> Option<(key::Key, net::SocketAddr)> {
