fix(edge): smaller buffers for answers that never end

An answer was buffered up to 32 KiB before its head was passed on, and the HTTP library buffered up to 88 KiB for each caller that reads slowly. Both are smaller now: 16 KiB, and 40 KiB through a setting for the margin of head limits.

--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -7,6 +7,10 @@
 use crate::host;
 use crate::mesh;
 
+/// Margin of the limits of request heads. Hundreds of callers that read slowly must fit
+/// into the memory of a small host.
+const HEAD_MARGIN_BYTES: usize = 16 * 1024;
+
 impl host::Host {
     /// Puts a configuration in force if its version is above the current one;
     /// returns whether it did. `source` is where the configuration comes from,
@@ -117,6 +121,7 @@
         front::Options {
             body_bytes_max: limits.body_bytes,
             header_bytes_max: limits.header_bytes,
+            head_margin_bytes: HEAD_MARGIN_BYTES,
             idle_timeout: limits.header_timeout,
             keep_alive: limits.idle_timeout,
             connections_max: self.options.connections_max,
--- a/crates/edge/src/partial.rs
+++ b/crates/edge/src/partial.rs
@@ -9,7 +9,7 @@
 /// Bytes of an answer that are buffered before its head is passed on. A broken
 /// answer of up to this size can still be replaced by a retry. Hundreds of answers
 /// that never end must fit into the memory of a small host.
-const BUFFER_MAX_BYTES: usize = 32 * 1024;
+const BUFFER_MAX_BYTES: usize = 16 * 1024;
 
 /// Result of reading an answer.
 pub(crate) enum Read {
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -22,12 +22,8 @@
 use crate::stream;
 use crate::tls;
 
-/// Bytes by which the limits of the HTTP library exceed those of a request head,
-/// so that the router can refuse the request itself. The HTTP library refuses
-/// without a body.
-const HEAD_MARGIN_BYTES: usize = 64 * 1024;
-/// Header fields by which the limit of the HTTP library exceeds that of a request,
-/// for the same reason.
+/// Header fields by which the limit of the HTTP library exceeds that of a request, so
+/// that the router can refuse the request itself.
 const HEAD_MARGIN_FIELDS: usize = 156;
 /// Bytes that HTTP/2 adds to the size of each header field.
 const FIELD_OVERHEAD_BYTES: usize = 32;
@@ -273,7 +269,7 @@
     let header_bytes_max = usize::try_from(options.header_bytes_max).unwrap_or(usize::MAX);
     let head_bytes = header_bytes_max
         .saturating_add(options.uri_bytes_max)
-        .saturating_add(HEAD_MARGIN_BYTES);
+        .saturating_add(options.head_margin_bytes);
     let fields = options.header_count_max.saturating_add(HEAD_MARGIN_FIELDS);
     let list_bytes = head_bytes.saturating_add(fields.saturating_mul(FIELD_OVERHEAD_BYTES));
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -10,6 +10,11 @@
     /// Maximum size of all header names and values of a request. The default is
     /// 32 KiB.
     pub header_bytes_max: u64,
+    /// Bytes by which the limits of the HTTP library exceed those of a request head,
+    /// so that the router can refuse the request itself; the HTTP library refuses
+    /// without a body. Together with these limits it bounds the bytes of a response
+    /// that are buffered for a caller that reads slowly. The default is 64 KiB.
+    pub head_margin_bytes: usize,
     /// Maximum time without data while a request body is received, and maximum
     /// time to receive a request head. Over HTTP/2 only the first head of a
     /// connection is limited. The default is 10 s.
@@ -49,6 +54,7 @@
         Self {
             body_bytes_max: 4 * 1024 * 1024,
             header_bytes_max: 32 * 1024,
+            head_margin_bytes: 64 * 1024,
             idle_timeout: time::Duration::from_secs(10),
             body_timeout: time::Duration::from_secs(60),
             tls: None,
