fix(edge): a stream is not taken up by the list after shorter time-outs

After a kill of all hosts, a stream without a record goes on at the only build that is listed once the hosts have followed the list for two time-outs of its route. The time-out may have been longer when the stream began, and its build may have left since: callers get one answer of two builds, with nothing that shows it. Hosts that start cannot know the earlier time-out, so a stream now counts as up to 15 s old at least, or two time-outs.

The test failed before with 200 instead of 503. Tests that wait for the history of hosts wait for 15 s instead of two time-outs, because that is the bound now; none checks less.

--- a/crates/edge/src/resume.rs
+++ b/crates/edge/src/resume.rs
@@ -42,6 +42,10 @@
 /// route began, over all requests of its caller.
 const LIFE_TIMEOUTS: u32 = 2;
 
+/// Least time since a stream may have begun. The time-out of its route may have been
+/// longer then, which a host that started since cannot know.
+const LIFE_MIN: time::Duration = time::Duration::from_secs(15);
+
 /// Retry delay sent to callers whose stream cannot go on here now.
 const UNKNOWN_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
 
@@ -72,7 +76,7 @@
         let stream = witness::Stream {
             origin: origin.map_or(0, |id| gossip::stream_hash(id.as_bytes())),
             service: gossip::name_hash(&self.job.service),
-            life: self.job.route.timeout * LIFE_TIMEOUTS,
+            life: life(&self.job.route),
         };
         let witnesses = self.host.witnesses(stream).await;
         let has_record = witnesses.iter().any(|witness| witness.record.is_some());
@@ -112,12 +116,18 @@
                 stream: gossip::stream_hash(origin.as_bytes()),
                 build,
             };
-            let life = self.job.route.timeout * LIFE_TIMEOUTS;
-            self.host.record_origin(origin, &self.job.service, life);
+            let service = self.job.service.as_str();
+            self.host
+                .record_origin(origin, service, life(&self.job.route));
         }
     }
 }
 
+/// Returns the longest time since a stream of the route that is taken up may have begun.
+fn life(route: &plan::Route) -> time::Duration {
+    LIFE_MIN.max(route.timeout * LIFE_TIMEOUTS)
+}
+
 impl host::Host {
     /// Keeps the build of a stream that begins here. Publishes it unless it follows
     /// from the list of endpoints.
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -195,6 +195,23 @@
     assert_eq!(common::call(host, &resume("b5", "a5")).await.status, 200);
 }
 
+// Guards against a stream that is joined from two builds after the kill of all hosts: it
+// began while the time-out of its route was longer, and its build has left since.
+#[tokio::test]
+async fn a_host_does_not_guess_the_build_after_the_time_outs_were_shortened() {
+    let service = Service::start(&[Some("v2"), Some("v2")], breaks_first).await;
+    let host = &hosts(1, 1).await[0];
+    service.list(host, 1, |_, _| true);
+    // Two of the time-outs in force; the stream may be four of them old.
+    for _ in 0..4 {
+        tokio::time::sleep(common::ms(common::builds::TIMEOUT_MS / 2 + 50)).await;
+        host.confirm_plan();
+    }
+    let answer = common::call(host, &resume("b1", "a1")).await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(service.count(), 0);
+}
+
 // Guards against a stream that is taken up at the only build that is listed, after
 // the build that began it was replaced.
 #[tokio::test]
--- a/crates/edge/tests/common/builds.rs
+++ b/crates/edge/tests/common/builds.rs
@@ -96,14 +96,17 @@
     plan
 }
 
+/// Time for which a stream may go on, whatever the time-out of its route.
+const LIFE_MS: u64 = 15_000;
+
 /// Time-out of the routes.
 pub const TIMEOUT_MS: u64 = 2_000;
 
 /// Waits until the hosts have followed the list of endpoints for as long as a stream
 /// can last.
 pub async fn wait_for_history(hosts: &[sync::Arc<edge::Host>]) {
-    for _ in 0..2 {
-        tokio::time::sleep(super::ms(TIMEOUT_MS + 50)).await;
+    for _ in 0..5 {
+        tokio::time::sleep(super::ms(LIFE_MS / 5 + 50)).await;
         hosts.iter().for_each(|host| host.confirm_plan());
     }
 }
