test(edge): an endpoint that pauses gets no requests of other hosts

It passes; with the checks at the forwarding host taken out it fails with five requests in the pause, two are allowed. This is the one way to an endpoint that the tests of pauses (edge/tests/shut_endpoints.rs) did not cover.

--- a/crates/edge/tests/partition.rs
+++ b/crates/edge/tests/partition.rs
@@ -28,13 +28,22 @@
 
 impl Site {
     async fn start(net: u8, hosts: usize, endpoints: usize) -> Self {
+        Self::start_with(net, hosts, endpoints, answer).await
+    }
+
+    async fn start_with(
+        net: u8,
+        hosts: usize,
+        endpoints: usize,
+        script: impl Fn(&endpoint::Request) -> Vec<Step> + Clone + Send + Sync + 'static,
+    ) -> Self {
         let mut site = Self {
             hosts: fleet::start_hosts([90, net], hosts).await,
             endpoints: Vec::new(),
             links: Vec::new(),
         };
         for index in 0..endpoints {
-            let endpoint = endpoint::Endpoint::start(&format!("e{index}"), answer).await;
+            let endpoint = endpoint::Endpoint::start(&format!("e{index}"), script.clone()).await;
             site.endpoints.push(endpoint);
         }
         for host in &site.hosts {
@@ -201,3 +210,42 @@
     let share = served(&after);
     assert!(share >= 0.9, "{share} served over the own links afterwards");
 }
+
+// Guards against a host that sends requests of others to an endpoint that asked it for a
+// pause.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_endpoint_that_pauses_gets_no_requests_of_other_hosts() {
+    let tired = |request: &endpoint::Request| {
+        if request.header("x-endpoint") != Some("e0") {
+            return answer(request);
+        }
+        let extra = "x-not-run: full\r\nretry-after: 3\r\n";
+        vec![Step::Bytes(endpoint::text(request, 503, extra, ""))]
+    };
+    let site = Site::start_with(10, 6, 3, tired).await;
+    // The last host is turned away, and the others are cut off later. Each of them would
+    // send a request before it is told of the pause.
+    let mut first = Vec::new();
+    while site.endpoints[0].count() == 0 {
+        first.extend(site.call(5..6, "/book/a", "before").await);
+    }
+    let asked = Instant::now();
+    assert!(first.iter().all(|answer| is_served("/book/a", answer)));
+    site.set(0..5, link::State::Reset);
+    tokio::time::sleep(common::ms(500)).await;
+    let before = site.endpoints[0].count();
+    let mut answers = Vec::new();
+    while asked.elapsed() < common::ms(2_900) {
+        let name = format!("inside-{:?}", asked.elapsed());
+        answers.extend(site.call(0..5, "/book/a", &name).await);
+        answers.extend(site.call(5..6, "/book/a", &name).await);
+    }
+    let during = site.endpoints[0].count() - before;
+    assert!(during <= 2, "{during} requests in the pause");
+    let served = answers.iter().filter(|answer| is_served("/book/a", answer));
+    let share = served.count() as f64 / answers.len() as f64;
+    assert!(
+        share >= 0.9,
+        "{share} served while one of three endpoints pauses"
+    );
+}
