feat(steer): hosts keep brittle endpoints from falling over

An endpoint may say how many refusals in a second it bears, and falls over after more.

A host that reads the statement sends only where a slot is free by the loads that it knows, and after a refusal leaves the endpoint alone for one to two seconds, spread so that the hosts do not come back together. Endpoints that say nothing are treated as before.

--- a/crates/edge/src/gauge.rs
+++ b/crates/edge/src/gauge.rs
@@ -32,6 +32,15 @@
         let limited = mutex::lock(&self.balancer).limited(now).len();
         metrics.set("endpoints", &[("state", "limited")], limited as u64);
         metrics.set("requests_at_endpoints", &[], counts.running);
+        let cut_off = mutex::lock(&self.balancer).cut_off().len();
+        metrics.set("services_cut_off", &[], cut_off as u64);
+        let brittle = mutex::lock(&self.balancer).brittle(now).len();
+        metrics.set("services_brittle", &[], brittle as u64);
+        metrics.set(
+            "requests_forwarded_open",
+            &[],
+            self.forwarding_count() as u64,
+        );
         let buffered = self.buffered_bytes.load(atomic::Ordering::Relaxed);
         metrics.set("body_bytes", &[], buffered as u64);
         self.update_host_gauges();
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -24,6 +24,9 @@
     /// Requests a second that the endpoint takes from all hosts together. Absent if it
     /// states no limit.
     pub limit: HeaderName,
+    /// Refusals in a second after which the endpoint falls over. Absent unless it is
+    /// brittle.
+    pub brittle: HeaderName,
     /// `1` on an answer of an endpoint that is leaving.
     pub leaving: HeaderName,
     /// The caller's estimate of the tokens of the answer.
@@ -56,6 +59,7 @@
             not_run: name("x-not-run"),
             load: name("x-load"),
             limit: name("x-limit"),
+            brittle: name("x-brittle"),
             leaving: name("x-leaving"),
             expected_tokens: name("x-expected-tokens"),
             tokens: name("x-tokens"),
--- a/crates/edge/src/stated.rs
+++ b/crates/edge/src/stated.rs
@@ -40,6 +40,17 @@
 pub(crate) struct Malformed;
 
 impl host::Host {
+    /// Records whether the endpoint falls over after some refusals. Only an answer of its
+    /// own shows that it does not; others may lack the header for other reasons.
+    fn record_brittle(&self, now: time::Duration, head: &Head<'_>) {
+        let refusals = headers::number(head.headers, &self.options.headers.brittle);
+        if refusals.is_none() && head.answered != answered::Answered::Own {
+            return;
+        }
+        let refusals = refusals.map(|refusals| u32::try_from(refusals).unwrap_or(u32::MAX));
+        mutex::lock(&self.balancer).record_brittle(now, head.key, refusals);
+    }
+
     /// Records what an endpoint states of itself in the head of an answer: its limit,
     /// that it is leaving, or that it wants nothing from this host for a time.
     pub(crate) fn record_stated(&self, now: time::Duration, head: &Head<'_>) {
@@ -49,6 +60,7 @@
             return;
         }
         self.record_limit(now, head);
+        self.record_brittle(now, head);
         let names = &self.options.headers;
         if headers::text(head.headers, &names.leaving).map(str::trim) == Some("1") {
             mutex::lock(&self.balancer).mark_leaving(head.key);
--- a/crates/edge/src/transition.rs
+++ b/crates/edge/src/transition.rs
@@ -14,6 +14,8 @@
     limited: collections::BTreeMap<String, String>,
     /// Endpoints that do not take requests by what their answers said.
     shut: collections::BTreeMap<String, steer::Gate>,
+    /// Services that this host does not reach.
+    cut_off: collections::BTreeSet<String>,
 }
 
 impl Log {
@@ -23,6 +25,27 @@
         self.update_endpoints(host);
         self.update_limits(host);
         self.update_shut(host);
+        self.update_cut_off(host);
+    }
+
+    fn update_cut_off(&mut self, host: &host::Host) {
+        let now: collections::BTreeSet<String> = {
+            let balancer = mutex::lock(&host.balancer);
+            balancer.cut_off().into_iter().map(str::to_owned).collect()
+        };
+        for service in now.difference(&self.cut_off) {
+            log::warn!(
+                target: "edge", service = service.as_str(), state = "cut_off";
+                "connections to several endpoints have failed and none succeeds: other hosts send to the service"
+            );
+        }
+        for service in self.cut_off.difference(&now) {
+            log::info!(
+                target: "edge", service = service.as_str(), state = "reached";
+                "an endpoint of the service was reached again, or none is listed"
+            );
+        }
+        self.cut_off = now;
     }
 
     fn update_hosts(&mut self, host: &host::Host) {
--- a/crates/edge/tests/metrics.rs
+++ b/crates/edge/tests/metrics.rs
@@ -129,3 +129,26 @@
         assert_eq!(value(listen, &name).await, Some(1), "{name}");
     }
 }
+
+// Guards against a statement of brittle endpoints that is not read, or that holds after
+// they have taken it back.
+#[tokio::test]
+async fn a_service_is_brittle_while_its_endpoints_say_so() {
+    let script = |request: &endpoint::Request| {
+        let extra = match request.head.contains("/look/brittle") {
+            true => "x-signature: sig\r\nx-brittle: 5\r\n",
+            false => "x-signature: sig\r\n",
+        };
+        vec![Step::Bytes(endpoint::text(request, 200, extra, "x"))]
+    };
+    let one = endpoint::Endpoint::start("e1", script).await;
+    let host = common::host(&[&one]).await;
+    let listen = common::free();
+    let _server = host.serve_metrics(listen).await.expect("metrics");
+    for (path, expected) in [("/look/brittle", 1), ("/look/sound", 0)] {
+        let text = common::request("GET", path, path, "", "");
+        assert_eq!(common::call(&host, &text).await.status, 200);
+        let brittle = value(listen, "carobbay.services_brittle").await;
+        assert_eq!(brittle, Some(expected), "{path}");
+    }
+}
--- a/crates/steer/src/balancer.rs
+++ b/crates/steer/src/balancer.rs
@@ -1,6 +1,7 @@
 use core::time;
 use std::collections;
 
+use crate::brittle;
 use crate::change;
 use crate::demand;
 use crate::departed;
@@ -80,6 +81,8 @@
     pub(crate) sums: rustc_hash::FxHashMap<u64, sum::Latest>,
     placements: placement::Placements,
     departed: departed::Departed,
+    /// Services whose endpoints fall over if they have to refuse requests.
+    pub(crate) brittle: collections::HashMap<String, brittle::Brittle>,
     /// Which of all endpoints this host reaches.
     pub(crate) reach: reach::Reach,
     /// Which endpoints of each service this host reaches.
@@ -102,6 +105,7 @@
             sums: rustc_hash::FxHashMap::default(),
             placements: placement::Placements::default(),
             departed: departed::Departed::default(),
+            brittle: collections::HashMap::new(),
             reach: reach::Reach::default(),
             service_reach: collections::HashMap::new(),
             tags: rustc_hash::FxHashMap::default(),
@@ -286,6 +290,9 @@
 
     /// Records the end of a run and releases the load that it was counted with.
     pub fn finish(&mut self, now: time::Duration, run: run::Run, end: end::End) {
+        let service = self.endpoints.get(run.key);
+        let service = service.map(|endpoint| endpoint.listed.service.as_str());
+        let is_brittle = service.is_some_and(|service| self.is_brittle(now, service));
         let Some(endpoint) = self.endpoints.get_mut(run.key) else {
             return;
         };
@@ -301,7 +308,7 @@
             // The failed connection may have been recorded when it failed.
             end::End::Unreachable if endpoint.fault.is_down(now) => {}
             end::End::Unreachable => endpoint.fault.mark_unreachable(now),
-            end::End::Full => endpoint.fault.mark_full(now),
+            end::End::Full => endpoint.fault.mark_full(now, is_brittle),
             end::End::Cancelled => {}
         }
     }
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 
 use crate::balancer;
+use crate::brittle;
 use crate::endpoint;
 use crate::gate;
 use crate::key;
@@ -241,6 +242,7 @@
         };
         let fill = FILL_SHARE + FILL_URGENT_SHARE * objective.urgency;
         let mean = self.mean_failure_share(now, keys);
+        let is_brittle = self.is_brittle(now, service);
         compared.into_iter().map(move |key| {
             let endpoint = &self.endpoints[key];
             let prefill_tokens = self.prefill_tokens(endpoint, work, first == Some(key));
@@ -261,7 +263,8 @@
             cost += partition.misplaced(key, work) * self.options.mix_penalty_ms;
             let total = endpoint.total(now, &self.options);
             let has_room = kv_capacity
-                .is_none_or(|kv_capacity| has_room(endpoint, total, kv_capacity, work, fill));
+                .is_none_or(|kv_capacity| has_room(endpoint, total, kv_capacity, work, fill))
+                && (!is_brittle || brittle::has_free_slot(endpoint, total.running));
             if kv_capacity.is_some() {
                 let filled = total.running / f64::from(endpoint.listed.slots.max(1));
                 cost += (filled - CONTENTION_FREE_SHARE).max(0.0) * CONTENTION_PENALTY_MS
@@ -353,12 +356,7 @@
             return (tokens / speed.tokens_per_ms + total.running * RUNNING_DELAY_MS) * slowness;
         }
         let slots = f64::from(endpoint.listed.slots.max(1));
-        let reported = match endpoint.report {
-            Some((report, at)) if now.saturating_sub(at) < self.options.report_age => {
-                f64::from(report.running + report.waiting)
-            }
-            _ => 0.0,
-        };
+        let reported = endpoint.reported(now, &self.options);
         let running = total.running.max(reported);
         let queued = (running + 1.0 - slots).max(0.0) / slots;
         speed.plain_ms * (1.0 + queued + running / slots * 0.2) * slowness
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -101,6 +101,17 @@
         total
     }
 
+    /// Returns the number of requests at the endpoint by its last report; 0 if there is no
+    /// recent one.
+    pub(crate) fn reported(&self, now: time::Duration, options: &options::Options) -> f64 {
+        match self.report {
+            Some((report, at)) if now.saturating_sub(at) < options.report_age => {
+                f64::from(report.running + report.waiting)
+            }
+            _ => 0.0,
+        }
+    }
+
     /// Returns the factor by which work currently takes longer than usual; 1 if
     /// there is no recent report.
     pub(crate) fn slowness(&self, now: time::Duration, options: &options::Options) -> f64 {
--- a/crates/steer/src/fault.rs
+++ b/crates/steer/src/fault.rs
@@ -1,5 +1,7 @@
 use core::time;
 
+use xxhash_rust::xxh3;
+
 /// Weight of one answer in the moving average of failures.
 const ANSWER_WEIGHT: f64 = 0.12;
 
@@ -18,6 +20,14 @@
 /// avoided.
 const FULL_PAUSE: time::Duration = time::Duration::from_millis(150);
 
+/// The same for an endpoint that falls over after some refusals in a second. Each host
+/// causes one of them at most.
+const FULL_BRITTLE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+
+/// Spread of that time, so that hosts that were refused together do not come back
+/// together.
+const FULL_BRITTLE_SPREAD: time::Duration = time::Duration::from_millis(1_000);
+
 /// Failures of one endpoint that this host has observed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Fault {
@@ -54,8 +64,12 @@
     }
 
     /// Records that the endpoint had no room.
-    pub(crate) fn mark_full(&mut self, now: time::Duration) {
-        self.full_until = Some(now + FULL_PAUSE);
+    pub(crate) fn mark_full(&mut self, now: time::Duration, is_brittle: bool) {
+        let pause = match is_brittle {
+            true => FULL_BRITTLE_PAUSE + spread(now),
+            false => FULL_PAUSE,
+        };
+        self.full_until = Some(now + pause);
     }
 
     /// Returns the decayed share of failed answers, from 0 to 1.
@@ -72,3 +86,10 @@
         self.full_until.is_some_and(|until| now < until)
     }
 }
+
+/// Returns a part of [`FULL_BRITTLE_SPREAD`] that differs between hosts and refusals.
+fn spread(now: time::Duration) -> time::Duration {
+    let hash = xxh3::xxh3_64(&now.as_nanos().to_le_bytes());
+    // CAST: The share is rounded.
+    FULL_BRITTLE_SPREAD.mul_f64(hash as f64 / u64::MAX as f64)
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 //! A service without model engines has requests without a prompt.
 
 mod balancer;
+mod brittle;
 mod budget;
 mod cache;
 mod change;
