--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 //! Modules with similar words: `connection` is one connection to an endpoint and
 //! `connections` the pool of idle ones; `ingress` accepts requests, `flow`
 //! directs the attempts, `send` makes one and `attempt` is one that is open;
+//! `forward` lets another host send one, and `forwarder` sends those of other hosts;
 //! `plain` and `relay` pass on answers with one body and streams of events,
 //! `source` is one run of a stream, `resume` finds the build at which a stream goes
 //! on, from `builds`, `origins` and the `witness` of other hosts; and `remainder` passes on what `plain` does
