fix(host): the home of a shard confirms failed connections of other hosts

A caller of a host of serve was refused, 503 no_endpoint, while the engines were idle and reachable: another host without links to them reported each granted engine as unreachable, and the home paused them for all hosts.

The home now connects to the endpoint itself before such a report counts; if that succeeds, the grant counts as unused.

--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -1,5 +1,6 @@
 use core::time;
 use std::collections;
+use std::net;
 use std::sync;
 
 use answer::Kind;
@@ -13,6 +14,9 @@
 use base::clock;
 use base::mutex;
 
+/// Time-out of a connection that confirms that an endpoint cannot be reached.
+const CONFIRM_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
 /// Identity of an ask across hosts: name and incarnation of the host that asks,
 /// and the id that it assigned.
 type Key = (sync::Arc<str>, u64, u64);
@@ -21,6 +25,8 @@
 struct Pending {
     shard: sync::Arc<shard::Shard>,
     id: pool::RequestId,
+    /// Address of the endpoint, once granted.
+    address: Option<net::SocketAddr>,
 }
 
 /// Handles the calls of other hosts.
@@ -109,6 +115,7 @@
         let pending = Pending {
             shard: shard.clone(),
             id,
+            address: None,
         };
         self.pending.lock().insert(key.clone(), pending);
         Ok(Queued { shard, id, verdict })
@@ -161,13 +168,18 @@
             let now = clock.now();
             let wait_ms = now.saturating_sub(start).as_millis() as u32;
             match verdict {
-                Ok(Ok(grant)) => wire::Reply::Grant(wire::Grant {
-                    endpoint: grant.name,
-                    address: grant.address,
-                    fence: grant.fence,
-                    dispatch_by_ms: grant.dispatch_by.saturating_sub(now).as_millis() as u32,
-                    wait_ms,
-                }),
+                Ok(Ok(grant)) => {
+                    if let Some(ask) = pending.lock().get_mut(&key) {
+                        ask.address = Some(grant.address);
+                    }
+                    wire::Reply::Grant(wire::Grant {
+                        endpoint: grant.name,
+                        address: grant.address,
+                        fence: grant.fence,
+                        dispatch_by_ms: grant.dispatch_by.saturating_sub(now).as_millis() as u32,
+                        wait_ms,
+                    })
+                }
                 Ok(Err(refusal)) => {
                     pending.lock().remove(&key);
                     wire::Reply::Refusal(wire::Refusal {
@@ -206,8 +218,12 @@
 
     fn done(&self, from: &peer::Origin, done: wire::Done) {
         if let Some(pending) = self.pending.take(from, done.id) {
-            let result = permit::from_wire(done.result);
-            release(&pending.shard, pending.id, result, done.tokens);
+            match (permit::from_wire(done.result), pending.address) {
+                (pool::Outcome::Unreachable, Some(address)) => {
+                    tokio::spawn(confirm(from.name.clone(), pending, address));
+                }
+                (result, _) => release(&pending.shard, pending.id, result, done.tokens),
+            }
         }
     }
 
@@ -257,6 +273,25 @@
     }
 }
 
+/// Ends an ask whose host could not connect to the endpoint. The links of that host may
+/// have failed, so the endpoint counts as unreachable only if this host does not reach
+/// it either.
+async fn confirm(from: sync::Arc<str>, pending: Pending, address: net::SocketAddr) {
+    let connecting = tokio::net::TcpStream::connect(address);
+    let connected = tokio::time::timeout(CONFIRM_TIMEOUT, connecting).await;
+    let result = match connected {
+        Ok(Ok(_)) => {
+            log::info!(
+                target: "host",
+                "host {from} did not reach the endpoint at {address}, which this host reaches"
+            );
+            pool::Outcome::Unused
+        }
+        Ok(Err(_)) | Err(_) => pool::Outcome::Unreachable,
+    };
+    release(&pending.shard, pending.id, result, 0);
+}
+
 fn release(shard: &shard::Shard, id: pool::RequestId, result: pool::Outcome, tokens: u32) {
     shard.finish(
         id,
