fix(fleet): hosts spread over those that send for them

A host kept to the first host that it had found. Among 294 hosts of which half are cut off, one host got up to 4.2 times the mean (76 requests, 18 on average), and where four of six data centres and nine in ten of the rest are, 11 of 100 attempts found no host in time.

While a host knows fewer than ten near hosts that reach the service, each request asks another one first, and an attempt asks twelve hosts at most instead of six.

--- a/crates/fleet/src/forwarders.rs
+++ b/crates/fleet/src/forwarders.rs
@@ -5,10 +5,15 @@
 use rand::seq::SliceRandom;
 
 /// Most hosts that are asked for one attempt.
-const CANDIDATES_MAX: usize = 6;
+const CANDIDATES_MAX: usize = 12;
 
-/// Near hosts of which nothing is known that are asked before far ones that are known
-/// to reach the service. Bytes between data centres cost money.
+/// Near hosts that reach the service from which on no others are looked for. With fewer,
+/// each request looks for another one, so that hosts do not lean on the first one that
+/// they found.
+const KNOWN_MIN: usize = 10;
+
+/// Near hosts of which nothing is known that are asked before far ones, unless some of
+/// these are known to reach the service. Bytes between data centres cost money.
 const UNKNOWN_NEAR_MAX: usize = 2;
 
 /// What a host said, or showed, when it was asked to forward a request.
@@ -81,11 +86,21 @@
             matching.shuffle(rng);
             matching
         };
-        let mut candidates = with(near, Some(Verdict::Reaches));
+        let reaching = with(near, Some(Verdict::Reaches));
         let mut unknown = with(near, None);
-        let rest = unknown.split_off(UNKNOWN_NEAR_MAX.min(unknown.len()));
+        let mut candidates = Vec::new();
+        if reaching.len() < KNOWN_MIN {
+            candidates.extend(unknown.pop());
+        }
+        candidates.extend(reaching);
+        let far_reaching = with(far, Some(Verdict::Reaches));
+        let before_far = match far_reaching.is_empty() {
+            true => UNKNOWN_NEAR_MAX.min(unknown.len()),
+            false => 0,
+        };
+        let rest = unknown.split_off(before_far);
         candidates.extend(unknown);
-        candidates.extend(with(far, Some(Verdict::Reaches)));
+        candidates.extend(far_reaching);
         candidates.extend(with(far, None));
         candidates.extend(rest);
         candidates.truncate(CANDIDATES_MAX);
