fix(edge): a host reads a body before it declines to send the request

A host that declined to send a request of another one closed the link with the body unread. That may reset the link and lose the answer, after which work that may run once counts as maybe sent and its caller gets 502. It reads the body first now, as it does for callers.

--- a/crates/edge/src/forwarder.rs
+++ b/crates/edge/src/forwarder.rs
@@ -72,12 +72,17 @@
 ) -> Forwarded {
     use forward::Outcome;
     let nothing = |outcome| (outcome, String::new());
+    let arrived = host.clock.now();
+    let (mut head, body) = request.into_parts();
+    // The body is read even if the request is declined, because closing a connection
+    // with unread bytes resets it and loses the answer.
+    let buffered = ingress::read(host, body).await;
+    let buffered = buffered.map_err(|refusal| (Outcome::Busy, refusal.message))?;
     if host.is_leaving() {
         return Err(nothing(Outcome::Leaving));
     }
     let place = Place::take(host).ok_or_else(|| nothing(Outcome::Busy))?;
-    let (mut head, body) = request.into_parts();
-    let ask = Ask::parse(host, &head).ok_or_else(|| nothing(Outcome::Unknown))?;
+    let ask = Ask::parse(host, &head, arrived).ok_or_else(|| nothing(Outcome::Unknown))?;
     let (pick, gate) = {
         let balancer = mutex::lock(&host.balancer);
         if balancer.is_cut_off(&ask.service) {
@@ -91,8 +96,6 @@
     if gate != steer::Gate::Open {
         return Err((Outcome::Shut, format!("it is {}", gate.name())));
     }
-    let buffered = ingress::read(host, body).await;
-    let buffered = buffered.map_err(|refusal| (Outcome::Busy, refusal.message))?;
     head.uri = forward::target(&head.uri).ok_or_else(|| nothing(Outcome::Unknown))?;
     let names = &host.options.headers;
     let work = admit::work(names, &head.headers);
@@ -151,7 +154,11 @@
 }
 
 impl Ask {
-    fn parse(host: &host::Host, head: &http::request::Parts) -> Option<Self> {
+    fn parse(
+        host: &host::Host,
+        head: &http::request::Parts,
+        arrived: time::Duration,
+    ) -> Option<Self> {
         let names = &host.options.headers;
         let number = |name: &'static str| {
             let name = http::HeaderName::from_static(name);
@@ -165,7 +172,7 @@
             service: headers::text(&head.headers, &service)?.to_owned(),
             fingerprint: number(forward::FINGERPRINT)?,
             may_reuse: number(forward::MAY_REUSE)? == 1,
-            due: host.clock.now() + time::Duration::from_millis(left),
+            due: arrived + time::Duration::from_millis(left),
         })
     }
 }
--- a/crates/edge/tests/partition.rs
+++ b/crates/edge/tests/partition.rs
@@ -249,3 +249,26 @@
         "{share} served while one of three endpoints pauses"
     );
 }
+
+// Guards against work that may run once and is given up, because a host that declines it
+// closes the link while a long body arrives and its answer is lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_body_is_passed_on_although_most_hosts_decline_it() {
+    let site = Site::start(11, 8, 3).await;
+    site.set(0..7, link::State::Reset);
+    // The hosts notice that they are cut off.
+    site.call(0..7, "/book/a", "notice").await;
+    let body = "b".repeat(600_000);
+    for round in 0..6 {
+        for (index, host) in site.hosts[..7].iter().enumerate() {
+            let id = format!("long-{round}-{index}");
+            let text = common::request("POST", "/book/a", &id, "", &body);
+            let answer = common::call(host, &text).await;
+            let seen = (answer.status, answer.text());
+            assert!(is_served("/book/a", &answer), "{id}: {seen:?}");
+        }
+        // What hosts know of each other expires.
+        tokio::time::sleep(common::ms(1_100)).await;
+    }
+    assert_eq!(site.most_runs(), 1, "work that may run once");
+}
