fix(host): an engine of serve that asks for a pause gets no requests

An engine that refused with 503 and Retry-After: 3 got 21 requests in that time, two are allowed: the home of its shard paused it for 100 ms whatever it asked for. Callers lost an attempt with each.

The pause goes with the end of the grant to the home, which grants nothing there for that time. The field is new in the message between hosts; earlier builds leave it out.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -475,7 +475,7 @@
         };
         let (head, body) = response.into_parts();
         let is_fenced = self.is_fenced(&head, &permit);
-        let permit = reading::check_status(head.status, is_fenced, is_idempotent, permit)?;
+        let permit = reading::check_status(&head, is_fenced, is_idempotent, permit)?;
         Ok((permit, head, body))
     }
 }
--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -218,6 +218,8 @@
 
     fn done(&self, from: &peer::Origin, done: wire::Done) {
         if let Some(pending) = self.pending.take(from, done.id) {
+            let pause = time::Duration::from_millis(done.pause_ms.into());
+            pending.shard.pause(pending.id, pause);
             match (permit::from_wire(done.result), pending.address) {
                 (pool::Outcome::Unreachable, Some(address)) => {
                     tokio::spawn(confirm(from.name.clone(), pending, address));
--- a/crates/host/src/permit.rs
+++ b/crates/host/src/permit.rs
@@ -32,6 +32,8 @@
     is_open: bool,
     /// Whether the endpoint is silent, so that the run has failed unless it goes on.
     is_silent: bool,
+    /// Time for which the endpoint wants no requests, in milliseconds; 0 for none.
+    pause_ms: u32,
     trace: record::Trace,
     /// Number of the grant in the trace; absent if it is not recorded there.
     serial: Option<u32>,
@@ -72,6 +74,7 @@
             tokens: 0,
             is_open: true,
             is_silent: false,
+            pause_ms: 0,
             trace: record::Trace::default(),
             serial: None,
         }
@@ -126,6 +129,11 @@
         }
     }
 
+    /// Records that the endpoint wants no requests for a time.
+    pub(crate) fn set_pause(&mut self, pause: time::Duration) {
+        self.pause_ms = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
+    }
+
     /// Reports the outcome and frees the slot.
     pub(crate) fn finish(mut self, result: pool::Outcome) {
         self.end(result);
@@ -139,13 +147,17 @@
         self.trace.record_end(self.serial, result);
         let tokens = self.tokens;
         match &self.home {
-            Home::Local { shard, id } => shard.finish(
-                *id,
-                pool::Finish {
-                    outcome: result,
-                    tokens,
-                },
-            ),
+            Home::Local { shard, id } => {
+                let pause = time::Duration::from_millis(self.pause_ms.into());
+                shard.pause(*id, pause);
+                shard.finish(
+                    *id,
+                    pool::Finish {
+                        outcome: result,
+                        tokens,
+                    },
+                );
+            }
             Home::Remote {
                 client,
                 address,
@@ -155,6 +167,7 @@
                     id: *id,
                     result: to_wire(result),
                     tokens,
+                    pause_ms: self.pause_ms,
                 };
                 client.report_done(*address, done);
             }
--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -1,5 +1,7 @@
 //! Reads responses of endpoints as far as the outcome of an attempt depends on them.
 
+use core::time;
+
 use answer::{Kind, Refusal};
 use bytes::Bytes;
 
@@ -151,11 +153,15 @@
 /// refusal by the endpoint allows a retry of idempotent requests. It does not
 /// prove that nothing ran, so other requests end with an unknown outcome.
 pub(crate) fn check_status(
-    status: http::StatusCode,
+    head: &http::response::Parts,
     is_fenced: bool,
     is_idempotent: bool,
-    permit: permit::Permit,
+    mut permit: permit::Permit,
 ) -> Result<permit::Permit, Failure> {
+    let status = head.status;
+    if let Some(pause) = pause(head) {
+        permit.set_pause(pause);
+    }
     let is_full = matches!(
         status,
         http::StatusCode::TOO_MANY_REQUESTS | http::StatusCode::SERVICE_UNAVAILABLE
@@ -178,6 +184,17 @@
     Ok(permit)
 }
 
+/// Returns the pause for which an endpoint asks with a refusal. A value that is no
+/// number of seconds is ignored.
+fn pause(head: &http::response::Parts) -> Option<time::Duration> {
+    if head.status != http::StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = head.headers.get(http::header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    time::Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Returns the headers that are passed to the caller.
 pub(crate) fn caller_headers(headers: &http::HeaderMap) -> http::HeaderMap {
     let mut kept = headers.clone();
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -142,7 +142,7 @@
 enum Turn {
     Read(Result<Option<Bytes>, Error>),
     /// An endpoint that was asked delivers, or refuses.
-    Found(Result<Source, answer::Refusal>),
+    Found(Result<Box<Source>, answer::Refusal>),
     /// The run was silent for the stall time-out.
     Silent,
 }
@@ -157,7 +157,7 @@
         let turn = tokio::select! {
             biased;
             read = next_data(&mut self.source) => Turn::Read(read),
-            Some(found) = self.asked.next() => Turn::Found(found),
+            Some(found) = self.asked.next() => Turn::Found(found.map(Box::new)),
             () = tokio::time::sleep_until(wake), if has_source => Turn::Silent,
         };
         match turn {
@@ -165,7 +165,7 @@
             Turn::Read(Ok(None)) if self.tally.is_done() => Step::End,
             Turn::Read(Ok(None)) => self.break_off("the endpoint closed the stream early"),
             Turn::Read(Err(Error(cause))) => self.break_off(&cause),
-            Turn::Found(Ok(source)) => self.take_over(source),
+            Turn::Found(Ok(source)) => self.take_over(*source),
             Turn::Found(Err(refusal)) => self.record_refusal(&refusal),
             Turn::Silent => self.record_silence(),
         }
--- a/crates/host/src/shard.rs
+++ b/crates/host/src/shard.rs
@@ -192,6 +192,14 @@
         self.lock().policy.record_first_output(now, id);
     }
 
+    /// Records that the endpoint of a granted ask wants no requests for a time.
+    pub(crate) fn pause(&self, id: pool::RequestId, pause: time::Duration) {
+        if !pause.is_zero() {
+            let now = self.clock.now();
+            self.lock().policy.pause(now, id, pause);
+        }
+    }
+
     /// Records the end of a granted ask and frees its slot.
     pub(crate) fn finish(&self, id: pool::RequestId, finish: pool::Finish) {
         let now = self.clock.now();
--- a/crates/host/tests/partition.rs
+++ b/crates/host/tests/partition.rs
@@ -55,6 +55,7 @@
             id,
             result: wire::Finish::Unreachable,
             tokens: 0,
+            pause_ms: 0,
         };
         cut_off.report_done(host.peer_addr(), done);
         reported += 1;
--- a/crates/peer/examples/measure.rs
+++ b/crates/peer/examples/measure.rs
@@ -113,6 +113,7 @@
         id,
         result: wire::Finish::Complete,
         tokens: 300,
+        pause_ms: 0,
     }
 }
 
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -10,6 +10,7 @@
         id,
         result: wire::Finish::Complete,
         tokens: 12,
+        pause_ms: 0,
     }
 }
 
--- a/crates/pool/src/current.rs
+++ b/crates/pool/src/current.rs
@@ -218,6 +218,12 @@
         }
     }
 
+    fn pause(&mut self, now: time::Duration, id: request::RequestId, pause: time::Duration) {
+        if let Some(&state::State::Running(key)) = self.states.get(&id) {
+            self.table.pause(now, self.running[key].run, pause);
+        }
+    }
+
     fn finish(
         &mut self,
         now: time::Duration,
--- a/crates/pool/src/policy.rs
+++ b/crates/pool/src/policy.rs
@@ -46,6 +46,11 @@
     /// Records the first output of a granted request.
     fn record_first_output(&mut self, now: time::Duration, id: request::RequestId);
 
+    /// Records that the endpoint of a granted request wants no requests for a time.
+    ///
+    /// The default implementation does nothing.
+    fn pause(&mut self, _now: time::Duration, _id: request::RequestId, _pause: time::Duration) {}
+
     /// Ends a granted request and frees its slot.
     fn finish(
         &mut self,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -197,6 +197,17 @@
         self.refresh(endpoint);
     }
 
+    /// Records that the endpoint of a run wants no requests for a time.
+    pub fn pause(&mut self, now: time::Duration, key: run::Key, pause: time::Duration) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let endpoint = run.endpoint;
+        let until = now + pause.min(PAUSE_MAX);
+        self.endpoints[endpoint].health.pause(until);
+        self.refresh(endpoint);
+    }
+
     /// Ends a run that generated `tokens` output tokens and frees its slot.
     pub fn finish(
         &mut self,
@@ -389,5 +400,8 @@
 /// Smallest number of output tokens for which the time per token is observed.
 const GAP_TOKENS_MIN: u32 = 8;
 
+/// Longest pause that an endpoint may ask for.
+const PAUSE_MAX: time::Duration = time::Duration::from_secs(3_600);
+
 /// Time for which an endpoint that refused a request gets no new one.
 const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(100);
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -164,6 +164,8 @@
   id @0 :UInt64;
   result @1 :Result;
   tokens @2 :UInt32;
+  # Time for which the endpoint wants no requests; 0 for none.
+  pauseMs @3 :UInt32;
 }
 
 enum Result {
--- a/crates/wire/src/done.rs
+++ b/crates/wire/src/done.rs
@@ -28,6 +28,9 @@
     pub result: Finish,
     /// Number of generated output tokens, whether delivered or not.
     pub tokens: u32,
+    /// Time for which the endpoint wants no requests, in milliseconds; 0 for none, and
+    /// from hosts of builds without it.
+    pub pause_ms: u32,
 }
 
 impl message::Message for Done {
@@ -37,6 +40,7 @@
         builder.set_id(self.id);
         builder.set_result(self.result.into());
         builder.set_tokens(self.tokens);
+        builder.set_pause_ms(self.pause_ms);
         Ok(())
     }
 
@@ -45,6 +49,7 @@
             id: reader.get_id(),
             result: reader.get_result()?.into(),
             tokens: reader.get_tokens(),
+            pause_ms: reader.get_pause_ms(),
         })
     }
 }
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -76,6 +76,7 @@
         id: 1,
         result: wire::Finish::Failed,
         tokens: 5,
+        pause_ms: 3_000,
     });
     check_round_trip(&run(10));
     check_round_trip(&wire::Outcome::Answer(wire::Answer {
