fix(host): an engine is not granted while its failure is confirmed

A caller of serve got 503 endpoint_connect although engines were sound: since a failed connection that another host reports counts only after the home has tried itself, and until then the home granted the ended engine again. With two ended engines a request used up its four attempts.

The home grants the engine to nobody for 100 ms while it confirms.

--- a/crates/host/src/inbound.rs
+++ b/crates/host/src/inbound.rs
@@ -17,6 +17,10 @@
 /// Time-out of a connection that confirms that an endpoint cannot be reached.
 const CONFIRM_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
+/// Time for which an endpoint is granted to nobody while its failure is confirmed. A
+/// refused connection shows within milliseconds.
+const CONFIRM_PAUSE: time::Duration = time::Duration::from_millis(100);
+
 /// Identity of an ask across hosts: name and incarnation of the host that asks,
 /// and the id that it assigned.
 type Key = (sync::Arc<str>, u64, u64);
@@ -222,6 +226,8 @@
             pending.shard.pause(pending.id, pause);
             match (permit::from_wire(done.result), pending.address) {
                 (pool::Outcome::Unreachable, Some(address)) => {
+                    // The next attempt must not be granted the same endpoint meanwhile.
+                    pending.shard.pause(pending.id, CONFIRM_PAUSE);
                     tokio::spawn(confirm(from.name.clone(), pending, address));
                 }
                 (result, _) => release(&pending.shard, pending.id, result, done.tokens),
