--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -499,6 +499,8 @@
     pub directory: SocketAddr,
     pub internal: u16,
     pub metrics: u16,
+    pub memory_mb: u32,
+    pub files: u32,
 }
 
 /// Returns the layouts of hosts at addresses of their own, on ports that are free at all.
@@ -516,6 +518,8 @@
                 directory: SocketAddr::new(ip, base + 3),
                 internal: base + 4,
                 metrics: base + 20,
+                memory_mb: 96,
+                files: 2_870,
             }
         })
         .collect()
@@ -560,11 +564,13 @@
             control,
             directory,
             internal,
+            memory_mb,
+            files,
             ..
         } = &layout;
         let last = internal + 15;
         let settings = format!(
-            "node: \"{name}\"\nrole: \"router\"\nmachineClass: \"front\"\nserves:\n  - \"front\"\n  - \"control\"\n  - \"directory\"\nip: \"{ip}\"\nzone: \"z-a\"\nregion: \"z\"\nzones:\n  z-a: \"z\"\nlisten:\n  front: \"{front}\"\n  ready: \"{ready}\"\n  control: \"{control}\"\n  directory: \"{directory}\"\ninternalPorts:\n  - {internal}\n  - {last}\nseeds:\n{seeds}bootstrap: true\ninTolerance: false\nlimits:\n  cpuShare: 0.17\n  cores: 1\n  memoryMb: 96\n  maxFds: 2870\n  linkMbps: 700.0\n  diskMb: 0\ndataDir: null\ndiscovery: \"platform\"\nentry: \"directory\"\nheartbeatMs: 1200\ncontracts:\n  - \"base\"\nfaultTolerance:\n  machines: 1\n  zones: 0\n  regions: 0\n{BOUNDS}platform:\n  address: \"{store}\"\n  form: \"read\"\n  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n  valueBytes: 1048576\n  ttlMinMs: 1000\n"
+            "node: \"{name}\"\nrole: \"router\"\nmachineClass: \"front\"\nserves:\n  - \"front\"\n  - \"control\"\n  - \"directory\"\nip: \"{ip}\"\nzone: \"z-a\"\nregion: \"z\"\nzones:\n  z-a: \"z\"\nlisten:\n  front: \"{front}\"\n  ready: \"{ready}\"\n  control: \"{control}\"\n  directory: \"{directory}\"\ninternalPorts:\n  - {internal}\n  - {last}\nseeds:\n{seeds}bootstrap: true\ninTolerance: false\nlimits:\n  cpuShare: 0.17\n  cores: 1\n  memoryMb: {memory_mb}\n  maxFds: {files}\n  linkMbps: 700.0\n  diskMb: 0\ndataDir: null\ndiscovery: \"platform\"\nentry: \"directory\"\nheartbeatMs: 1200\ncontracts:\n  - \"base\"\nfaultTolerance:\n  machines: 1\n  zones: 0\n  regions: 0\n{BOUNDS}platform:\n  address: \"{store}\"\n  form: \"read\"\n  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n  valueBytes: 1048576\n  ttlMinMs: 1000\n"
         );
         let path = format!("{folder}/{name}.yaml");
         fs::write(&path, settings).expect("a settings file");
@@ -613,7 +619,11 @@
 
 /// Starts a fleet and waits until all of it is ready.
 pub fn start_hosts(count: u8, store: &Store, folder: &str) -> Vec<Host> {
-    let layouts = layouts(count);
+    start_fleet(layouts(count), store, folder)
+}
+
+/// Starts these hosts and waits until all of them are ready.
+pub fn start_fleet(layouts: Vec<Layout>, store: &Store, folder: &str) -> Vec<Host> {
     let seeds: Vec<SocketAddr> = layouts.iter().map(|layout| layout.control).take(3).collect();
     let hosts: Vec<Host> = layouts
         .into_iter()
