--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -490,6 +490,7 @@
 }
 
 /// Settings of a host.
+#[derive(Clone)]
 pub struct Layout {
     pub name: String,
     pub ip: IpAddr,
@@ -600,6 +601,26 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns how many calls of the platform's store the host has counted.
+    pub fn store_calls(&self) -> u64 {
+        let address = SocketAddr::new(self.layout.ip, self.layout.metrics);
+        let metrics = Connection::open(address, ms(1_000)).and_then(|mut connection| {
+            connection.write("GET /metrics HTTP/1.1\r\nHost: metrics\r\n\r\n")?;
+            connection.read()
+        });
+        let Ok(metrics) = metrics else { return 0 };
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        let lines = text.lines().filter(|line| line.contains("platform_calls"));
+        let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        counts.sum::<f64>() as u64
+    }
+
     /// Returns whether the host says that it is ready.
     pub fn is_ready(&self) -> bool {
         let Ok(mut connection) = Connection::open(self.layout.ready, ms(1_000)) else {
