review: after a restore of the store, a worker that leaves gets requests again (DRAIN)

Cause: a host that has taken the list of the new era from another host no longer treats its own first list of that era as one of an older copy. Change: a script with a store that comes back from a copy; found by the soak.

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -221,6 +221,7 @@
     text
 }
 
+#[derive(Clone)]
 struct Change {
     key: String,
     value: Option<String>,
@@ -234,11 +235,21 @@
     history: Vec<Change>,
     /// Connections of an earlier generation are silent.
     generation: u64,
+    /// Number of times that the store came back from a copy; stated from the first one on.
+    era: u64,
+    /// Whether the store is away: it closes all connections without an answer.
+    is_away: bool,
     /// Watches that wait now, with the prefix and the time at which each began.
     waiting: BTreeMap<u64, (String, Instant)>,
     calls: u64,
 }
 
+/// A copy of the store's content.
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
+}
+
 /// The platform's store.
 #[derive(Clone)]
 pub struct Store {
@@ -297,6 +308,31 @@
         self.content.0.lock().unwrap().generation += 1;
     }
 
+    pub fn copy(&self) -> Copy {
+        let content = self.content.0.lock().unwrap();
+        Copy {
+            revision: content.revision,
+            items: content.items.clone(),
+        }
+    }
+
+    /// Closes all connections, and new ones, without an answer.
+    pub fn go_away(&self) {
+        let (content, changed) = &*self.content;
+        content.lock().unwrap().is_away = true;
+        changed.notify_all();
+    }
+
+    /// Comes back from a copy. Later revisions are given out again, and a new era begins.
+    pub fn come_back(&self, copy: &Copy) {
+        let mut content = self.content.0.lock().unwrap();
+        content.is_away = false;
+        content.era += 1;
+        content.revision = copy.revision;
+        content.items = copy.items.clone();
+        content.history.retain(|change| change.revision <= copy.revision);
+    }
+
     /// Returns the ages of the watches that wait for changes under a prefix.
     pub fn waiting(&self, prefix: &str) -> Vec<Duration> {
         let content = self.content.0.lock().unwrap();
@@ -308,13 +344,22 @@
         let generation = self.content.0.lock().unwrap().generation;
         let mut connection = Connection::new(stream);
         while let Ok(request) = connection.read() {
-            let Some((status, body)) = self.answer(request.target(), generation) else {
+            let answer = self.answer(request.target(), generation);
+            let (era, is_away) = {
+                let content = self.content.0.lock().unwrap();
+                (content.era, content.is_away)
+            };
+            if is_away {
+                return;
+            }
+            let Some((status, body)) = answer else {
                 // Silent: the connection stays open and carries nothing any more.
                 thread::sleep(Duration::from_secs(600));
                 return;
             };
             let text = format!(
-                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: {}\r\nContent-Length: {}\r\n\r\n{body}",
+                era + 1,
                 body.len()
             );
             if connection.write(&text).is_err() {
@@ -331,9 +376,10 @@
         };
         let (content, changed) = &*self.content;
         let mut content = content.lock().unwrap();
-        if content.generation != generation {
+        if content.generation != generation || content.is_away {
             return None;
         }
+        let era = content.era;
         let item = |key: &str, value: &str, revision: u64| {
             let value = base64(value.as_bytes());
             format!(
@@ -366,13 +412,17 @@
             "/kv-watch" => {
                 let after: u64 = field("after").parse().unwrap_or(0);
                 let until = Instant::now() + ms(field("waitMs").parse().unwrap_or(0));
+                if after > content.revision {
+                    return Some((410, "{}".to_owned()));
+                }
                 content.calls += 1;
                 let call = content.calls;
                 content.waiting.insert(call, (prefix.clone(), Instant::now()));
                 loop {
-                    if content.generation != generation {
+                    let is_gone = content.generation != generation || content.is_away;
+                    if is_gone || content.era != era {
                         content.waiting.remove(&call);
-                        return None;
+                        return if is_gone { None } else { Some((410, "{}".to_owned())) };
                     }
                     let events: Vec<String> = content
                         .history
@@ -411,6 +461,8 @@
     pub id: String,
     pub target: String,
     pub tenant: String,
+    /// Whether the answer said that the worker is leaving.
+    pub is_leaving: bool,
 }
 
 /// Runs of all workers.
@@ -424,6 +476,8 @@
     record: Record,
     ledger: Ledger,
     stamps: Arc<AtomicU64>,
+    /// Whether the worker says in its answers that it is leaving.
+    pub leaving: Arc<AtomicBool>,
 }
 
 impl Worker {
@@ -435,6 +489,7 @@
             record: record.clone(),
             ledger: ledger.clone(),
             stamps: Arc::default(),
+            leaving: Arc::default(),
         };
         let serving = worker.clone();
         thread::spawn(move || {
@@ -466,7 +521,9 @@
                     self.id
                 )
             } else {
+                let is_leaving = self.leaving.load(Ordering::Relaxed);
                 let run = Run {
+                    is_leaving,
                     at: self.record.now(),
                     worker: self.id.clone(),
                     id: id.clone(),
@@ -476,8 +533,9 @@
                 self.ledger.lock().unwrap().push(run);
                 let stamp = self.stamps.fetch_add(1, Ordering::Relaxed);
                 let body = format!("done {id}");
+                let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
                 format!(
-                    "HTTP/1.1 200 OK\r\nX-Carobbay-Request-Id: {id}\r\nX-Carobbay-Response-Stamp: {}.{stamp}\r\n{load}Content-Length: {}\r\n\r\n{body}",
+                    "HTTP/1.1 200 OK\r\nX-Carobbay-Request-Id: {id}\r\nX-Carobbay-Response-Stamp: {}.{stamp}\r\n{load}{leaving}Content-Length: {}\r\n\r\n{body}",
                     self.id,
                     body.len()
                 )
