--- a/review/standin/silence.rs
+++ b/review/standin/silence.rs
@@ -90,6 +90,7 @@
             break;
         }
         if Instant::now() > until {
+            drop(hosts);
             eprintln!("the hosts do not watch the configuration");
             std::process::exit(2);
         }
