--- a/review/standin/parts.rs
+++ b/review/standin/parts.rs
@@ -111,6 +111,17 @@
                 return;
             }
             let id = request.field("x-carobbay-request-id").unwrap_or("").to_owned();
+            let expected = request.field("x-carobbay-expect-instance");
+            if expected.is_some_and(|expected| expected != self.id()) {
+                let text = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Carobbay-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id()
+                );
+                if connection.write(&text).is_err() {
+                    return;
+                }
+                continue;
+            }
             let prompt = request.field("x-carobbay-prefix-hash").unwrap_or("");
             let is_poison = prompt.split(',').any(|part| part.starts_with(POISON));
             let head = format!(
