fix(edge): count a crash against all suspicious parts of a prompt

Cause: of a request in flight only the last eight shared parts were kept, so a crash never counted against an earlier one. The lines of crashes on the old build name parts 4 to 11 of 12, never the second, which is the bad one.

All shared parts are kept now; those with recent complete answers are left out before a bound of 1,024 applies, which has a counter. Reports are split into messages of 64 parts with their position. The parts of all crashes are bounded together, and a verdict no longer compares all parts of a prompt with each other.

--- a/crates/edge/src/blame.rs
+++ b/crates/edge/src/blame.rs
@@ -11,6 +11,10 @@
 /// crash of the endpoint.
 const BEGIN_TIME: time::Duration = time::Duration::from_secs(1);
 
+/// Most suspicious parts of a prompt against which a crash counts, the last ones; the first
+/// ones are the most widely shared. It bounds what hosts send each other of one crash.
+const PARTS_MAX: usize = 1_024;
+
 impl host::Host {
     /// Records a crash under a request of this host. `answering` is for how long its
     /// answer had been arriving, if it had begun.
@@ -27,7 +31,12 @@
         if crash.parts.is_empty() {
             return;
         }
-        self.record_run(now, crash.clone(), "own");
+        let excess = crash.parts.len().saturating_sub(PARTS_MAX);
+        if excess > 0 {
+            self.metrics.add("crash_parts_dropped", &[], excess as u64);
+            crash.parts.drain(..excess);
+        }
+        self.record_run(now, 0, &crash, "own");
         if !mutex::lock(&self.reports).runs.add(now, crash) {
             self.metrics.count("crash_reports_dropped", &[]);
         }
@@ -66,7 +75,10 @@
             mutex::lock(&self.parts).clear(at, completion.part);
         }
         for crash in &message.blame.crashes {
-            self.record_run(now, crash.clone(), "peer");
+            self.record_run(now, 0, crash, "peer");
+        }
+        for rest in &message.rests {
+            self.record_run(now, rest.offset.into(), &rest.crash, "peer");
         }
         if !message.blame.completions.is_empty() {
             self.log_verdicts("peer");
@@ -112,8 +124,14 @@
         self.log_verdicts("time");
     }
 
-    fn record_run(&self, now: time::Duration, crash: route::parts::Crash, source: &str) {
-        let is_new = mutex::lock(&self.parts).record(now, crash);
+    fn record_run(
+        &self,
+        now: time::Duration,
+        offset: usize,
+        crash: &route::parts::Crash,
+        source: &str,
+    ) {
+        let is_new = mutex::lock(&self.parts).record_from(now, offset, crash);
         let effect = if is_new { "counted" } else { "ignored" };
         let tags = [("source", source), ("effect", effect)];
         self.metrics.count("part_crash_reports", &tags);
--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -29,10 +29,6 @@
 /// it.
 const REQUEST_CRASHES_MAX: usize = 2;
 
-/// Most shared parts of a prompt that are kept, the last ones; the first ones are the
-/// most widely shared.
-const PARTS_MAX: usize = 8;
-
 /// A request at an endpoint that may have crashed.
 #[derive(Clone, Debug)]
 pub(crate) struct Flight {
@@ -55,15 +51,13 @@
 
     /// Returns the flight of a request of another host.
     pub(crate) fn forwarded(request: &str, fingerprint: u64, work: &steer::Work) -> Self {
-        let shared = work.shared();
-        let shared = &shared[shared.len().saturating_sub(PARTS_MAX)..];
         Self {
             request: request.to_owned(),
             fingerprint,
             content: work.parts.iter().fold(fingerprint, |hash, part| {
                 xxh3::xxh3_64_with_seed(&part.id.to_le_bytes(), hash)
             }),
-            parts: shared.iter().map(|part| part.id).collect(),
+            parts: work.shared().iter().map(|part| part.id).collect(),
             answering: None,
         }
     }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -13,6 +13,10 @@
 /// Most loads in a part of a data centre's sum. It leaves room for placements.
 const PART_LOADS_MAX: usize = 40;
 
+/// Most parts of prompts under which endpoints crashed in a message, of up to ten bytes each,
+/// beside the names of the crashes and complete answers.
+const MESSAGE_PARTS_MAX: usize = 64;
+
 /// A request that was in flight at an endpoint when it crashed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Crash {
@@ -83,10 +87,22 @@
     /// Cold endpoints. They follow the evacuated data centres.
     #[serde(skip)]
     pub(crate) cold: Vec<steer::cold::Summary>,
-    /// What the sender has learned of the speed of endpoints. It is the last field; hosts
-    /// without it ignore the bytes.
+    /// What the sender has learned of the speed of endpoints. Hosts without it ignore the
+    /// bytes.
     #[serde(skip)]
     pub(crate) rates: Vec<steer::rate::Summary>,
+    /// Further parts of the prompts of crashes. They are the last field; hosts without them
+    /// ignore the bytes.
+    #[serde(skip)]
+    pub(crate) rests: Vec<Rest>,
+}
+
+/// Parts of a prompt under which an endpoint crashed, after those in an earlier message.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub(crate) struct Rest {
+    /// Position of the first of these parts among those of the crash.
+    pub(crate) offset: u16,
+    pub(crate) crash: route::parts::Crash,
 }
 
 /// Crashes under prompt parts, and parts on which an answer was complete.
@@ -102,6 +118,37 @@
     }
 }
 
+/// Splits crashes into pieces that fit into one message each: the crashes with the first of
+/// their parts, and the rests.
+pub(crate) fn pieces(
+    crashes: Vec<route::parts::Crash>,
+) -> Vec<(Vec<route::parts::Crash>, Vec<Rest>)> {
+    let mut pieces: Vec<(Vec<_>, Vec<_>)> = Vec::new();
+    let mut room = 0;
+    for crash in crashes {
+        for (index, parts) in crash.parts.chunks(MESSAGE_PARTS_MAX).enumerate() {
+            if parts.len() > room {
+                pieces.push(Default::default());
+                room = MESSAGE_PARTS_MAX;
+            }
+            room -= parts.len();
+            let crash = route::parts::Crash {
+                parts: parts.to_vec(),
+                ..crash
+            };
+            let Some((crashes, rests)) = pieces.last_mut() else {
+                continue;
+            };
+            match u16::try_from(index * MESSAGE_PARTS_MAX) {
+                Ok(0) => crashes.push(crash),
+                Ok(offset) => rests.push(Rest { offset, crash }),
+                Err(_) => {}
+            }
+        }
+    }
+    pieces
+}
+
 /// A complete answer on a prompt part.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Completion {
@@ -150,7 +197,8 @@
         loop {
             let bytes = postcard::to_allocvec(self)?;
             let mut bytes = postcard::to_extend(&self.extension, bytes)?;
-            let has_rates = !self.rates.is_empty();
+            let has_rests = !self.rests.is_empty();
+            let has_rates = has_rests || !self.rates.is_empty();
             let has_cold = has_rates || !self.cold.is_empty();
             let has_evacuated = has_cold || self.evacuated.stated.version.is_some();
             let has_brittle = has_evacuated || !self.brittle.is_empty();
@@ -177,6 +225,9 @@
             if has_rates {
                 bytes = postcard::to_extend(&self.rates, bytes)?;
             }
+            if has_rests {
+                bytes = postcard::to_extend(&self.rests, bytes)?;
+            }
             if bytes.len() <= DATAGRAM_MAX_BYTES {
                 return Ok(bytes);
             }
@@ -233,8 +284,13 @@
         }
         let (cold, rest) = postcard::take_from_bytes(rest)?;
         message.cold = cold;
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        let (rates, rest) = postcard::take_from_bytes(rest)?;
+        message.rates = rates;
         if !rest.is_empty() {
-            message.rates = postcard::from_bytes(rest)?;
+            message.rests = postcard::from_bytes(rest)?;
         }
         Ok(message)
     }
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -257,11 +257,10 @@
             }
             let due = mutex::lock(&self.host.reports).take_due(self.host.clock.now());
             if !due.crashes.is_empty() {
-                self.publish_reports(due.crashes, gossip::Blame::default())
-                    .await;
+                self.publish_crash_reports(due.crashes).await;
             }
             if due.blame != gossip::Blame::default() {
-                self.publish_reports(Vec::new(), due.blame).await;
+                self.publish_blame(due.blame).await;
             }
             if !due.limits.is_empty() || !due.brittle.is_empty() || !due.colds.is_empty() {
                 self.publish_states(&due.limits, &due.brittle, &due.colds)
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -58,17 +58,39 @@
         near.len()
     }
 
-    /// Sends reports of crashes and of prompt parts to all hosts.
-    pub(crate) async fn publish_reports(&self, crashes: Vec<gossip::Crash>, blame: gossip::Blame) {
+    /// Sends reports of crashes to all hosts.
+    pub(crate) async fn publish_crash_reports(&self, crashes: Vec<gossip::Crash>) {
         let (near, far) = self.targets();
         let message = gossip::Message {
             crashes,
-            blame,
             ..self.host.message(gossip::Work::None)
         };
         self.send(message, &[near, far].concat()).await;
     }
 
+    /// Sends reports of prompt parts to all hosts, in as many messages as they need.
+    pub(crate) async fn publish_blame(&self, blame: gossip::Blame) {
+        let (near, far) = self.targets();
+        let targets = [near, far].concat();
+        let mut pieces = gossip::pieces(blame.crashes);
+        if pieces.is_empty() {
+            pieces.push(Default::default());
+        }
+        let mut completions = blame.completions;
+        for (crashes, rests) in pieces {
+            let blame = gossip::Blame {
+                crashes,
+                completions: core::mem::take(&mut completions),
+            };
+            let message = gossip::Message {
+                blame,
+                rests,
+                ..self.host.message(gossip::Work::None)
+            };
+            self.send(message, &targets).await;
+        }
+    }
+
     /// Sends the limits of endpoints with these tags, what those of services with these
     /// hashes have said of themselves, and which of these are cold to all hosts.
     pub(crate) async fn publish_states(&self, limited: &[u32], brittle: &[u32], cold: &[u32]) {
@@ -226,6 +248,7 @@
             evacuated: host.evacuation_summary(now),
             cold,
             rates: Vec::new(),
+            rests: Vec::new(),
         }
     }
 }
--- a/crates/edge/tests/prompt_parts.rs
+++ b/crates/edge/tests/prompt_parts.rs
@@ -35,7 +35,7 @@
 const COUNTED_MS: u64 = 2_500;
 
 /// Returns a request with these prompt parts, the last of which is its own.
-fn request(id: &str, parts: &[&str]) -> String {
+fn request(id: &str, parts: &[String]) -> String {
     let shared: String = parts.iter().map(|part| format!("{part}:100,")).collect();
     let extra = format!("x-prompt: {shared}{:x}:20\r\n", xxhash(id));
     common::request("POST", "/live/chat", id, &extra, id)
@@ -48,12 +48,22 @@
 /// Whether sound requests were served, and when they were sent.
 type Log = sync::Arc<sync::Mutex<Vec<(Instant, bool)>>>;
 
-/// Sends sound requests with a shared first part, one after the other.
-async fn call_soundly(host: sync::Arc<edge::Host>, caller: usize, log: Log) {
+/// Returns prompt parts by their names.
+fn named(parts: &[&str]) -> Vec<String> {
+    parts.iter().map(|&part| part.to_owned()).collect()
+}
+
+/// Returns the parts of the sound requests of a caller, who shares its session with others.
+fn sound_parts(caller: usize) -> Vec<String> {
+    let session = format!("5e55{:x}", caller % 7);
+    named(&["f00d", "c0de", &session])
+}
+
+/// Sends sound requests with these parts, one after the other.
+async fn call_soundly(host: sync::Arc<edge::Host>, caller: usize, parts: Vec<String>, log: Log) {
     for round in 0.. {
         let sent = Instant::now();
-        let session = format!("5e55{:x}", caller % 7);
-        let text = request(&format!("s{caller}-{round}"), &["f00d", "c0de", &session]);
+        let text = request(&format!("s{caller}-{round}"), &parts);
         let answer = common::call(&host, &text).await;
         let is_served = answer.status == 200 && answer.is_whole;
         mutex::lock(&log).push((sent, is_served));
@@ -82,12 +92,15 @@
     fleet::Fleet::start([79, net], HOSTS, ENGINES, options).await
 }
 
-fn start_callers(fleet: &fleet::Fleet) -> (Log, tokio::task::JoinSet<()>) {
+fn start_callers(
+    fleet: &fleet::Fleet,
+    parts: impl Fn(usize) -> Vec<String>,
+) -> (Log, tokio::task::JoinSet<()>) {
     let log = Log::default();
     let mut callers = tokio::task::JoinSet::new();
     for caller in 0..HOSTS * CALLERS {
         let host = fleet.hosts[caller % HOSTS].clone();
-        callers.spawn(call_soundly(host, caller, log.clone()));
+        callers.spawn(call_soundly(host, caller, parts(caller), log.clone()));
     }
     (log, callers)
 }
@@ -105,9 +118,43 @@
     #[case] net: u8,
     #[case] crash: engine::Crash,
     #[case] parts: &'static [&'static str],
+) {
+    check_refusal(net, crash, named(parts), sound_parts).await;
+}
+
+// Guards against a prompt part that is never found because its prompts have more parts than
+// a host keeps of one, or sends in one message. Sound prompts share all other parts.
+#[rstest]
+#[case::early_of_twelve(6, 12, 1)]
+#[case::first_of_sixty(7, 60, 0)]
+#[case::middle_of_sixty(8, 60, 30)]
+#[case::last_of_sixty(9, 60, 59)]
+#[case::in_the_third_message(10, 200, 150)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_part_of_a_long_prompt_that_crashes_engines_is_refused_by_all_hosts(
+    #[case] net: u8,
+    #[case] count: usize,
+    #[case] bad: usize,
+) {
+    let parts = |name: &str| {
+        let mut parts: Vec<String> = (0..count).map(|part| format!("a{part:04x}")).collect();
+        name.clone_into(&mut parts[bad]);
+        parts
+    };
+    let crash = engine::Crash::AfterPart;
+    check_refusal(net, crash, parts("bad0"), |_| parts("600d")).await;
+}
+
+/// Checks that all hosts refuse requests with the bad one of these parts, and go on to serve
+/// sound requests.
+async fn check_refusal(
+    net: u8,
+    crash: engine::Crash,
+    parts: Vec<String>,
+    sound: impl Fn(usize) -> Vec<String>,
 ) {
     let mut fleet = start(net, crash).await;
-    let (log, mut callers) = start_callers(&fleet);
+    let (log, mut callers) = start_callers(&fleet, sound);
     tokio::time::sleep(common::ms(1_500)).await;
     let begun = Instant::now();
     let before = served(&log, begun - common::ms(1_500), begun - common::ms(300));
@@ -130,7 +177,7 @@
             break;
         }
         let host = fleet.hosts[round % HOSTS].clone();
-        let text = request(&format!("p{round}"), parts);
+        let text = request(&format!("p{round}"), &parts);
         callers.spawn(async move {
             let _ = common::call(&host, &text).await;
         });
@@ -161,7 +208,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn prompts_are_not_refused_for_crashes_of_other_causes() {
     let mut fleet = start(5, engine::Crash::AfterHead).await;
-    let (log, mut callers) = start_callers(&fleet);
+    let (log, mut callers) = start_callers(&fleet, sound_parts);
     for round in 0..30 {
         tokio::time::sleep(common::ms(150)).await;
         fleet.engines[round % ENGINES].crash();
--- a/crates/route/src/parts.rs
+++ b/crates/route/src/parts.rs
@@ -36,17 +36,57 @@
 /// A crash and when this process learned of it.
 #[derive(Clone, Debug)]
 struct Known {
-    crash: Crash,
+    endpoint: u64,
+    request: u64,
+    /// The parts that are known of the prompt, ordered by position.
+    places: Vec<Place>,
     at: time::Duration,
 }
 
+/// A part in a prompt.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Place {
+    position: usize,
+    part: u64,
+}
+
+impl Known {
+    fn contains(&self, part: u64) -> bool {
+        self.places.iter().any(|place| place.part == part)
+    }
+
+    /// Adds parts from this position of the prompt on; returns whether one was new.
+    /// Evidence against one part does not state its position, which is known later.
+    fn add(&mut self, offset: usize, parts: &[u64]) -> bool {
+        let known: FxHashMap<u64, usize> = self
+            .places
+            .iter()
+            .enumerate()
+            .map(|(index, place)| (place.part, index))
+            .collect();
+        let mut is_new = false;
+        for (index, &part) in parts.iter().enumerate() {
+            let position = offset + index;
+            match known.get(&part).map(|&index| &mut self.places[index]) {
+                Some(place) => place.position = place.position.max(position),
+                None => {
+                    self.places.push(Place { position, part });
+                    is_new = true;
+                }
+            }
+        }
+        self.places.sort_unstable();
+        is_new
+    }
+}
+
 /// Crashes that count against a part.
 #[derive(Debug, Default)]
 struct Tally {
     /// Furthest position of the part in a prompt.
     position: usize,
-    /// Places in the list of crashes.
-    runs: Vec<usize>,
+    /// Places in the list of crashes, with the position of the part in that prompt.
+    runs: Vec<(usize, usize)>,
 }
 
 /// Prompt parts that were in flight at crashes of endpoints.
@@ -68,34 +108,59 @@
         Self::default()
     }
 
-    /// Records a crash that may be reported any number of times; returns whether it
-    /// was new. Parts on which an answer was complete shortly before are left out.
+    /// Records a crash that may be reported any number of times; returns whether it, or
+    /// one of its parts, was new. Parts on which an answer was complete shortly before are
+    /// left out.
     pub fn record(&mut self, now: time::Duration, crash: Crash) -> bool {
+        self.record_from(now, 0, &crash)
+    }
+
+    /// Records the parts of a crash from this position of the prompt on. A prompt may have
+    /// more parts than one message.
+    pub fn record_from(&mut self, now: time::Duration, offset: usize, crash: &Crash) -> bool {
         if crash.parts.is_empty() {
             return false;
         }
-        let known = self.crashes.iter_mut().find(|known| {
-            known.crash.endpoint == crash.endpoint && known.crash.request == crash.request
-        });
-        if let Some(known) = known {
-            // Evidence names one part, a report names all of them.
-            let is_fuller = crash.parts.len() > known.crash.parts.len();
-            if is_fuller {
-                known.crash = crash;
-                self.judge();
+        let known = self
+            .crashes
+            .iter_mut()
+            .find(|known| known.endpoint == crash.endpoint && known.request == crash.request);
+        let is_new = match known {
+            Some(known) => known.add(offset, &crash.parts),
+            None => {
+                let mut known = Known {
+                    endpoint: crash.endpoint,
+                    request: crash.request,
+                    places: Vec::new(),
+                    at: now,
+                };
+                known.add(offset, &crash.parts);
+                self.crashes.push_back(known);
+                true
             }
-            return is_fuller;
+        };
+        if is_new {
+            self.evict_excess();
+            self.judge();
         }
-        if self.crashes.len() >= CRASHES_MAX {
-            // Evidence against poison parts goes last.
-            let is_idle =
-                |known: &Known| !known.crash.parts.iter().any(|p| self.poison.contains(p));
-            let oldest = self.crashes.iter().position(is_idle);
-            self.crashes.remove(oldest.unwrap_or(0));
+        is_new
+    }
+
+    /// Removes the oldest crashes while there are too many of them or of their parts, but
+    /// never the newest one. Evidence against poison parts goes last.
+    fn evict_excess(&mut self) {
+        let mut places: usize = self.crashes.iter().map(|known| known.places.len()).sum();
+        while self.crashes.len() > 1 && (self.crashes.len() > CRASHES_MAX || places > PLACES_MAX) {
+            let is_idle = |known: &Known| {
+                let mut parts = known.places.iter().map(|place| place.part);
+                !parts.any(|part| self.poison.contains(&part))
+            };
+            let older = self.crashes.len() - 1;
+            let oldest = self.crashes.iter().take(older).position(is_idle);
+            if let Some(removed) = self.crashes.remove(oldest.unwrap_or(0)) {
+                places -= removed.places.len();
+            }
         }
-        self.crashes.push_back(Known { crash, at: now });
-        self.judge();
-        true
     }
 
     /// Returns the parts against which a crash counts that happens at `now`.
@@ -162,15 +227,15 @@
         let (mut endpoints, mut requests) = (FxHashSet::default(), FxHashSet::default());
         let mut evidence = Vec::new();
         for known in self.counted(part) {
-            let crash = &known.crash;
-            if endpoints.contains(&crash.endpoint) || requests.contains(&crash.request) {
+            if endpoints.contains(&known.endpoint) || requests.contains(&known.request) {
                 continue;
             }
-            endpoints.insert(crash.endpoint);
-            requests.insert(crash.request);
+            endpoints.insert(known.endpoint);
+            requests.insert(known.request);
             evidence.push(Crash {
+                endpoint: known.endpoint,
+                request: known.request,
                 parts: vec![part],
-                ..*crash
             });
             if evidence.len() == POISON_CRASHES {
                 break;
@@ -210,7 +275,7 @@
     fn counted(&self, part: u64) -> impl Iterator<Item = &Known> {
         self.crashes
             .iter()
-            .filter(move |known| known.crash.parts.contains(&part) && self.counts(known.at, part))
+            .filter(move |known| self.counts(known.at, part) && known.contains(part))
     }
 
     /// Derives the verdicts from the crashes and the complete answers.
@@ -228,14 +293,16 @@
         order.sort_unstable();
         let before = core::mem::take(&mut self.poison);
         self.suspects.clear();
+        let mut causes = vec![None; self.crashes.len()];
         for (_, part) in order {
-            let count = self.count(part, &tallies[&part].runs);
+            let count = self.count(&tallies[&part].runs, &causes);
             self.suspects.insert(part, count);
             if count >= POISON_CRASHES {
                 let poison = core::mem::take(&mut self.poison);
                 let poison = poison.into_iter().filter(|&id| !self.implies(part, id));
                 self.poison = poison.collect();
                 self.poison.insert(part);
+                causes = self.causes();
             }
         }
         let mut changed: Vec<u64> = self.poison.symmetric_difference(&before).copied().collect();
@@ -250,23 +317,34 @@
     /// prompt in which `earlier` precedes it.
     fn implies(&self, earlier: u64, later: u64) -> bool {
         self.counted(later).all(|known| {
-            let parts = known.crash.parts.iter();
+            let parts = known.places.iter().map(|place| place.part);
             parts
-                .take_while(|&&part| part != later)
-                .any(|&part| part == earlier)
+                .take_while(|&part| part != later)
+                .any(|part| part == earlier)
         })
     }
 
+    /// Returns the last poison part of each crash.
+    fn causes(&self) -> Vec<Option<Place>> {
+        let last = |known: &Known| {
+            let mut places = known.places.iter().rev();
+            places
+                .find(|place| self.poison.contains(&place.part))
+                .copied()
+        };
+        self.crashes.iter().map(last).collect()
+    }
+
     fn tallies(&self) -> FxHashMap<u64, Tally> {
         let mut tallies: FxHashMap<u64, Tally> = FxHashMap::default();
         for (index, known) in self.crashes.iter().enumerate() {
-            for (position, &part) in known.crash.parts.iter().enumerate() {
-                if !self.counts(known.at, part) {
+            for place in &known.places {
+                if !self.counts(known.at, place.part) {
                     continue;
                 }
-                let tally = tallies.entry(part).or_default();
-                tally.position = tally.position.max(position);
-                tally.runs.push(index);
+                let tally = tallies.entry(place.part).or_default();
+                tally.position = tally.position.max(place.position);
+                tally.runs.push((index, place.position));
             }
         }
         tallies
@@ -274,21 +352,20 @@
 
     /// Returns the number of crashes that count against a part, at different
     /// endpoints and under different requests. Those that a later part explains count
-    /// as one.
-    fn count(&self, part: u64, runs: &[usize]) -> usize {
-        let runs = || runs.iter().map(|&run| &self.crashes[run].crash);
-        let (mut explained, mut causes) = (FxHashSet::default(), FxHashSet::default());
-        for crash in runs() {
-            let mut later = crash.parts.iter().rev().take_while(|&&id| id != part);
-            if let Some(cause) = later.find(|id| self.poison.contains(id)) {
-                explained.insert(crash.endpoint);
-                causes.insert(cause);
+    /// as one. `causes` are the last poison parts of all crashes.
+    fn count(&self, runs: &[(usize, usize)], causes: &[Option<Place>]) -> usize {
+        let (mut explained, mut later) = (FxHashSet::default(), FxHashSet::default());
+        for &(run, position) in runs {
+            if let Some(cause) = causes[run].filter(|cause| cause.position > position) {
+                explained.insert(self.crashes[run].endpoint);
+                later.insert(cause.part);
             }
         }
-        let others = || runs().filter(|crash| !explained.contains(&crash.endpoint));
-        let endpoints: FxHashSet<u64> = others().map(|crash| crash.endpoint).collect();
-        let requests: FxHashSet<u64> = others().map(|crash| crash.request).collect();
-        endpoints.len().min(requests.len()) + causes.len()
+        let runs = runs.iter().map(|&(run, _)| &self.crashes[run]);
+        let others = runs.filter(|known| !explained.contains(&known.endpoint));
+        let (endpoints, requests): (FxHashSet<u64>, FxHashSet<u64>) =
+            others.map(|known| (known.endpoint, known.request)).unzip();
+        endpoints.len().min(requests.len()) + later.len()
     }
 }
 
@@ -303,8 +380,12 @@
 /// When several endpoints crash at once, popular parts were in flight at all of them.
 const CLEAR_TIME: time::Duration = time::Duration::from_secs(10);
 
-/// Maximum number of crashes that are kept, of about 100 bytes each.
+/// Maximum number of crashes that are kept.
 const CRASHES_MAX: usize = 512;
 
+/// Maximum number of parts that are kept of all crashes, of 16 bytes each. The newest crash
+/// is kept whole.
+const PLACES_MAX: usize = 16_384;
+
 /// Maximum number of parts whose complete answers are known.
 const COMPLETED_MAX: usize = 8_192;
--- a/crates/route/tests/prompt_parts.rs
+++ b/crates/route/tests/prompt_parts.rs
@@ -174,3 +174,50 @@
     assert_eq!(quarantine.find_poison([BAD]), None);
     assert!(!quarantine.record(START, crash(1, &[])), "no part to blame");
 }
+
+/// Guards against a prompt of which only the last parts are known, and against parts that
+/// count as new ones when their message arrives late.
+#[rstest]
+#[case::in_order(&[0, 64, 128])]
+#[case::against_the_order(&[128, 64, 0])]
+#[case::repeated(&[64, 0, 64, 128, 0])]
+fn a_part_of_a_prompt_that_comes_in_pieces_is_refused_alone(#[case] offsets: &[usize]) {
+    let mut quarantine = Quarantine::new();
+    let prompt = |number: u64| -> Vec<u64> {
+        let mut parts: Vec<u64> = (10_000..10_150).collect();
+        parts[100] = BAD;
+        // The parts after the bad one belong to few requests.
+        parts[101..]
+            .iter_mut()
+            .for_each(|part| *part += number * 1_000);
+        parts
+    };
+    quarantine.complete(START - SECOND, 10_000..10_100);
+    for number in 1..=3 {
+        let parts = prompt(number);
+        for &offset in offsets {
+            let end = parts.len().min(offset + 64);
+            quarantine.record_from(
+                START + SECOND * number as u32,
+                offset,
+                &crash(number, &parts[offset..end]),
+            );
+        }
+    }
+    assert_eq!(poison(&quarantine), [BAD]);
+}
+
+/// Guards against long prompts that take the room of all crashes.
+#[test]
+fn the_parts_of_all_crashes_are_bounded_and_evidence_goes_last() {
+    let mut quarantine = Quarantine::new();
+    record(
+        &mut quarantine,
+        &(1..=3).map(|n| crash(n, &[BAD])).collect::<Vec<_>>(),
+    );
+    for number in 10..60 {
+        let parts: Vec<u64> = (0..1_024).map(|part| number * 10_000 + part).collect();
+        quarantine.record(START + 5 * SECOND, crash(number, &parts));
+    }
+    assert_eq!(poison(&quarantine), [BAD]);
+}
