fix(edge): derive how often the platform is read from the bounds

Cause: such a host read by itself after 3.6 s without a confirmation, and the watch whose answers confirm waited for 2.5 s; neither follows from the bound. The confirmation covered the configuration only.

fleet::freshness takes the bounds of the settings and gives the age from which a host reads, the wait of watches and time-outs, as chains of named steps with a property test for 1 to 340 hosts. Standby hosts spread their calls by the hosts that they hear, and publish what they read. Endpoints are confirmed too.

Six watchers of 15 hosts make 12 calls a second instead of 5, by computation.

--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -3,6 +3,7 @@
 
 use base::mutex;
 
+use crate::confirmation;
 use crate::gossip;
 use crate::host;
 use crate::mesh;
@@ -110,7 +111,7 @@
         if let Some(plan) = plan {
             self.apply_plan(plan, "platform");
         }
-        self.confirm_plan();
+        self.confirm_fact(confirmation::Fact::Plan);
     }
 
     /// Records the newest era of the platform; `source` is where it was learned.
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -37,19 +37,6 @@
 /// Share of the retries earned by requests that is used.
 const RATIO_SHARE: f64 = 0.8;
 
-/// Age of the last confirmation of the configuration after which a host reads
-/// the platform itself. Watchers get an answer from the platform every few
-/// seconds and pass it on immediately.
-const CONFIRMATION_AGE_MAX: time::Duration = time::Duration::from_millis(3_600);
-
-/// Time since the start of the process for which a host that is no seed waits for
-/// the state of others before it reads the platform itself.
-const START_DELAY: time::Duration = time::Duration::from_millis(1_000);
-
-/// Time since the start of the process after which a host has heard of the others
-/// and knows whether it is a watcher.
-const SETTLE_TIME: time::Duration = time::Duration::from_millis(2_000);
-
 /// One host that serves opaque traffic.
 pub struct Host {
     pub(crate) options: options::Options,
@@ -177,6 +164,7 @@
         let listen = host.options.peer_listen;
         let state = front::Server::start_with_handler(listen, limits, exchange).await?;
         mesh::start(&host, state).await?;
+        host.report_broken_bounds();
         log::info!(
             target: "edge",
             name = host.options.name.as_str(), data_centre = host.options.data_centre.as_str();
@@ -236,62 +224,6 @@
         front::Server::start_with_handler(listen, limits, exchange).await
     }
 
-    /// Returns whether and why this host has to read the platform itself.
-    ///
-    /// A starting host first leaves it to the seeds, unless it is one, so that a
-    /// fleet that starts at once does not call the platform from every host.
-    pub fn platform_role(&self) -> fleet::Role {
-        let now = self.clock.now();
-        if !self.is_ready() {
-            return match now >= START_DELAY || self.is_seed() {
-                true => fleet::Role::Starting,
-                false => fleet::Role::Follower,
-            };
-        }
-        let has_settled = now >= SETTLE_TIME || self.is_seed();
-        if has_settled && self.is_watcher(now) {
-            return fleet::Role::Watcher;
-        }
-        match self.plan_age(now) > CONFIRMATION_AGE_MAX {
-            true => fleet::Role::Standby,
-            false => fleet::Role::Follower,
-        }
-    }
-
-    /// Returns the delay before this host begins to read the platform in this role.
-    pub fn first_platform_delay(&self, role: fleet::Role) -> time::Duration {
-        let hosts = mutex::lock(&self.membership).live().len();
-        fleet::Pace::first_delay(role, hosts, &mut *mutex::lock(&self.rng))
-    }
-
-    /// Returns the delay before this host calls the platform again after a failure.
-    pub fn platform_retry_delay(&self, pace: &mut fleet::Pace) -> time::Duration {
-        let hosts = mutex::lock(&self.membership).live().len();
-        pace.retry_delay(self.platform_role(), hosts, &mut *mutex::lock(&self.rng))
-    }
-
-    pub(crate) fn is_watcher(&self, now: time::Duration) -> bool {
-        let membership = mutex::lock(&self.membership);
-        let live = membership.live();
-        let near = live
-            .iter()
-            .filter(|entry| entry.data_centre == self.options.data_centre)
-            .map(|entry| (entry.name.as_str(), gossip::name_hash(&entry.name)));
-        let data_centres: collections::HashSet<&str> = live
-            .iter()
-            .map(|entry| entry.data_centre.as_str())
-            .collect();
-        let own = (self.options.name.as_str(), self.options.cpu_millicores);
-        let watchers = mutex::lock(&self.watchers);
-        watchers.is_watcher(now, own, near, data_centres.len())
-    }
-
-    /// Returns whether other hosts contact this one first, or there are no seeds.
-    fn is_seed(&self) -> bool {
-        let seeds = &self.options.seeds;
-        seeds.is_empty() || seeds.contains(&self.options.peer_listen)
-    }
-
     /// Returns whether this host takes the endpoints from other hosts, because
     /// it is no watcher, has no list yet or gets no answer from the platform.
     pub(crate) fn uses_peer_endpoints(&self, now: time::Duration) -> bool {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -83,6 +83,7 @@
 mod request_log;
 mod resend;
 mod resume;
+mod role;
 mod send;
 mod snapshot;
 mod source;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -36,6 +36,9 @@
 /// Shortest time between two publications that are triggered by a change.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(50);
 
+/// Age of the platform's last answer to a host up to which its changes come from there.
+const ANSWER_AGE_MAX: time::Duration = time::Duration::from_millis(500);
+
 /// Time for which the builds of streams of other hosts are kept.
 const ORIGIN_TIME: time::Duration = time::Duration::from_secs(120);
 
@@ -163,6 +166,13 @@
     }
 }
 
+/// Returns the period at which a host sends its loads to `near` other hosts of its data
+/// centre.
+pub(crate) fn load_period(near: usize) -> time::Duration {
+    let period = time::Duration::from_secs_f64(near as f64 / LOADS_PER_S);
+    period.max(LOAD_PERIOD)
+}
+
 /// Returns the content field of a digest, which states the era of the
 /// configuration. Hosts of builds without eras send zeros.
 pub(crate) fn digest_content(era: u64) -> [u8; 32] {
@@ -233,11 +243,13 @@
     }
 
     /// Publishes changes to all hosts immediately instead of at the next
-    /// period. Only watchers do, because the others got the change from them.
+    /// period. Only hosts that read them do, because the others got the change from them.
     async fn publish_changes(self) {
         loop {
             self.host.changed.notified().await;
-            if self.host.is_watcher(self.host.clock.now()) {
+            let now = self.host.clock.now();
+            let has_read = self.host.confirmation.answer_age(now) < ANSWER_AGE_MAX;
+            if has_read || self.host.is_watcher(now) {
                 self.publish(true).await;
             }
             tokio::time::sleep(CHANGE_PAUSE).await;
@@ -272,8 +284,7 @@
     async fn send_loads(self) {
         loop {
             let near = self.publish(false).await;
-            let period = time::Duration::from_secs_f64(near as f64 / LOADS_PER_S);
-            tokio::time::sleep(period.max(LOAD_PERIOD)).await;
+            tokio::time::sleep(load_period(near)).await;
         }
     }
 
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -44,6 +44,8 @@
     /// platform is kept after the platform answers again. In this time the
     /// platform restores the entries that expired during the outage.
     pub removal_grace: time::Duration,
+    /// Times within which changes of the platform take effect.
+    pub freshness: fleet::freshness::Bounds,
     /// Time from the call of [`Host::stop`](crate::Host::stop) until the
     /// process is killed.
     pub stop_timeout: time::Duration,
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -62,6 +62,7 @@
             window_s: 10,
         },
         removal_grace: ms(300),
+        freshness: ::fleet::freshness::Bounds::default(),
         stop_timeout: ms(3_000),
         steer: steer::Options {
             data_centre: "dc".into(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //!   hosts.
 //! - [`rank`] orders hosts by rendezvous hash and divides endpoints into shards.
 //! - [`Version`] decides which configuration revision is in force.
+//! - [`freshness`] derives from the bounds of the platform how often it is read.
 //! - [`Poller`] decides which hosts read it from the platform, and when.
 //! - [`discover`] answers callers that ask which hosts to use.
 //!
@@ -21,6 +22,7 @@
 pub mod discover;
 mod entry;
 mod forwarders;
+pub mod freshness;
 mod gossip;
 mod joins;
 mod listed;
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -55,21 +55,25 @@
     }
 
     /// Returns the delay before the first call of a host that begins to read for
-    /// this reason.
-    pub fn first_delay(role: Role, hosts: usize, rng: &mut impl rand::Rng) -> time::Duration {
+    /// this reason. `hosts` is the number of hosts that hear each other, and `random`, from
+    /// 0 to 1, is drawn by each of them.
+    pub fn first_delay(role: Role, hosts: usize, random: f64) -> time::Duration {
         match role {
-            Role::Standby => base(role, hosts).mul_f64(rng.random_range(0.0..1.0)),
+            Role::Standby => base(role, hosts).mul_f64(random),
             Role::Watcher | Role::Starting | Role::Follower => time::Duration::ZERO,
         }
     }
 }
 
+/// Returns the time over which standby hosts spread their calls.
+pub(crate) fn standby_spread(hosts: usize) -> time::Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    STANDBY_INTERVAL.saturating_mul(hosts).max(RETRY_DELAY)
+}
+
 fn base(role: Role, hosts: usize) -> time::Duration {
     match role {
-        Role::Standby => {
-            let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-            STANDBY_INTERVAL.saturating_mul(hosts).max(RETRY_DELAY)
-        }
+        Role::Standby => standby_spread(hosts),
         Role::Watcher | Role::Starting | Role::Follower => RETRY_DELAY,
     }
 }
--- a/crates/fleet/src/watchers.rs
+++ b/crates/fleet/src/watchers.rs
@@ -29,6 +29,12 @@
         self.capacities.insert(host, (cpu_millicores, now));
     }
 
+    /// Returns the number of hosts that have published something in the last `window`.
+    pub fn heard(&self, now: time::Duration, window: time::Duration) -> usize {
+        let heard = |at: &time::Duration| now.saturating_sub(*at) <= window;
+        self.capacities.values().filter(|(_, at)| heard(at)).count()
+    }
+
     /// Returns whether a host with this name and CPU time is a watcher. `near` are
     /// the live hosts of its data centre with their hashes, and `data_centres` is
     /// the number of data centres with live hosts.
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -2,7 +2,7 @@
 
 use core::time;
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 
 /// Duration of the outage, from when hosts notice it.
@@ -11,7 +11,7 @@
 /// Returns the times at which one host calls.
 fn calls(role: fleet::Role, hosts: usize, rng: &mut rand_pcg::Pcg64Mcg) -> Vec<time::Duration> {
     let mut pace = fleet::Pace::default();
-    let mut at = fleet::Pace::first_delay(role, hosts, rng);
+    let mut at = fleet::Pace::first_delay(role, hosts, rng.random());
     let mut calls = Vec::new();
     while at < OUTAGE {
         calls.push(at);
