fix(edge): read the newest endpoints before a stream goes on

Callers could get events of two builds in one stream: a host that was cut off from the others, or whose watch had gone silent, took its list, up to 5 s old, for that of the fleet and let streams of a build that had just joined go on at the only build that it listed. The same by an entry of an endpoint that had started again in place.

Cause: no record counted as evidence that none exists, whether or not a host that could have it had answered, and the list was not confirmed.

The host reads the newest changes over a new connection first, while it asks the other hosts, for at most 150 ms. Without an answer of either, the request is refused as not run.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -24,6 +24,7 @@
 use crate::origins;
 use crate::peers;
 use crate::reach;
+use crate::refresh;
 use crate::registry;
 use crate::reports;
 use crate::resend;
@@ -86,6 +87,7 @@
     /// Requests of other hosts in flight.
     pub(crate) forwarding: atomic::AtomicUsize,
     pub(crate) confirmation: confirmation::Confirmation,
+    pub(crate) refresh: refresh::Refresh,
     pub(crate) is_leaving: atomic::AtomicBool,
     /// Signals that requests whose answer has not begun are to be refused, because
     /// the process is about to end.
@@ -148,6 +150,7 @@
             probe: sync::Mutex::default(),
             forwarding: atomic::AtomicUsize::new(0),
             confirmation: confirmation::Confirmation::default(),
+            refresh: refresh::Refresh::default(),
             is_leaving: atomic::AtomicBool::new(false),
             closing: tokio::sync::watch::Sender::new(false),
             has_endpoints: atomic::AtomicBool::new(false),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -75,6 +75,7 @@
 mod rates;
 mod reach;
 mod record;
+mod refresh;
 mod registry;
 mod relay;
 mod remainder;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -116,15 +116,16 @@
                 Turn::Late => return Err(self.time_out()),
                 Turn::Broken(index, cause) => {
                     self.record_lost(index, cause);
-                    self.replace_lost()?;
+                    self.replace_lost().await?;
                 }
                 Turn::Oversized(index, cause) => {
                     self.flow.count_oversized();
                     self.record_lost(index, cause);
-                    self.replace_lost()?;
+                    self.replace_lost().await?;
                 }
                 Turn::Stalled => {
                     self.record_stall();
+                    self.refresh_builds().await;
                     if let Err(refusal) = self.flow.ask(self.last) {
                         self.flow.log_kept(self.sources.len(), &refusal);
                     }
@@ -173,16 +174,26 @@
     /// # Errors
     ///
     /// Returns the refusal if there can be none.
-    fn replace_lost(&mut self) -> Result<(), answer::Refusal> {
+    async fn replace_lost(&mut self) -> Result<(), answer::Refusal> {
         if !self.sources.is_empty() || (self.is_success && !self.flow.open.is_empty()) {
             return Ok(());
         }
         if !self.is_success || !self.flow.may_retry() {
             return Err(self.flow.failed("the stream broke"));
         }
+        self.refresh_builds().await;
         self.flow.ask(self.last)
     }
 
+    /// Reads the newest builds of the endpoints if the stream is bound to one. A process
+    /// of another build may have started in the place of the one that crashed.
+    async fn refresh_builds(&mut self) {
+        if self.flow.continuation.build().is_some() {
+            let host = self.flow.host.clone();
+            host.refresh_endpoints().await;
+        }
+    }
+
     /// Ends all other runs and attempts than the run at this place of the list.
     /// Earlier ones were silent.
     fn keep_only(&mut self, index: usize) {
--- a/crates/edge/src/resume.rs
+++ b/crates/edge/src/resume.rs
@@ -240,15 +240,41 @@
         }
     }
 
-    /// Returns what this host and others know of the build of a stream. Does not
-    /// wait for others once there is a record.
+    /// Returns what this host and others know of the build of a stream.
+    ///
+    /// The own list counts only with the newest changes, or if another host answers: a
+    /// host that is cut off may not know a build at which others let streams begin, nor
+    /// have the records of these.
     async fn witnesses(&self, stream: witness::Stream) -> Vec<witness::Witness> {
-        let mut witnesses = vec![self.witness(stream)];
         let asked = self.recorders(stream.origin, ASKED, |state| state != fleet::State::Dead);
+        let is_alone = asked.is_empty();
+        let known = mutex::lock(&self.origins).find(stream.origin);
+        let asking = async {
+            match known {
+                Some(_) => Vec::new(),
+                None => self.ask(asked, stream).await,
+            }
+        };
+        let (mut witnesses, is_fresh) = tokio::join!(asking, self.refresh_endpoints());
+        let mut own = self.witness(stream);
+        if !is_fresh && witnesses.is_empty() && !is_alone {
+            own.builds = None;
+        }
+        witnesses.push(own);
+        witnesses
+    }
+
+    /// Asks other hosts for the build of a stream, until one has a record of it.
+    async fn ask(
+        &self,
+        asked: Vec<net::SocketAddr>,
+        stream: witness::Stream,
+    ) -> Vec<witness::Witness> {
         let mut answers = stream::iter(asked)
             .map(|peer| peers::ask(&self.client, peer, stream))
             .buffer_unordered(ASKED);
         let deadline = tokio::time::Instant::now() + ASK_TIMEOUT;
+        let mut witnesses: Vec<witness::Witness> = Vec::new();
         while witnesses.iter().all(|witness| witness.record.is_none()) {
             match tokio::time::timeout_at(deadline, answers.next()).await {
                 Ok(Some(Ok(witness))) => witnesses.push(witness),
