fix(edge): let a host whose clock was set back be known again

Other hosts ignored a host that had started again with an earlier time of day than before, for up to the step plus the time between the starts. It was in no list for callers, got no records of streams, and was asked for none; with the list alone it took part in decisions on builds of streams (ORDER).

Cause: the lifetime of a host is the time of its start, and a lower one than the known one is outdated.

A host that learns of a later lifetime of its own name, while it holds its address, moves its lifetime after that one. Suspicions and probes name it, so it learns of it before it counts as dead.

Test: a_host_whose_clock_was_set_back_is_known_again fails without the call (no host knows it after 6 s) and passes. The wiring in edge has no test.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -42,7 +42,6 @@
 pub struct Host {
     pub(crate) options: options::Options,
     pub(crate) clock: clock::Clock,
-    pub(crate) incarnation: u64,
     pub(crate) table: arc_swap::ArcSwapOption<plan::Table>,
     pub(crate) eras: sync::Mutex<eras::Eras>,
     /// Newest era of the platform that is known.
@@ -119,7 +118,6 @@
         let membership = mesh::membership(&options, incarnation, seed);
         let host = sync::Arc::new(Self {
             clock,
-            incarnation,
             table: arc_swap::ArcSwapOption::empty(),
             eras: sync::Mutex::default(),
             era: atomic::AtomicU64::new(0),
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -224,7 +224,13 @@
                     let now = self.host.clock.now();
                     // The bare revisions that membership compares are not ordered
                     // across eras, so its result is not used.
-                    let _ = mutex::lock(&self.host.membership).receive(now, &digest);
+                    let mut membership = mutex::lock(&self.host.membership);
+                    let _ = membership.receive(now, &digest);
+                    // The process holds the address of the host.
+                    if membership.move_after_known_lifetimes() {
+                        log::warn!(target: "edge", "the clock was set back since the last start of this host");
+                    }
+                    drop(membership);
                     let version = digest_version(&digest);
                     if version > self.host.plan_version() {
                         let endpoints = plan::Version::default();
--- a/crates/edge/src/publish.rs
+++ b/crates/edge/src/publish.rs
@@ -227,7 +227,7 @@
         let plan = host.plan_version();
         gossip::Message {
             sender: gossip::name_hash(&host.options.name),
-            incarnation: host.incarnation,
+            incarnation: mutex::lock(&host.membership).own().incarnation,
             // CAST: A process does not run long enough to exceed the range.
             sent_ms: now.as_millis() as u64,
             is_leaving: host.is_leaving(),
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -45,7 +45,8 @@
     pub(crate) content: [u8; 32],
     tombstones: tombstones::Tombstones,
     pause: pause::Detector,
-    is_superseded: bool,
+    /// Newest lifetime with the name of this host, if it is above the own one.
+    superseded_by: Option<u64>,
 }
 
 impl Membership {
@@ -68,7 +69,7 @@
             revision: 0,
             content: [0; 32],
             tombstones: tombstones::Tombstones::default(),
-            is_superseded: false,
+            superseded_by: None,
         }
     }
 
@@ -169,7 +170,7 @@
 
     /// Returns whether a newer lifetime with the name of this host has been seen.
     pub fn is_superseded(&self) -> bool {
-        self.is_superseded
+        self.superseded_by.is_some()
     }
 
     /// Returns the hosts that are up and not dead, this one included, sorted by
@@ -247,10 +248,23 @@
     /// Detects a newer lifetime with the name of this host.
     fn check_own_lifetime(&mut self, entry: &entry::Entry) {
         if entry.incarnation > self.own.incarnation {
-            self.is_superseded = true;
+            self.superseded_by = self.superseded_by.max(Some(entry.incarnation));
         }
     }
 
+    /// Moves the own lifetime after all that other hosts know; returns whether it was not.
+    ///
+    /// A host calls it if no other process can have its name, for example because it holds
+    /// the address. Its clock was then set back between two starts, and other hosts ignore
+    /// it as long as its lifetime is below that of the process before.
+    pub fn move_after_known_lifetimes(&mut self) -> bool {
+        let Some(known) = self.superseded_by.take() else {
+            return false;
+        };
+        self.own.incarnation = known.saturating_add(1);
+        true
+    }
+
     /// Returns whether an entry is older than what is known or was evicted.
     fn is_outdated(&self, entry: &entry::Entry) -> bool {
         self.members.get(&entry.name).map_or_else(
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -205,6 +205,26 @@
     assert!(!fleet.hosts[3].membership.is_superseded());
 }
 
+/// Guards against a host that all others ignore for hours, because its clock was set back
+/// between two starts.
+#[test]
+fn a_host_whose_clock_was_set_back_is_known_again() {
+    let mut fleet = twelve(1);
+    fleet.restart(3);
+    fleet.run(Duration::from_secs(10));
+    let before = fleet.hosts[3].membership.own().incarnation;
+    fleet.restart_as(3, before - 2);
+    for _ in 0..60 {
+        fleet.run(Duration::from_millis(100));
+        fleet.hosts[3].membership.move_after_known_lifetimes();
+    }
+    let known = |host: &sim::Host| {
+        let entry = host.membership.find("host-003");
+        entry.is_some_and(|entry| entry.incarnation > before)
+    };
+    assert!(fleet.hosts.iter().all(known));
+}
+
 /// Guards against a leaving host that still gets requests.
 #[test]
 fn the_leaving_phase_reaches_every_host() {
--- a/crates/fleet/tests/sim/mod.rs
+++ b/crates/fleet/tests/sim/mod.rs
@@ -88,8 +88,14 @@
 
     /// Starts a new lifetime of a host.
     pub fn restart(&mut self, number: usize) {
+        let own = self.hosts[number].membership.own();
+        self.restart_as(number, own.incarnation + 1 + self.now.as_millis() as u64);
+    }
+
+    /// Restarts a host with this incarnation.
+    pub fn restart_as(&mut self, number: usize, incarnation: u64) {
         let mut own = self.hosts[number].membership.own().clone();
-        own.incarnation += 1 + self.now.as_millis() as u64;
+        own.incarnation = incarnation;
         own.counter = 0;
         own.phase = Phase::Up;
         let host = &mut self.hosts[number];
