fix(edge): keep endpoints leaving however a restore is learned

Cause: leaving was kept, and removals held back, only in the first list of an era that the host itself read, told by the era of the list in use, which the other host's list had raised already.

The registry notes the leaving processes when a new era begins, whichever way it learns of it, and applies them to every list of the era until it reads a later change of the entry itself.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -90,7 +90,7 @@
         if follows && registry.version() < endpoint_version {
             let now = self.host.clock.now();
             registry.set_colds(now, &snapshot.endpoints, &snapshot.cold.entries);
-            registry.replace_from_peer(snapshot.endpoints, endpoint_version);
+            registry.replace_from_peer(now, snapshot.endpoints, endpoint_version);
             registry.hold_from_peer(now, snapshot.held);
             self.host.use_endpoints(&registry);
         }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -16,6 +16,10 @@
 /// may only have expired. Its endpoint, unless it was leaving, is kept until
 /// the platform has had time to restore the entry. All other removals take
 /// effect immediately.
+///
+/// The same holds in a new era, when the platform has lost its newest changes, whichever
+/// way the first list of the era comes here. A process that was leaving before stays so in
+/// every list of the era; only a change of its entry that this host reads itself ends that.
 #[derive(Debug)]
 pub struct Registry {
     removal_grace: time::Duration,
@@ -31,6 +35,8 @@
     peer_removals: collections::BTreeMap<String, time::Duration>,
     /// Until when removals are held back after an outage.
     hold_until: time::Duration,
+    /// Starts of the processes, by id, that were leaving when the current era began.
+    leavers: collections::BTreeMap<String, u64>,
     /// What the entries say of how long endpoints stay cold, with the version of the entry.
     colds: collections::BTreeMap<String, (plan::Version, steer::cold::Stated)>,
     /// Start of the current outage; absent while the platform answers.
@@ -52,6 +58,7 @@
             held_removals: collections::BTreeMap::new(),
             peer_removals: collections::BTreeMap::new(),
             hold_until: time::Duration::ZERO,
+            leavers: collections::BTreeMap::new(),
             colds: collections::BTreeMap::new(),
             unreachable_since: None,
             has_peer_contact: false,
@@ -90,9 +97,16 @@
         entry: Entry,
         version: impl Into<plan::Version>,
     ) {
-        if !self.is_newer(id, version.into()) {
+        let version = version.into();
+        self.begin_era(now, version);
+        if !self.is_newer(id, version) {
             return;
         }
+        self.leavers.remove(id);
+        self.apply(now, id, entry);
+    }
+
+    fn apply(&mut self, now: time::Duration, id: &str, entry: Entry) {
         match entry {
             Entry::Endpoint(endpoint) => {
                 self.held_removals.remove(id);
@@ -106,7 +120,9 @@
     /// Removes an entry, or holds the removal back during and after an outage.
     /// A version below that of the last known change is ignored.
     pub fn remove(&mut self, now: time::Duration, id: &str, version: impl Into<plan::Version>) {
-        if self.is_newer(id, version.into()) {
+        let version = version.into();
+        self.begin_era(now, version);
+        if self.is_newer(id, version) {
             self.remove_or_hold(now, id, true);
         }
     }
@@ -161,9 +177,9 @@
     }
 
     /// Replaces the whole list; each entry comes with the revision of its last
-    /// change. Entries that are no longer listed are removed or held back. In the
-    /// first list of a new era, entries may be missing that the platform has lost
-    /// and that endpoints are about to write again, so removals are held back, and
+    /// change. Entries that are no longer listed are removed or held back. When a new
+    /// era has begun, entries may be missing that the platform has lost and that
+    /// endpoints are about to write again, so removals are held back, and
     /// endpoints that are leaving stay so. A list of an earlier era is ignored.
     pub fn replace(
         &mut self,
@@ -175,10 +191,7 @@
         if version.era < self.version.era {
             return;
         }
-        let is_restored = version.era > self.version.era && self.version.is_some();
-        if is_restored {
-            self.hold_until = self.hold_until.max(now + self.removal_grace);
-        }
+        self.begin_era(now, version);
         let listed: collections::BTreeSet<String> =
             list.iter().map(|(id, _, _)| id.clone()).collect();
         self.versions.retain(|id, _| listed.contains(id));
@@ -193,11 +206,11 @@
             self.remove_or_hold(now, &id, true);
         }
         for (id, mut entry, changed) in list {
-            if is_restored {
-                self.keep_leaving(&mut entry);
-            }
+            self.keep_leaving(&mut entry);
             let changed = plan::Version::new(version.era, changed);
-            self.put(now, &id, entry, changed);
+            if self.is_newer(&id, changed) {
+                self.apply(now, &id, entry);
+            }
         }
         self.version = self.version.max(version);
     }
@@ -206,9 +219,12 @@
     /// removals: the other host was in contact with the platform.
     pub fn replace_from_peer(
         &mut self,
+        now: time::Duration,
         list: Vec<plan::Endpoint>,
         version: impl Into<plan::Version>,
     ) {
+        let version = version.into();
+        self.begin_era(now, version);
         self.held_removals.clear();
         self.peer_removals.clear();
         self.versions.clear();
@@ -223,9 +239,10 @@
             {
                 endpoint.build.clone_from(&known.build);
             }
+            self.keep_endpoint_leaving(&mut endpoint);
             self.endpoints.insert(endpoint.id.clone(), endpoint);
         }
-        self.version = version.into();
+        self.version = version;
     }
 
     /// Takes the removals that the host holds back whose list was taken last, with the
@@ -299,16 +316,30 @@
         is_newer
     }
 
+    /// Notes which processes are leaving, and holds removals back, if a list of this version
+    /// is of a new era.
+    fn begin_era(&mut self, now: time::Duration, version: plan::Version) {
+        if version.era <= self.version.era || !self.version.is_some() {
+            return;
+        }
+        self.hold_until = self.hold_until.max(now + self.removal_grace);
+        let endpoints = self.endpoints.values();
+        let leaving = endpoints.filter(|known| known.phase == plan::Phase::Leaving);
+        self.leavers = leaving
+            .map(|known| (known.id.clone(), known.started_ms))
+            .collect();
+    }
+
     /// Marks an endpoint of an older copy as leaving if it was when the copy was
     /// restored and its process is the same.
     fn keep_leaving(&self, entry: &mut Entry) {
-        let Entry::Endpoint(listed) = entry else {
-            return;
-        };
-        let is_leaving = self.endpoints.get(&listed.id).is_some_and(|known| {
-            known.phase == plan::Phase::Leaving && known.started_ms == listed.started_ms
-        });
-        if is_leaving {
+        if let Entry::Endpoint(listed) = entry {
+            self.keep_endpoint_leaving(listed);
+        }
+    }
+
+    fn keep_endpoint_leaving(&self, listed: &mut plan::Endpoint) {
+        if self.leavers.get(&listed.id) == Some(&listed.started_ms) {
             listed.phase = plan::Phase::Leaving;
         }
     }
--- a/crates/edge/tests/lines.rs
+++ b/crates/edge/tests/lines.rs
@@ -169,7 +169,7 @@
     drop(gone);
     let options = common::options("b-seen", vec![one.peer_address()]);
     let _two = edge::Host::start(options).await.expect("host");
-    one.update_endpoints(|_, registry| registry.replace_from_peer(vec![listed], 2));
+    one.update_endpoints(|now, registry| registry.replace_from_peer(now, vec![listed], 2));
     let logged = async {
         while !steps("b-seen").contains(&"live".to_owned())
             || !steps("e-gone").contains(&"down".to_owned())
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -3,6 +3,8 @@
 
 use core::time;
 
+use rstest::rstest;
+
 fn ms(ms: u64) -> time::Duration {
     time::Duration::from_millis(ms)
 }
@@ -166,6 +168,64 @@
     assert_eq!(phases, [plan::Phase::Leaving, plan::Phase::Up]);
 }
 
+/// Way in which a list of endpoints comes to a host.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Platform,
+    Peer,
+}
+
+impl Way {
+    fn replace(self, registry: &mut edge::Registry, ids: &[&str], version: plan::Version) {
+        let ids = ids.iter().map(|id| (*id).to_owned());
+        match self {
+            Self::Platform => {
+                let list = ids.map(|id| (id.clone(), entry(&id, plan::Phase::Up), 5));
+                registry.replace(ms(10_000), list.collect(), version);
+            }
+            Self::Peer => {
+                let list = ids.map(|id| endpoint(&id, plan::Phase::Up));
+                registry.replace_from_peer(ms(10_000), list.collect(), version);
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::platform(&[Way::Platform])]
+#[case::peer(&[Way::Peer])]
+#[case::peer_first(&[Way::Peer, Way::Platform])]
+#[case::peer_last(&[Way::Platform, Way::Peer])]
+fn what_is_known_of_endpoints_outlasts_a_restore_whichever_way_the_list_comes(
+    #[case] ways: &[Way],
+) {
+    // Guards against new requests to an endpoint whose leaving the platform lost, and
+    // against the loss of endpoints that the copy lacks, at a host that hears of the new era
+    // from another one.
+    let mut registry = registry();
+    registry.put(ms(9_000), "a", entry("a", plan::Phase::Leaving), 6);
+    for (revision, way) in (5..).zip(ways) {
+        // Another host lists what it holds back as well.
+        let ids: &[&str] = match way {
+            Way::Platform => &["a"],
+            Way::Peer => &["a", "b"],
+        };
+        way.replace(&mut registry, ids, plan::Version::new(1, revision));
+    }
+    let phases: Vec<_> = registry
+        .endpoints()
+        .iter()
+        .map(|listed| listed.phase)
+        .collect();
+    assert_eq!(phases, [plan::Phase::Leaving, plan::Phase::Up]);
+    // A later change counts.
+    let version = plan::Version::new(1, 9);
+    registry.put(ms(10_500), "a", entry("a", plan::Phase::Up), version);
+    let again = plan::Version::new(1, 10);
+    Way::Peer.replace(&mut registry, &["a"], again);
+    assert_eq!(registry.endpoints()[0].phase, plan::Phase::Up);
+}
+
 #[test]
 fn a_list_without_builds_leaves_those_of_the_same_processes_only() {
     // Guards against the build of a process that is taken for that of another one with
@@ -184,7 +244,7 @@
         let mut registry = edge::Registry::new(ms(2_000));
         let entry = edge::Entry::Endpoint(listed(before_ms, Some("v1")));
         registry.replace(ms(0), vec![("a".to_owned(), entry, 5)], 5);
-        registry.replace_from_peer(vec![listed(after_ms, None)], 6);
+        registry.replace_from_peer(ms(0), vec![listed(after_ms, None)], 6);
         let kept = registry.endpoints();
         assert_eq!(kept[0].build.as_deref(), build, "{before_ms} {after_ms}");
     }
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -38,6 +38,12 @@
 /// Longest wait of a watch.
 const WATCH_MAX: time::Duration = time::Duration::from_millis(2_500);
 
+/// Longest pause after an answer with changes.
+const PAUSE: time::Duration = time::Duration::from_millis(300);
+
+/// Largest random part of the wait of a watch.
+const WATCH_JITTER: f64 = 0.2;
+
 /// Times that the rules of a platform allow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Bounds {
@@ -180,9 +186,3 @@
         ]
     }
 }
-
-/// Longest pause after an answer with changes.
-const PAUSE: time::Duration = time::Duration::from_millis(300);
-
-/// Largest random part of the wait of a watch.
-const WATCH_JITTER: f64 = 0.2;
