--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,9 +6,11 @@
 mod builds;
 mod client;
 mod common;
+mod cursor;
 mod fleet;
 mod net;
 mod record;
+mod restore;
 mod store;
 mod watches;
 mod worker;
@@ -19,6 +21,8 @@
     let mut record = record::Record::open();
     let result = match name.as_str() {
         "builds" => builds::play(&mut record, has_trouble),
+        "cursor" => cursor::play(&mut record, has_trouble),
+        "restore" => restore::play(&mut record, has_trouble),
         "watches" => watches::play(&mut record, has_trouble),
         _ => Err(std::io::Error::other(format!("no case {name:?}"))),
     };
