test(review): case 10, no stream goes on after all processes were killed

Cause: crates/edge/src/resume.rs trusts the list of the workers only after a host has followed it for 15 s. Change: a script that kills all processes once while clients read streams of 8 s and take them up again.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod restore;
 mod store;
+mod taken;
 mod watches;
 mod worker;
 
@@ -23,6 +24,7 @@
         "builds" => builds::play(&mut record, has_trouble),
         "cursor" => cursor::play(&mut record, has_trouble),
         "restore" => restore::play(&mut record, has_trouble),
+        "taken" => taken::play(&mut record, has_trouble),
         "watches" => watches::play(&mut record, has_trouble),
         _ => Err(std::io::Error::other(format!("no case {name:?}"))),
     };
