--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -62,6 +62,7 @@
         work: Duration::from_millis(60),
         events: 0,
         gap: Duration::ZERO,
+        stop_each: 0,
     }
 }
 
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Returns the id of the process.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod common;
 mod cursor;
 mod fleet;
+mod inside;
 mod net;
 mod record;
 mod restore;
@@ -23,6 +24,7 @@
     let result = match name.as_str() {
         "builds" => builds::play(&mut record, has_trouble),
         "cursor" => cursor::play(&mut record, has_trouble),
+        "inside" => inside::play(&mut record, has_trouble),
         "restore" => restore::play(&mut record, has_trouble),
         "taken" => taken::play(&mut record, has_trouble),
         "watches" => watches::play(&mut record, has_trouble),
--- a/review/standin-2/watches.rs
+++ b/review/standin-2/watches.rs
@@ -59,6 +59,7 @@
                 work: Duration::from_millis(60),
                 events: 0,
                 gap: Duration::ZERO,
+                stop_each: 0,
             },
             &runs,
         )?;
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -35,6 +35,8 @@
     /// Number of events of a stream and the time between two; plain answers for 0.
     pub events: u64,
     pub gap: Duration,
+    /// Runs of which one is stopped in the middle of its fifth event; none for 0.
+    pub stop_each: u64,
 }
 
 #[derive(Default)]
@@ -160,7 +162,7 @@
     }
 
     fn answer(&self, stream: &mut TcpStream, request: &Message, id: &str, last: u64, running: u32) -> io::Result<()> {
-        let Options { slots, work, events, gap, version, .. } = &self.options;
+        let Options { slots, work, events, gap, version, stop_each, .. } = &self.options;
         let load = format!("{running},0,{slots},100");
         let stamp = format!("{}.{id}", self.options.id);
         let head = format!(
@@ -183,6 +185,10 @@
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
             let text = format!("id: {event}\ndata: {version} {id}\n\n");
+            if *stop_each > 0 && last == 0 && event == 5 && stamp_hash(id) % stop_each == 0 {
+                let part = &text[..text.len() / 2];
+                return stream.write_all(format!("{:x}\r\n{part}\r\n0\r\n\r\n", part.len()).as_bytes());
+            }
             stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
             thread::sleep(*gap);
         }
@@ -190,6 +196,11 @@
     }
 }
 
+/// Returns a number that differs between requests.
+fn stamp_hash(id: &str) -> u64 {
+    id.bytes().fold(7, |hash, byte| hash * 31 % 1_000_003 + u64::from(byte))
+}
+
 /// Binds an address that a process has just left.
 fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let mut bound = TcpListener::bind(address);
