--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case ] && [ -x target/release/carobbay ] || { echo "not built"; exit 2; }
-RECORD=review/9/record.txt exec target/review-2/case restore
+RECORD=review/9/record.txt exec target/review-2/case inside
