--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -63,6 +63,7 @@
         events: 0,
         gap: Duration::ZERO,
         stop_each: 0,
+        brittle: None,
     }
 }
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 //! `TROUBLE=0` plays it without the disruption. `RECORD` names the file for the record.
 
+mod brittle;
 mod builds;
 mod client;
 mod common;
@@ -22,6 +23,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let mut record = record::Record::open();
     let result = match name.as_str() {
+        "brittle" => brittle::play(&mut record, has_trouble),
         "builds" => builds::play(&mut record, has_trouble),
         "cursor" => cursor::play(&mut record, has_trouble),
         "inside" => inside::play(&mut record, has_trouble),
--- a/review/standin-2/watches.rs
+++ b/review/standin-2/watches.rs
@@ -60,6 +60,7 @@
                 events: 0,
                 gap: Duration::ZERO,
                 stop_each: 0,
+                brittle: None,
             },
             &runs,
         )?;
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -37,6 +37,8 @@
     pub gap: Duration,
     /// Runs of which one is stopped in the middle of its fifth event; none for 0.
     pub stop_each: u64,
+    /// Refusals in a second after which the worker falls over.
+    pub brittle: Option<u32>,
 }
 
 #[derive(Default)]
@@ -44,6 +46,7 @@
     has_ended: bool,
     connections: Vec<TcpStream>,
     running: u32,
+    refusals: Vec<Instant>,
 }
 
 #[derive(Clone)]
@@ -51,6 +54,8 @@
     pub options: Options,
     state: Arc<Mutex<State>>,
     runs: Runs,
+    /// When the worker fell over.
+    pub falls: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Worker {
@@ -60,6 +65,7 @@
             options,
             state: Arc::default(),
             runs: runs.clone(),
+            falls: Arc::default(),
         };
         let serving = worker.clone();
         thread::spawn(move || {
@@ -147,6 +153,11 @@
                 arrived,
                 from: last + 1,
             });
+            if let Some(most) = self.options.brittle {
+                if self.refuses(&mut reader.stream, &id, most)? {
+                    continue;
+                }
+            }
             let running = {
                 let mut state = self.state.lock().unwrap();
                 state.running += 1;
@@ -161,12 +172,38 @@
         }
     }
 
+    /// Refuses a request if all slots are taken, and falls over after too many refusals.
+    fn refuses(&self, stream: &mut TcpStream, id: &str, most: u32) -> io::Result<bool> {
+        let (running, falls) = {
+            let mut state = self.state.lock().unwrap();
+            if state.running < self.options.slots {
+                return Ok(false);
+            }
+            state.refusals.retain(|at| at.elapsed() < Duration::from_secs(1));
+            state.refusals.push(Instant::now());
+            (state.running, state.refusals.len() > most as usize)
+        };
+        self.runs.lock().unwrap().retain(|run| run.request != id);
+        let head = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nX-Carobbay-Request-Id: {id}\r\nX-Carobbay-Not-Executed: 1\r\n\
+             Server-Brittle: {most}\r\nX-Carobbay-Server-Load: {running},0,{},100\r\nContent-Length: 0\r\n\r\n",
+            self.options.slots
+        );
+        stream.write_all(head.as_bytes())?;
+        if falls {
+            self.falls.lock().unwrap().push(Instant::now());
+            self.end();
+        }
+        Ok(true)
+    }
+
     fn answer(&self, stream: &mut TcpStream, request: &Message, id: &str, last: u64, running: u32) -> io::Result<()> {
         let Options { slots, work, events, gap, version, stop_each, .. } = &self.options;
         let load = format!("{running},0,{slots},100");
         let stamp = format!("{}.{id}", self.options.id);
+        let brittle = self.options.brittle.map(|most| format!("Server-Brittle: {most}\r\n")).unwrap_or_default();
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Carobbay-Request-Id: {id}\r\nX-Carobbay-Response-Stamp: {stamp}\r\nX-Carobbay-Server-Load: {load}\r\n"
+            "HTTP/1.1 200 OK\r\n{brittle}X-Carobbay-Request-Id: {id}\r\nX-Carobbay-Response-Stamp: {stamp}\r\nX-Carobbay-Server-Load: {load}\r\n"
         );
         thread::sleep(*work);
         if self.has_ended() {
