test(review): stand-ins choose other addresses side by side

Cause: two runs that began in the same millisecond could draw the same loopback network, and a fall that two connections noticed brought a worker back twice. Change: the process id counts more in the draw, and a fall counts once.

--- a/review/standin-2/brittle.rs
+++ b/review/standin-2/brittle.rs
@@ -60,7 +60,9 @@
     while began.elapsed() < LENGTH {
         thread::sleep(Duration::from_millis(20));
         for (index, worker) in workers.iter().enumerate() {
-            for at in std::mem::take(&mut *worker.falls.lock().unwrap()) {
+            // Two connections may notice the same fall.
+            let fallen = std::mem::take(&mut *worker.falls.lock().unwrap());
+            if let Some(&at) = fallen.first() {
                 record.line(&format!("{} falls over", worker.options.id));
                 falls.push(at);
                 away.push((index, at + BACK));
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -42,7 +42,7 @@
 impl Fleet {
     /// Chooses a free loopback network and writes the settings of the hosts.
     pub fn new(hosts: usize, zones: &[&str], seed: u64) -> io::Result<Self> {
-        let mut random = net::Random::new(seed ^ u64::from(std::process::id()));
+        let mut random = net::Random::new(seed ^ u64::from(std::process::id()) << 40);
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         for _ in 0..50 {
@@ -52,7 +52,7 @@
                 network,
                 folder: folder.clone(),
             };
-            let is_free = (0..hosts).all(|index| {
+            let is_free = TcpListener::bind(fleet.store_address()).is_ok() && (0..hosts).all(|index| {
                 let ip = fleet.ip(11 + index as u8);
                 PORTS.iter().chain(&INTERNAL).all(|port| TcpListener::bind((ip, *port)).is_ok())
             });
