fix(platform): percent-encode values in the targets of calls

Callers saw almost no request served after a restart of all processes while an entry of another writer, whose key ended a page of the list of workers, stood in the store.

Cause: keys were written into the target of a call as they are. With a blank or a quote the HTTP library refuses the target and the next page is never asked for; with &, + or # the store begins at another key, and the list does not end.

back::Query encodes every value with the percent-encoding library, a blank as %20, which receivers decode alike whether or not they read + as one. Calls to other hosts and to the platform of serve use it too.

--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -160,10 +160,13 @@
 
 impl Known {
     /// Returns the query that states it.
-    pub(crate) fn query(&self) -> String {
+    pub(crate) fn query(&self) -> back::Query {
         let plan::Version { era, revision } = self.version;
-        let content = self.content.map(|content| format!("&content={content}"));
-        format!("plan={revision}&era={era}{}", content.unwrap_or_default())
+        let query = back::Query::new("plan", revision).with("era", era);
+        match self.content {
+            Some(content) => query.with("content", content),
+            None => query,
+        }
     }
 
     /// Parses a query; missing fields have the defaults.
--- a/crates/edge/src/witness.rs
+++ b/crates/edge/src/witness.rs
@@ -37,12 +37,10 @@
 
 impl Stream {
     /// Returns the query that asks for the stream.
-    pub(crate) fn query(&self) -> String {
-        let life = self.life.as_millis();
-        format!(
-            "origin={}&service={}&life_ms={life}",
-            self.origin, self.service
-        )
+    pub(crate) fn query(&self) -> back::Query {
+        back::Query::new("origin", self.origin)
+            .with("service", self.service)
+            .with("life_ms", self.life.as_millis())
     }
 
     /// Parses a query; `None` if a field is missing or malformed.
--- a/crates/peer/src/platform/client.rs
+++ b/crates/peer/src/platform/client.rs
@@ -57,7 +57,8 @@
         after: u64,
         wait: time::Duration,
     ) -> Result<Option<config::Config>, error::Error> {
-        let path = format!("/v1/config?after={after}&wait={}", wait.as_secs());
+        let query = back::Query::new("after", after).with("wait", wait.as_secs());
+        let path = format!("/v1/config?{query}");
         let Some(body) = self.read(&path, wait).await? else {
             return Ok(None);
         };
