fix(carobbay): encode the id that explain asks for

Operators saw an error for the id of a request with a blank or a quote, and the decisions about another request for one with &, # or +: the id was written into the target of the query as it is.

back::Query encodes it.

--- a/crates/carobbay/src/explain.rs
+++ b/crates/carobbay/src/explain.rs
@@ -27,7 +27,7 @@
 /// Prints the decisions that hosts recorded about a request. The exit code is a failure
 /// if no host has any.
 fn print_decisions(options: &cli::Explain, request: &str) -> anyhow::Result<process::ExitCode> {
-    let path = format!("explain?request={request}");
+    let path = format!("explain?{}", back::Query::new("request", request));
     let results = api::query_each(&options.hosts, async |client, address| {
         client.get::<Value>(address, &path).await
     })?;
--- a/crates/carobbay/tests/commands.rs
+++ b/crates/carobbay/tests/commands.rs
@@ -2,9 +2,11 @@
 
 use std::fs;
 use std::io;
-use std::io::BufRead;
+use std::io::{BufRead, Write};
+use std::net;
 use std::path;
 use std::process;
+use std::thread;
 
 use rstest::rstest;
 use testkit::platform;
@@ -252,6 +254,36 @@
     assert!(error.contains("no decisions"), "{error}");
 }
 
+/// Guards against ids of requests that change the target of a query or make it invalid.
+#[rstest]
+#[case::blank("a b", "a%20b")]
+#[case::field("a&request=b", "a%26request%3Db")]
+#[case::fragment("a#b", "a%23b")]
+#[case::plus("a+b", "a%2Bb")]
+#[case::percent("a%62", "a%2562")]
+#[case::quote("\"a\"", "%22a%22")]
+fn explain_asks_for_the_request_with_this_id(#[case] id: &str, #[case] encoded: &str) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("address").to_string();
+    let asked = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut target = String::new();
+        let mut reader = io::BufReader::new(&stream);
+        reader.read_line(&mut target).expect("a request");
+        stream
+            .write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n")
+            .expect("an answer");
+        target
+    });
+    let admin = ["--admin", &address, "--key", "operate"];
+    let (code, _, error) = run(&[&["explain", "--request", id], &admin[..]].concat());
+    assert_eq!(code, Some(1), "{error}");
+    assert!(error.contains("404"), "the request was not sent: {error}");
+    let target = asked.join().expect("a request");
+    let wanted = format!("GET /admin/v1/explain?request={encoded} HTTP/1.1\r\n");
+    assert_eq!(target, wanted);
+}
+
 /// Guards against commands that cannot query an administration API over TLS, or that
 /// accept an untrusted certificate.
 #[test]
