fix(back): take only final statuses for the response to a request

Callers got a 600 or 999, and a 101 that nobody had asked for, as the answer of an endpoint, with its signature; requests that may be repeated were not tried at a sound endpoint. serve passed them on as well.

Cause: http::StatusCode holds 100 to 999, and the library hides interim responses but for 101. Each place that judged an answer took all but success and server errors for the endpoint's own.

back::response::check is the one rule: a status from 200 to 599. back::Client, through which serve, the store and other hosts are read, and the connections of edge return nothing else. A violation counts as a broken connection, so the request may have run: it is repeated if that is allowed, and ends with 502 otherwise.

--- a/crates/back/src/client.rs
+++ b/crates/back/src/client.rs
@@ -12,6 +12,7 @@
 use crate::error_chain;
 use crate::load;
 use crate::options;
+use crate::response;
 use crate::reuse;
 use crate::slots;
 use crate::uses;
@@ -99,6 +100,7 @@
             reuse::Reuse::Fresh => &pair.fresh,
         };
         let mut response = client.request(request).await.map_err(classify)?;
+        response::check(&response).map_err(|cause| error::Error::MayHaveRun(cause.to_string()))?;
         let uses = response.extensions().get::<uses::Uses>();
         let is_reused = uses.is_some_and(uses::Uses::count);
         if is_reused && version == version::Version::Http1 {
--- a/crates/back/src/lib.rs
+++ b/crates/back/src/lib.rs
@@ -15,6 +15,7 @@
 mod load;
 mod options;
 mod query;
+pub mod response;
 mod reuse;
 mod slots;
 mod stream;
--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -110,7 +110,7 @@
         self.allowance.set(HEAD_MAX_BYTES);
         let sent = self.sender.try_send_request(request).await;
         self.allowance.set(usize::MAX);
-        sent.map_err(|mut failure| {
+        let response = sent.map_err(|mut failure| {
             if let Some(request) = failure.take_message() {
                 return Failure::NotSent(Box::new(request));
             }
@@ -120,7 +120,11 @@
                 true => Failure::Oversized(cause),
                 false => Failure::Broken(cause),
             }
-        })
+        })?;
+        match back::response::check(&response) {
+            Ok(()) => Ok(response),
+            Err(cause) => Err(Failure::Broken(cause.to_string())),
+        }
     }
 
     /// Returns whether the connection can carry another request now.
--- a/crates/edge/tests/common/endpoint.rs
+++ b/crates/edge/tests/common/endpoint.rs
@@ -68,6 +68,23 @@
     pub async fn start(
         id: &str,
         script: impl Fn(&Request) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(id, false, script).await
+    }
+
+    /// Starts an endpoint that answers as soon as it has the head of a request and never
+    /// reads the body.
+    pub async fn start_early(
+        id: &str,
+        script: impl Fn(&Request) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(id, true, script).await
+    }
+
+    async fn start_with(
+        id: &str,
+        is_early: bool,
+        script: impl Fn(&Request) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
@@ -89,7 +106,7 @@
                 let Ok((stream, _)) = accepted else { return };
                 let served = serve(
                     stream,
-                    connection,
+                    (connection, is_early),
                     script.clone(),
                     log.clone(),
                     count.clone(),
@@ -133,7 +150,7 @@
 
 async fn serve(
     mut stream: tokio::net::TcpStream,
-    connection: usize,
+    (connection, is_early): (usize, bool),
     script: sync::Arc<Script>,
     log: sync::Arc<sync::Mutex<Vec<Request>>>,
     cancelled: sync::Arc<sync::atomic::AtomicUsize>,
@@ -141,7 +158,10 @@
     stop: sync::Arc<tokio::sync::Notify>,
 ) {
     let mut bytes = Vec::new();
-    while let Some(request) = read(&mut stream, &mut bytes, connection).await {
+    while let Some(request) = match is_early {
+        true => read_head(&mut stream, connection).await,
+        false => read(&mut stream, &mut bytes, connection).await,
+    } {
         mutex::lock(&log).push(request.clone());
         for step in script(&request) {
             match step {
@@ -223,6 +243,19 @@
     }
 }
 
+/// Reads the head of the first request of a connection, and nothing after it.
+async fn read_head(stream: &mut tokio::net::TcpStream, connection: usize) -> Option<Request> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    Some(Request {
+        head: String::from_utf8_lossy(&head).into_owned(),
+        body: Vec::new(),
+        connection,
+    })
+}
+
 /// Returns a complete signed answer.
 pub fn ok(request: &Request, body: &str) -> Vec<Step> {
     vec![Step::Bytes(text(
--- a/crates/host/tests/errors.rs
+++ b/crates/host/tests/errors.rs
@@ -61,6 +61,18 @@
     answer("400 Bad Request", ERROR)
 }
 
+fn status_000(_: &script::Request) -> Vec<Step> {
+    answer("000 None", ERROR)
+}
+
+fn status_101(_: &script::Request) -> Vec<Step> {
+    answer("101 Switching Protocols", ERROR)
+}
+
+fn status_600(_: &script::Request) -> Vec<Step> {
+    answer("600 None", ERROR)
+}
+
 fn success(_: &script::Request) -> Vec<Step> {
     answer("200 OK", ERROR)
 }
@@ -165,6 +177,9 @@
 #[rstest]
 #[case::failure(failure)]
 #[case::rejection(rejection)]
+#[case::status_000(status_000)]
+#[case::status_101(status_101)]
+#[case::status_600(status_600)]
 #[case::success(success)]
 #[case::success_with_blank_lines(success_with_blank_lines)]
 #[case::error_event(error_event)]
--- a/crates/host/tests/raw.rs
+++ b/crates/host/tests/raw.rs
@@ -6,6 +6,7 @@
 
 use rstest::rstest;
 use testkit::load;
+use testkit::text;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
@@ -66,11 +67,21 @@
 #[case::garbage(b"\x00\x01\x02 not http at all\r\n\r\n")]
 #[case::nothing(b"")]
 #[case::short(b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{}")]
+#[case::short_head(b"HTTP/1.1 200 OK\r\ncontent-length: 1")]
+#[case::status_000(b"HTTP/1.1 000 None\r\ncontent-length: 2\r\n\r\n{}")]
+#[case::status_101(b"HTTP/1.1 101 Switching Protocols\r\n\r\n{}")]
+#[case::status_600(b"HTTP/1.1 600 None\r\ncontent-length: 2\r\n\r\n{}")]
+#[case::status_600_without_length(b"HTTP/1.1 600 None\r\n\r\n{}")]
+#[case::blank_in_a_name(b"HTTP/1.1 200 OK\r\nx bad: 1\r\ncontent-length: 2\r\n\r\n{}")]
+#[case::control_in_a_name(b"HTTP/1.1 200 OK\r\nx\x01bad: 1\r\ncontent-length: 2\r\n\r\n{}")]
 #[tokio::test]
-async fn invalid_answers_of_endpoints_are_refused(#[case] bytes: &'static [u8]) {
+async fn invalid_answers_of_endpoints_are_refused(
+    #[case] bytes: &'static [u8],
+    #[values(false, true)] is_stream: bool,
+) {
     let host = common::host(&[endpoint(bytes).await]).await;
     let mut call = common::call("r1", 4);
-    call.stream = false;
+    call.stream = is_stream;
     let record = call.send(&common::client(), host.caller_addr()).await;
     match record.outcome {
         load::Outcome::Refused {
@@ -79,6 +90,8 @@
             assert_eq!(status, 502);
             assert_eq!(run_state, "unknown");
         }
+        // The stream has begun when its endpoint closes the connection.
+        load::Outcome::Answered(text::Verdict::Truncated) if is_stream => {}
         other => panic!("not refused: {other:?}"),
     }
     host.shutdown().await;
