fix(back): refuse the end of a response before its request is sent

Callers got the first part of an answer as a whole one: an endpoint answered an upload of 3 MB at once with a 200 without a length, sent a part, ended its side of the connection and reset it later. Directly and through another host.

Cause: the library takes the end of the connection for the end of a response without a length, whatever is left of the request; the reset comes after it. The system also takes up to 4 MB that the receiver has no room for, so that the request looked sent.

back::response::Stream, beneath all connections to endpoints, hosts and the store, fails if the input ends while a write is pending, and bounds what the system takes beyond the receiver's room (TCP_NOTSENT_LOWAT, 64 KiB). The attempt then counts as broken, as it does after a reset alone.

Tests failed before: three cases of edge no_answers (early_end), three of back response. With the check but without the option the three of edge still failed.

--- a/crates/back/src/connector.rs
+++ b/crates/back/src/connector.rs
@@ -5,8 +5,10 @@
 use std::sync;
 
 use hyper_util::client::legacy::connect;
+use hyper_util::rt;
 use tower_service::Service;
 
+use crate::response;
 use crate::slots;
 use crate::stream;
 
@@ -44,8 +46,11 @@
                 self.timeout.as_millis()
             )
         })??;
-        let inner = self.inner.call(uri).await?;
-        Ok(stream::Stream { inner, _slot: slot })
+        let inner = self.inner.call(uri).await?.into_inner();
+        Ok(stream::Stream {
+            inner: rt::TokioIo::new(response::Stream::open(inner)),
+            _slot: slot,
+        })
     }
 }
 
--- a/crates/back/src/response.rs
+++ b/crates/back/src/response.rs
@@ -1,10 +1,22 @@
 //! What counts as the response to a request.
 //!
 //! The HTTP library refuses malformed and unfinished heads, unfinished bodies of a declared
-//! length, and connections that fail. It leaves to its users that a response has a final
-//! status; see [`check`].
+//! length, and connections that fail. Two rules remain, which it leaves to its users:
+//!
+//! - A response has a final status; see [`check`].
+//! - A response without a declared length ends with its connection. It is whole only if the
+//!   request was sent before; see [`Stream`].
 
 use core::fmt;
+use core::pin;
+use core::task;
+use std::io;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net;
+
+/// Bytes for which the receiver has no room after which a connection takes no more.
+const UNSENT_MAX_BYTES: u32 = 64 * 1024;
 
 /// The status of a response is not a final one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -31,3 +43,102 @@
         _ => Err(Error(response.status())),
     }
 }
+
+/// Connection that fails if the receiver of a request ends it while a part of the request
+/// waits to be sent. A library that reads a response without a declared length would take
+/// that for the end of the response, although a reset may follow.
+#[derive(Debug)]
+pub struct Stream<S> {
+    inner: S,
+    /// Whether the connection has not taken all bytes that were written.
+    is_sending: bool,
+}
+
+impl Stream<net::TcpStream> {
+    /// Returns a connection whose system buffer takes little of a request for which the
+    /// receiver has no room, so that the rest of it waits.
+    pub fn open(inner: net::TcpStream) -> Self {
+        // Where the option is missing, the system buffer hides the end of long requests.
+        drop(socket2::SockRef::from(&inner).set_tcp_notsent_lowat(UNSENT_MAX_BYTES));
+        Self::new(inner)
+    }
+}
+
+impl<S> Stream<S> {
+    /// Returns a connection on which nothing waits to be sent.
+    pub const fn new(inner: S) -> Self {
+        Self {
+            inner,
+            is_sending: false,
+        }
+    }
+
+    /// Returns the connection beneath.
+    pub const fn get_ref(&self) -> &S {
+        &self.inner
+    }
+
+    fn record_write(
+        &mut self,
+        result: task::Poll<io::Result<usize>>,
+    ) -> task::Poll<io::Result<usize>> {
+        self.is_sending = result.is_pending();
+        result
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Stream<S> {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
+        task::ready!(pin::Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        let is_end = has_room && buffer.filled().len() == before;
+        if is_end && self.is_sending {
+            let text = "the connection ended before the request was sent";
+            return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, text)));
+        }
+        task::Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Stream<S> {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let result = pin::Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.record_write(result)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        let result = pin::Pin::new(&mut self.inner).poll_write_vectored(context, bytes);
+        self.record_write(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- a/crates/back/src/stream.rs
+++ b/crates/back/src/stream.rs
@@ -5,10 +5,11 @@
 use hyper::rt;
 use hyper_util::client::legacy::connect;
 
+use crate::response;
 use crate::slots;
 use crate::uses;
 
-type Inner = hyper_util::rt::TokioIo<tokio::net::TcpStream>;
+type Inner = hyper_util::rt::TokioIo<response::Stream<tokio::net::TcpStream>>;
 
 /// TCP connection that holds its slot until it is dropped.
 pub(crate) struct Stream {
@@ -18,7 +19,8 @@
 
 impl connect::Connection for Stream {
     fn connected(&self) -> connect::Connected {
-        self.inner.connected().extra(uses::Uses::default())
+        let stream = self.inner.inner().get_ref();
+        stream.connected().extra(uses::Uses::default())
     }
 }
 
--- a/crates/back/tests/response.rs
+++ b/crates/back/tests/response.rs
@@ -83,3 +83,56 @@
     let answer = exchange(address, 0, back::Reuse::Fresh).await;
     assert_eq!(answer.as_deref(), Ok("whole"));
 }
+
+/// Size of a request that exceeds the buffers of a connection.
+const LONG_BYTES: usize = 16 << 20;
+
+/// Time in which a write that can end does.
+const PAUSE: time::Duration = time::Duration::from_millis(20);
+
+#[rstest]
+#[tokio::test]
+async fn a_response_without_a_length_that_ends_before_the_request_is_an_error(
+    #[values(back::Reuse::Pooled, back::Reuse::Fresh)] reuse: back::Reuse,
+) {
+    let address = endpoint("HTTP/1.1 200 OK\r\n\r\npart").await;
+    let answer = exchange(address, LONG_BYTES, reuse).await;
+    assert!(answer.is_err(), "{answer:?}");
+}
+
+#[tokio::test]
+async fn a_response_with_a_length_may_come_before_the_end_of_the_request() {
+    let address = endpoint("HTTP/1.1 413 Too Long\r\ncontent-length: 5\r\n\r\nwhole").await;
+    let answer = exchange(address, LONG_BYTES, back::Reuse::Fresh).await;
+    assert_eq!(answer.as_deref(), Ok("whole"));
+}
+
+#[tokio::test]
+async fn a_connection_fails_if_it_ends_while_bytes_wait_to_be_sent() {
+    let (near, mut far) = tokio::io::duplex(4);
+    let mut near = back::response::Stream::new(near);
+    let mut buffer = [0; 4];
+    far.write_all(b"one").await.expect("sent");
+    let writing = tokio::time::timeout(PAUSE, near.write_all(b"request"));
+    writing.await.expect_err("bytes wait");
+    assert_eq!(near.read(&mut buffer).await.expect("data"), 3);
+    far.shutdown().await.expect("ended");
+    let failure = near.read(&mut buffer).await.expect_err("an error");
+    assert_eq!(failure.kind(), std::io::ErrorKind::ConnectionAborted);
+}
+
+#[tokio::test]
+async fn a_connection_ends_once_all_bytes_are_sent() {
+    let (near, mut far) = tokio::io::duplex(4);
+    let mut near = back::response::Stream::new(near);
+    let mut buffer = [0; 4];
+    let reading = async {
+        tokio::time::sleep(PAUSE).await;
+        let mut part = [0; 4];
+        far.read_exact(&mut part).await.expect("a part");
+    };
+    let (written, ()) = tokio::join!(near.write_all(b"request"), reading);
+    written.expect("sent");
+    far.shutdown().await.expect("ended");
+    assert_eq!(near.read(&mut buffer).await.expect("the end"), 0);
+}
--- a/crates/edge/tests/common/endpoint.rs
+++ b/crates/edge/tests/common/endpoint.rs
@@ -12,6 +12,8 @@
     Pause(time::Duration),
     /// Closes the connection.
     Close,
+    /// Ends the answer while the connection stays open for the request.
+    Finish,
     /// Resets the connection.
     Reset,
     /// Sends nothing until the router closes the connection.
@@ -183,6 +185,11 @@
                 }
                 Step::Pause(pause) => tokio::time::sleep(pause).await,
                 Step::Close => return,
+                Step::Finish => {
+                    if stream.shutdown().await.is_err() {
+                        return;
+                    }
+                }
                 Step::Reset => return reset(&stream),
                 Step::Crash => {
                     stop.notify_one();
--- a/crates/edge/tests/no_answers.rs
+++ b/crates/edge/tests/no_answers.rs
@@ -32,11 +32,13 @@
     CutByReset(&'static str),
     /// A part of an answer without a length, and a reset this many milliseconds later.
     Early(u64),
+    /// The same, with the end of the answer before the reset.
+    EarlyEnd(u64),
 }
 
 impl Odd {
     const fn is_early(self) -> bool {
-        matches!(self, Self::Early(_))
+        matches!(self, Self::Early(_) | Self::EarlyEnd(_))
     }
 
     fn steps(self, request: &endpoint::Request) -> Vec<Step> {
@@ -58,6 +60,12 @@
             Self::Cut(at) => vec![cut(at), Step::Close],
             Self::CutByReset(at) => vec![cut(at), Step::Pause(common::ms(10)), Step::Reset],
             Self::Early(pause) => vec![part(), Step::Pause(common::ms(pause)), Step::Reset],
+            Self::EarlyEnd(pause) => vec![
+                part(),
+                Step::Finish,
+                Step::Pause(common::ms(pause)),
+                Step::Reset,
+            ],
         }
     }
 
@@ -171,6 +179,8 @@
 #[case::early_reset(Odd::Early(0))]
 #[case::early_reset_after_5_ms(Odd::Early(5))]
 #[case::early_reset_after_50_ms(Odd::Early(50))]
+#[case::early_end(Odd::EarlyEnd(0))]
+#[case::early_end_and_reset_after_50_ms(Odd::EarlyEnd(50))]
 #[tokio::test]
 async fn what_is_no_answer_is_not_passed_on(#[case] odd: Odd) {
     may_be_repeated(odd, false).await;
@@ -253,6 +263,7 @@
 #[case::control_in_a_name(5, Odd::Line("x\u{1}bad: 1\r\n"))]
 #[case::cut_in_the_length(6, Odd::Cut("content-length: 1"))]
 #[case::early_reset(7, Odd::Early(5))]
+#[case::early_end(8, Odd::EarlyEnd(50))]
 #[tokio::test]
 async fn what_is_no_answer_is_not_passed_on_by_another_host(#[case] net: u8, #[case] odd: Odd) {
     let hosts = fleet::start_hosts([91, net], 2).await;
