refactor(back): name the TCP constructor and what is not sent

From reading the diff as a newcomer. A failed write counts as not sent too, which the reset of a connection may leave behind as its only error; no test shows a difference, as the library already fails the response then.

--- a/crates/back/src/response.rs
+++ b/crates/back/src/response.rs
@@ -15,7 +15,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net;
 
-/// Bytes for which the receiver has no room after which a connection takes no more.
+/// Most bytes of a request that the system holds back while the receiver has no room.
 const UNSENT_MAX_BYTES: u32 = 64 * 1024;
 
 /// The status of a response is not a final one.
@@ -50,15 +50,15 @@
 #[derive(Debug)]
 pub struct Stream<S> {
     inner: S,
-    /// Whether the connection has not taken all bytes that were written.
+    /// Whether the last write is pending or has failed.
     is_sending: bool,
 }
 
 impl Stream<net::TcpStream> {
     /// Returns a connection whose system buffer takes little of a request for which the
     /// receiver has no room, so that the rest of it waits.
-    pub fn open(inner: net::TcpStream) -> Self {
-        // Where the option is missing, the system buffer hides the end of long requests.
+    pub fn tcp(inner: net::TcpStream) -> Self {
+        // Where the option is missing, requests of some MB look sent while they wait.
         drop(socket2::SockRef::from(&inner).set_tcp_notsent_lowat(UNSENT_MAX_BYTES));
         Self::new(inner)
     }
@@ -82,7 +82,7 @@
         &mut self,
         result: task::Poll<io::Result<usize>>,
     ) -> task::Poll<io::Result<usize>> {
-        self.is_sending = result.is_pending();
+        self.is_sending = !matches!(result, task::Poll::Ready(Ok(_)));
         result
     }
 }
--- a/crates/edge/tests/no_answers.rs
+++ b/crates/edge/tests/no_answers.rs
@@ -5,7 +5,10 @@
 mod common;
 
 use core::time;
+use std::collections;
+use std::sync;
 
+use base::mutex;
 use common::endpoint::{self, Step};
 use common::fleet;
 use common::link;
@@ -70,11 +73,12 @@
     }
 
     /// Starts an endpoint in trouble. With `is_kept`, the first answer on each connection
-    /// is sound; `is_rest` leaves alone all but the requests for the rest of a stream.
+    /// is sound. With `is_rest`, only requests for the rest of a stream are answered like
+    /// this; streams that begin break off.
     async fn start(self, id: &str, is_kept: bool, is_rest: bool) -> endpoint::Endpoint {
-        let used = std::sync::Mutex::new(std::collections::HashSet::new());
+        let used = sync::Mutex::new(collections::HashSet::new());
         let script = move |request: &endpoint::Request| {
-            let is_first = base::mutex::lock(&used).insert(request.connection);
+            let is_first = mutex::lock(&used).insert(request.connection);
             if is_rest && request.header("last-event-id").is_none() {
                 return breaks(request);
             }
@@ -208,7 +212,7 @@
     assert!(one.count() > 0, "the endpoint in trouble was not asked");
     if is_kept {
         let connections = one.requests().into_iter().map(|request| request.connection);
-        let connections = connections.collect::<std::collections::HashSet<_>>().len();
+        let connections = connections.collect::<collections::HashSet<_>>().len();
         assert!(connections < one.count(), "no connection was used again");
         return;
     }
