--- a/crates/peer/tests/platform.rs
+++ b/crates/peer/tests/platform.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use std::net;
 use support::in_time;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt};
 
 /// Starts a server that gives every request the same answer, and returns its
 /// address. With `None` it never answers.
@@ -43,6 +43,21 @@
     let _ = stream.shutdown().await;
 }
 
+/// Starts a server that sends the same bytes to each connection.
+async fn send(bytes: String) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(bytes.as_bytes()).await;
+        }
+    });
+    address
+}
+
 fn client(addresses: Vec<net::SocketAddr>) -> peer::platform::Client {
     let mut options = peer::platform::Options::new(addresses);
     options.timeout = time::Duration::from_millis(300);
@@ -75,6 +90,25 @@
     assert_eq!(none.hosts().await, Err(Error::NoAddress));
 }
 
+// Guards against a configuration that is taken from what is no answer.
+#[rstest]
+#[case::status_000("HTTP/1.1 000 None\r\n", 0)]
+#[case::status_101("HTTP/1.1 101 Switching Protocols\r\n", 0)]
+#[case::status_600("HTTP/1.1 600 None\r\n", 0)]
+#[case::blank_in_a_name("HTTP/1.1 200 OK\r\nx bad: 1\r\n", 0)]
+#[case::control_in_a_name("HTTP/1.1 200 OK\r\nx\u{1}bad: 1\r\n", 0)]
+#[case::cut_in_the_body("HTTP/1.1 200 OK\r\n", 1)]
+#[case::cut_in_the_head("HTTP/1.1 200 OK\r\n", 45)]
+#[tokio::test]
+async fn what_is_no_answer_has_no_configuration(#[case] head: &str, #[case] missing: usize) {
+    let body = r#"{"revision":4,"files":{"a.ini":"[host]\n"}}"#;
+    let mut bytes = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+    bytes.truncate(bytes.len() - missing);
+    let client = client(vec![send(bytes).await]);
+    let read = in_time(client.config(3, time::Duration::ZERO)).await;
+    assert!(read.is_err(), "{read:?}");
+}
+
 #[tokio::test]
 async fn unreachable_and_unresponsive_addresses_are_skipped() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
