--- a/crates/back/tests/query.rs
+++ b/crates/back/tests/query.rs
@@ -18,9 +18,9 @@
     for character in characters() {
         let value = pattern.replace('X', &character.to_string());
         let query = back::Query::new("prefix", "servers/").with("after", &value);
-        let target = format!("/kv-range?{}", query.with("number", 7));
+        let target = format!("/list?{}", query.with("number", 7));
         let uri: http::Uri = target.parse().expect("a valid target");
-        assert_eq!(uri.path(), "/kv-range");
+        assert_eq!(uri.path(), "/list");
         let query = uri.query().expect("a query").as_bytes();
         let fields: Vec<_> = form_urlencoded::parse(query).collect();
         let wanted = [("prefix", "servers/"), ("after", &value), ("number", "7")];
