--- a/crates/back/src/response.rs
+++ b/crates/back/src/response.rs
@@ -13,10 +13,6 @@
 use std::io;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net;
-
-/// Most bytes of a request that the system holds back while the receiver has no room.
-const UNSENT_MAX_BYTES: u32 = 64 * 1024;
 
 /// The status of a response is not a final one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -54,16 +50,6 @@
     is_sending: bool,
 }
 
-impl Stream<net::TcpStream> {
-    /// Returns a connection whose system buffer takes little of a request for which the
-    /// receiver has no room, so that the rest of it waits.
-    pub fn tcp(inner: net::TcpStream) -> Self {
-        // Where the option is missing, requests of some MB look sent while they wait.
-        drop(socket2::SockRef::from(&inner).set_tcp_notsent_lowat(UNSENT_MAX_BYTES));
-        Self::new(inner)
-    }
-}
-
 impl<S> Stream<S> {
     /// Returns a connection on which nothing waits to be sent.
     pub const fn new(inner: S) -> Self {
--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -80,7 +80,7 @@
             })??;
         stream.set_nodelay(true)?;
         let allowance = intake::Allowance::unbounded();
-        let stream = back::response::Stream::tcp(stream);
+        let stream = back::response::Stream::new(stream);
         let stream = intake::Stream::new(stream, allowance.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
