test(edge): one script for streams that break within an event

Cause: no_answers repeated the script of error_after_break. It stands in the stand-in endpoint now, word for word.

--- a/crates/edge/tests/common/endpoint.rs
+++ b/crates/edge/tests/common/endpoint.rs
@@ -303,3 +303,14 @@
 pub fn stream_end() -> Step {
     Step::Bytes("0\r\n\r\n".into())
 }
+
+/// Sends two events and resets the connection within the third.
+pub fn breaks(request: &Request) -> Vec<Step> {
+    vec![
+        stream_head(request),
+        chunk(&(event(1) + &event(2))),
+        chunk(&event(3)[..7]),
+        Step::Pause(super::ms(20)),
+        Step::Reset,
+    ]
+}
--- a/crates/edge/tests/error_after_break.rs
+++ b/crates/edge/tests/error_after_break.rs
@@ -8,17 +8,6 @@
 
 type Script = fn(&endpoint::Request) -> Vec<Step>;
 
-/// Sends two events and resets the connection within the third.
-fn breaks(request: &endpoint::Request) -> Vec<Step> {
-    vec![
-        endpoint::stream_head(request),
-        endpoint::chunk(&(endpoint::event(1) + &endpoint::event(2))),
-        endpoint::chunk(&endpoint::event(3)[..7]),
-        Step::Pause(common::ms(20)),
-        Step::Reset,
-    ]
-}
-
 /// Sends the events up to 6 that the caller has not received.
 fn rest(request: &endpoint::Request) -> Vec<Step> {
     let last = request.header("last-event-id");
@@ -103,7 +92,7 @@
 /// Answers the first request by breaking off, and the rest of a stream by a script.
 fn or(script: Script) -> impl Fn(&endpoint::Request) -> Vec<Step> + Send + Sync + 'static {
     move |request| match request.header("last-event-id") {
-        None => breaks(request),
+        None => endpoint::breaks(request),
         Some(_) => script(request),
     }
 }
--- a/crates/edge/tests/no_answers.rs
+++ b/crates/edge/tests/no_answers.rs
@@ -80,7 +80,7 @@
         let script = move |request: &endpoint::Request| {
             let is_first = mutex::lock(&used).insert(request.connection);
             if is_rest && request.header("last-event-id").is_none() {
-                return breaks(request);
+                return endpoint::breaks(request);
             }
             match is_kept && is_first {
                 true => sound(request),
@@ -120,17 +120,6 @@
     (1..=6).map(endpoint::event).collect()
 }
 
-/// Sends two events and resets the connection within the third.
-fn breaks(request: &endpoint::Request) -> Vec<Step> {
-    vec![
-        endpoint::stream_head(request),
-        endpoint::chunk(&(endpoint::event(1) + &endpoint::event(2))),
-        endpoint::chunk(&endpoint::event(3)[..7]),
-        Step::Pause(common::ms(20)),
-        Step::Reset,
-    ]
-}
-
 /// Returns a request with time for retries on a busy machine.
 fn request(path: &str, id: &str, body: &str) -> String {
     common::request("POST", path, id, "request-deadline: 10000\r\n", body)
