fix(host): pass on complete events only

Callers of serve got a part of an event and, on the same line, the event that reports the error, which no parser of events finds: a stream that may not be resumed ended within an event, by whatever framing. A part after [DONE] reached them as well. A stream that may run once, and is read whole, counted as complete with [DONE] but without its blank line.

Cause: only the transcript of resumable streams held parts back; the others were passed on as bytes.

The relay holds back the start of an event with back::event for all streams, up to 1 MiB, and names the end within an event as the cause of a break. The stream still needs its last event, which the events mark.

--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -3,6 +3,7 @@
 use core::time;
 
 use answer::{Kind, Refusal};
+use back::event;
 use bytes::Bytes;
 
 use crate::permit;
@@ -137,6 +138,7 @@
         permit.finish(pool::Outcome::Complete);
         return Ok(front::Body::from(data));
     }
+    let data = event::Splitter::default().split(data);
     let mut tally = back::EventCounter::default();
     tally.push(&data);
     permit.set_tokens(tally.tokens());
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -3,6 +3,7 @@
 use core::time;
 use std::sync;
 
+use back::event;
 use bytes::Bytes;
 use futures_util::stream;
 use futures_util::stream::StreamExt;
@@ -70,6 +71,9 @@
     /// Endpoints that are asked for the rest. The first one that delivers takes over;
     /// if the silent run goes on first, they are cancelled.
     asked: stream::FuturesUnordered<Asked>,
+    /// Holds back the start of an event whose end has not arrived, so that the caller gets
+    /// complete events only.
+    splitter: event::Splitter,
     tally: back::EventCounter,
     transcript: transcript::Transcript,
     resume: sync::Arc<Resume>,
@@ -98,6 +102,7 @@
         endpoint: source.permit.grant().name.clone(),
         source: Some(source),
         asked: stream::FuturesUnordered::new(),
+        splitter: event::Splitter::default(),
         tally: back::EventCounter::default(),
         transcript: transcript::Transcript::default(),
         resume: sync::Arc::new(resume),
@@ -163,7 +168,10 @@
         match turn {
             Turn::Read(Ok(Some(data))) => self.pass(data),
             Turn::Read(Ok(None)) if self.tally.is_done() => Step::End,
-            Turn::Read(Ok(None)) => self.break_off("the endpoint closed the stream early"),
+            Turn::Read(Ok(None)) => match self.splitter.finish() {
+                Ok(_) => self.break_off("the endpoint closed the stream early"),
+                Err(cause) => self.break_off(&cause.to_string()),
+            },
             Turn::Read(Err(Error(cause))) => self.break_off(&cause),
             Turn::Found(Ok(source)) => self.take_over(*source),
             Turn::Found(Err(refusal)) => self.record_refusal(&refusal),
@@ -196,29 +204,28 @@
     fn pass(&mut self, data: Bytes) -> Step {
         self.asked.clear();
         self.silent_since = Instant::now();
+        let events = self.splitter.split(data);
+        if self.splitter.pending() > EVENT_MAX_BYTES {
+            return self.break_off(&format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
+        }
         // The transcript is only needed to resume the stream.
-        let data = if self.resume.is_allowed {
-            match self.transcript.push(data) {
-                Ok(data) => data,
-                Err(transcript::NoRest) => {
-                    return self.replace("the endpoint sent no rest of the answer");
-                }
-            }
-        } else {
-            data
-        };
-        self.tally.push(&data);
+        if self.resume.is_allowed
+            && let Err(transcript::NoRest) = self.transcript.push(&events)
+        {
+            return self.replace("the endpoint sent no rest of the answer");
+        }
+        self.tally.push(&events);
         let tokens = self.tally.tokens() - self.earlier_tokens;
         if let Some(source) = &mut self.source {
             source.permit.set_silent(false);
-            if !data.is_empty() {
+            if !events.is_empty() {
                 source.permit.set_tokens(tokens);
             }
         }
-        if data.is_empty() {
+        if events.is_empty() {
             return Step::Continue;
         }
-        Step::Pass(data)
+        Step::Pass(events)
     }
 
     /// Acts on a run that broke with this cause.
@@ -287,6 +294,7 @@
             self.attempt += 1;
         }
         self.asked.clear();
+        self.splitter = event::Splitter::default();
         self.transcript.expect_rest();
         self.earlier_tokens = self.tally.tokens();
         self.endpoint = source.permit.grant().name.clone();
@@ -379,5 +387,8 @@
 /// Maximum number of endpoints that are asked for the rest of a stream at a time.
 const ASKED_MAX: usize = 3;
 
+/// Most bytes of an event that are held back until it is complete.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
 /// Final event of a stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
--- a/crates/host/src/transcript.rs
+++ b/crates/host/src/transcript.rs
@@ -9,8 +9,6 @@
 /// another endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct Transcript {
-    /// Start of an event whose end has not arrived.
-    partial: Vec<u8>,
     text: String,
     /// Number of events with text, each of which counts as one token.
     tokens: u32,
@@ -58,32 +56,26 @@
 }
 
 impl Transcript {
-    /// Adds data of the stream and returns the events that are complete.
-    ///
-    /// An incomplete event is held back, so that a stream that breaks inside an
-    /// event can be resumed with a complete one.
+    /// Adds complete events of the stream.
     ///
     /// # Errors
     ///
     /// Fails if the first event of the rest of an answer is no part of one.
-    pub(crate) fn push(&mut self, data: Bytes) -> Result<Bytes, NoRest> {
-        let whole = self.split(data);
+    pub(crate) fn push(&mut self, events: &[u8]) -> Result<(), NoRest> {
         if self.needs_rest {
-            self.needs_rest = !begins_rest(&whole)?;
+            self.needs_rest = !begins_rest(events)?;
         }
-        for line in whole.split(|&byte| byte == b'\n') {
+        for line in events.split(|&byte| byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(event) = line.strip_prefix(b"data:") {
                 self.record_event(event.trim_ascii());
             }
         }
-        Ok(whole)
+        Ok(())
     }
 
-    /// Expects the rest of the answer from another endpoint, which sends an incomplete
-    /// event anew.
-    pub(crate) fn expect_rest(&mut self) {
-        self.partial.clear();
+    /// Expects the rest of the answer from another endpoint.
+    pub(crate) const fn expect_rest(&mut self) {
         self.needs_rest = true;
     }
 
@@ -136,17 +128,6 @@
         serde_json::to_vec(&request).ok().map(Bytes::from)
     }
 
-    /// Returns the data up to the end of the last complete event.
-    fn split(&mut self, data: Bytes) -> Bytes {
-        if self.partial.is_empty() && data.ends_with(b"\n\n") {
-            return data;
-        }
-        self.partial.extend_from_slice(&data);
-        let end = end_of_events(&self.partial);
-        let rest = self.partial.split_off(end);
-        Bytes::from(core::mem::replace(&mut self.partial, rest))
-    }
-
     fn record_event(&mut self, event: &[u8]) {
         if event == b"[DONE]" {
             return;
@@ -211,12 +192,3 @@
     }
     Ok(false)
 }
-
-/// Returns the position after the last complete event.
-fn end_of_events(data: &[u8]) -> usize {
-    let plain = data.windows(2).rposition(|pair| pair == b"\n\n");
-    let carriage = data.windows(4).rposition(|four| four == b"\r\n\r\n");
-    let plain = plain.map_or(0, |start| start + 2);
-    let carriage = carriage.map_or(0, |start| start + 4);
-    plain.max(carriage)
-}
