fix(host): take a declared early end for no crash of the endpoint

Callers of serve got an error event, "the request crashed endpoints", in place of the rest of a resumable stream that two endpoints had ended early, and the request was refused from then on.

Cause: each end before the last event was reported as a crash under the request, and the second crash refuses it. A process that crashes cannot end its chunks or send the last byte of a declared length.

An early end that the endpoint declares counts as Outcome::Failed, which says that it has not crashed. Ends of connections without a length and chunks still count as crashes, as those of a killed process look the same; a test holds that. back::response::is_framed decides, also for HTTP/2.

Test failed before: host stream_ends, length_twice and chunks_twice; all pass.

--- a/crates/host/src/flow.rs
+++ b/crates/host/src/flow.rs
@@ -339,11 +339,11 @@
             .with_signs(dispatch.number, call.signs.clone());
         let body = match call.delivery {
             Delivery::Streamed if is_stream => {
-                let source = reading::begin_stream(permit, body, &mut watch).await?;
+                let source = reading::begin_stream(permit, &head, body, &mut watch).await?;
                 let resume = self.resume_context(&dispatch);
                 relay::events(source, resume, dispatch.attempt)
             }
-            _ => reading::read_whole(permit, body, is_stream, &mut watch).await?,
+            _ => reading::read_whole(permit, &head, body, is_stream, &mut watch).await?,
         };
         Ok(front::Response {
             status: head.status,
--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -29,7 +29,8 @@
     /// whether it is safe.
     pub(crate) is_retryable: bool,
     /// Whether the connection broke before the answer was whole. An endpoint that has
-    /// answered with a refusal or a failure has not crashed.
+    /// answered with a refusal or a failure, or has ended its answer as declared, has not
+    /// crashed.
     pub(crate) is_broken: bool,
 }
 
@@ -62,13 +63,14 @@
     }
 }
 
-/// Reads the first data of a stream.
+/// Reads the first data of a stream with this head.
 ///
 /// # Errors
 ///
 /// Fails if the stream ends or breaks before any data.
 pub(crate) async fn begin_stream(
     mut permit: permit::Permit,
+    head: &http::response::Parts,
     mut body: back::Body,
     watch: &mut watch::Watch,
 ) -> Result<relay::Source, Failure> {
@@ -79,6 +81,7 @@
             permit.record_first_output();
             Ok(relay::Source {
                 permit,
+                is_framed: back::response::is_framed(head.version, &head.headers),
                 body,
                 first: Some(first),
             })
@@ -109,7 +112,7 @@
     }
 }
 
-/// Reads a whole answer and finishes the permit.
+/// Reads a whole answer with this head and finishes the permit.
 ///
 /// # Errors
 ///
@@ -117,6 +120,7 @@
 /// without its last event.
 pub(crate) async fn read_whole(
     mut permit: permit::Permit,
+    head: &http::response::Parts,
     body: back::Body,
     is_stream: bool,
     watch: &mut watch::Watch,
@@ -146,9 +150,12 @@
         permit.finish(pool::Outcome::Complete);
         return Ok(front::Body::from(data));
     }
-    permit.finish(pool::Outcome::Broken);
-    let text = "the endpoint closed the stream early";
-    Err(Failure::broken(text.to_owned()))
+    let failure = Failure {
+        is_broken: !back::response::is_framed(head.version, &head.headers),
+        ..Failure::broken("the endpoint closed the stream early".to_owned())
+    };
+    permit.finish(failure.outcome());
+    Err(failure)
 }
 
 /// Reads the data of a whole answer.
--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Source {
     pub(crate) permit: permit::Permit,
     pub(crate) body: back::Body,
+    /// Whether the endpoint declares the end of the body.
+    pub(crate) is_framed: bool,
     /// Data that was read before the answer to the caller started.
     pub(crate) first: Option<Bytes>,
 }
@@ -168,10 +170,7 @@
         match turn {
             Turn::Read(Ok(Some(data))) => self.pass(data),
             Turn::Read(Ok(None)) if self.tally.is_done() => Step::End,
-            Turn::Read(Ok(None)) => match self.splitter.finish() {
-                Ok(_) => self.break_off("the endpoint closed the stream early"),
-                Err(cause) => self.break_off(&cause.to_string()),
-            },
+            Turn::Read(Ok(None)) => self.end_early(),
             Turn::Read(Err(Error(cause))) => self.break_off(&cause),
             Turn::Found(Ok(source)) => self.take_over(*source),
             Turn::Found(Err(refusal)) => self.record_refusal(&refusal),
@@ -206,13 +205,15 @@
         self.silent_since = Instant::now();
         let events = self.splitter.split(data);
         if self.splitter.pending() > EVENT_MAX_BYTES {
-            return self.break_off(&format!("an event exceeds {EVENT_MAX_BYTES} bytes"));
+            let cause = format!("an event exceeds {EVENT_MAX_BYTES} bytes");
+            return self.go_on(&cause, pool::Outcome::Failed);
         }
         // The transcript is only needed to resume the stream.
         if self.resume.is_allowed
             && let Err(transcript::NoRest) = self.transcript.push(&events)
         {
-            return self.replace("the endpoint sent no rest of the answer");
+            let cause = "the endpoint sent no rest of the answer";
+            return self.replace(cause, pool::Outcome::Broken);
         }
         self.tally.push(&events);
         let tokens = self.tally.tokens() - self.earlier_tokens;
@@ -228,18 +229,37 @@
         Step::Pass(events)
     }
 
-    /// Acts on a run that broke with this cause.
+    /// Acts on a run whose body has ended before the last event. A process that ends its
+    /// body as declared has not crashed.
+    fn end_early(&mut self) -> Step {
+        let cause = match self.splitter.finish() {
+            Ok(_) => "the endpoint closed the stream early".to_owned(),
+            Err(cause) => cause.to_string(),
+        };
+        match self.source.as_ref().is_some_and(|source| source.is_framed) {
+            true => self.go_on(&cause, pool::Outcome::Failed),
+            false => self.break_off(&cause),
+        }
+    }
+
+    /// Acts on a run whose connection broke with this cause.
     fn break_off(&mut self, cause: &str) -> Step {
         self.report_crash();
+        self.go_on(cause, pool::Outcome::Broken)
+    }
+
+    /// Completes an answer whose run has ended like this, or asks another endpoint for the
+    /// rest.
+    fn go_on(&mut self, cause: &str, outcome: pool::Outcome) -> Step {
         if self.transcript.is_finished() {
             return self.complete();
         }
-        self.replace(cause)
+        self.replace(cause, outcome)
     }
 
     /// Ends a run and asks another endpoint for the rest.
-    fn replace(&mut self, cause: &str) -> Step {
-        self.end(pool::Outcome::Broken);
+    fn replace(&mut self, cause: &str, outcome: pool::Outcome) -> Step {
+        self.end(outcome);
         self.attempt += 1;
         self.cause = cause.to_owned();
         if self.asked.is_empty() && !self.ask(cause) {
--- a/crates/host/src/rest.rs
+++ b/crates/host/src/rest.rs
@@ -196,7 +196,7 @@
             let refusal = Refusal::new(Kind::EndpointFailed, text);
             return Err(reading::Failure::new(refusal, true));
         }
-        reading::begin_stream(permit, body, watch).await
+        reading::begin_stream(permit, &head, body, watch).await
     }
 
     /// Returns the ask for a slot for the rest of a stream.
--- a/crates/host/tests/stream_ends.rs
+++ b/crates/host/tests/stream_ends.rs
@@ -289,7 +289,9 @@
 // The first endpoint ends its stream within an event, or the first one that goes on too.
 #[rstest]
 #[case::length(Framing::Length, 1)]
+#[case::length_twice(Framing::Length, 2)]
 #[case::chunks(Framing::Chunks, 1)]
+#[case::chunks_twice(Framing::Chunks, 2)]
 #[case::connection(Framing::Connection, 1)]
 #[tokio::test]
 async fn a_stream_that_ends_within_an_event_goes_on_elsewhere(
--- a/crates/pool/src/finish.rs
+++ b/crates/pool/src/finish.rs
@@ -13,7 +13,8 @@
     /// The connection to the endpoint broke before its answer was whole, or the endpoint
     /// fell silent. It may have crashed.
     Broken,
-    /// The endpoint answered with a failure, so it has not crashed.
+    /// The endpoint answered with a failure, or ended a part of its answer as declared, so
+    /// it has not crashed.
     Failed,
     /// The request was not sent, for instance because the grant came too late.
     Unused,
