fix(host): end the answer with the last event of its stream

Callers of serve got [DONE] twice or an error event after it, other endpoints ran the request again, or the answer did not end within 8 s: an endpoint sent all events and then broke its connection before the declared end of the body, or kept it open.

Cause: whether [DONE] has arrived was asked only where the body ends by its framing. A break and a silence were acted on as within the stream.

Each of the three ends the answer once [DONE] has been passed on; nothing of it can be missing then.

Test failed before: host stream_ends the_last_event_ends_a_stream, 20 of the 24 cases of a break or a silence; all pass.

--- a/crates/host/src/relay.rs
+++ b/crates/host/src/relay.rs
@@ -169,11 +169,13 @@
         };
         match turn {
             Turn::Read(Ok(Some(data))) => self.pass(data),
-            Turn::Read(Ok(None)) if self.tally.is_done() => Step::End,
+            // The last event has arrived; how the body ends no longer matters.
+            Turn::Read(Ok(None) | Err(_)) if self.tally.is_done() => Step::End,
             Turn::Read(Ok(None)) => self.end_early(),
             Turn::Read(Err(Error(cause))) => self.break_off(&cause),
             Turn::Found(Ok(source)) => self.take_over(*source),
             Turn::Found(Err(refusal)) => self.record_refusal(&refusal),
+            Turn::Silent if self.tally.is_done() => Step::End,
             Turn::Silent => self.record_silence(),
         }
     }
@@ -181,7 +183,7 @@
     /// Returns when the silence of the run is to be acted on.
     fn wake(&self) -> Instant {
         let stalled = self.silent_since + self.resume.flow.stall_timeout;
-        match self.may_ask() {
+        match self.may_ask() || self.tally.is_done() {
             true => stalled,
             false => stalled.max(Instant::now() + self.left()),
         }
--- a/crates/host/tests/stream_ends.rs
+++ b/crates/host/tests/stream_ends.rs
@@ -382,8 +382,12 @@
 /// What follows the event that marks the end of a stream.
 #[derive(Clone, Copy, Debug)]
 enum Tail {
+    /// The connection closes, though the body is not at its declared end.
+    Missing,
     /// A part of an event.
     Part,
+    /// Nothing, while the connection stays open.
+    Silence,
 }
 
 // Guards against an answer that ends twice, or with an error, because of what its endpoint
@@ -392,7 +396,7 @@
 #[tokio::test]
 async fn the_last_event_ends_a_stream(
     #[values(Framing::Length, Framing::Chunks, Framing::Connection)] framing: Framing,
-    #[values(Tail::Part)] tail: Tail,
+    #[values(Tail::Missing, Tail::Part, Tail::Silence)] tail: Tail,
     #[values("braille", "label")] pool: &str,
     #[values(true, false)] is_finished: bool,
 ) {
@@ -402,9 +406,16 @@
             texts.remove(texts.len() - 2);
         }
         texts.push("data: {\"cho".to_owned());
-        match tail {
-            Tail::Part => framing.answer(&texts),
+        let mut steps = framing.answer(&texts);
+        if matches!(tail, Tail::Missing | Tail::Silence) {
+            // The last text, its pause and, with chunks, the last chunk.
+            let end = steps.len() - 2 - usize::from(matches!(framing, Framing::Chunks));
+            steps.truncate(end);
         }
+        if matches!(tail, Tail::Silence) {
+            steps.push(Step::Hang);
+        }
+        steps
     };
     let served = sync::Arc::default();
     let mut endpoints = Vec::new();
