fix(host): refuse a JSON answer that ends within its value

Callers of serve got a part of a JSON answer with status 200: an endpoint ended the body within its value, as its length or chunks declare, or with the connection. Requests that may be repeated were not, and the part of an answer to a request that may run once was kept as its result.

Cause: a body was whole at its end by the framing. It is parsed for its token count, but the error was dropped.

A body of type application/json that ends within a value is a failed attempt, as a stream without its last event is. Empty bodies and other types end by their framing as before.

--- a/crates/back/src/event.rs
+++ b/crates/back/src/event.rs
@@ -13,6 +13,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::response;
+
 /// A stream has ended within an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Error {
@@ -127,15 +129,10 @@
 /// Returns whether a response with this head is a stream of events. One that does not state
 /// its type is, if it is a success.
 pub fn is_stream(status: http::StatusCode, headers: &http::HeaderMap) -> bool {
-    let Some(kind) = headers.get(http::header::CONTENT_TYPE) else {
-        return status.is_success();
-    };
-    let essence = kind.as_bytes().split(|&byte| byte == b';').next();
-    essence.is_some_and(|essence| {
-        essence
-            .trim_ascii()
-            .eq_ignore_ascii_case(b"text/event-stream")
-    })
+    match response::media_type(headers) {
+        Some(kind) => kind.eq_ignore_ascii_case("text/event-stream"),
+        None => status.is_success(),
+    }
 }
 
 /// Returns the id of an event if it is a number.
--- a/crates/back/src/response.rs
+++ b/crates/back/src/response.rs
@@ -50,6 +50,13 @@
         || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Returns the media type of a response without its parameters; `None` if the response
+/// states none, or one that is not text.
+pub fn media_type(headers: &http::HeaderMap) -> Option<&str> {
+    let kind = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    kind.split(';').next().map(str::trim)
+}
+
 /// Connection that fails if the receiver of a request ends it while a part of the request
 /// waits to be sent. A library that reads a response without a declared length would take
 /// that for the end of the response, although a reset may follow.
--- a/crates/host/src/reading.rs
+++ b/crates/host/src/reading.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// Returns the end of an attempt whose answer with this head ended early, though its
+    /// connection did not break.
+    fn ended(head: &http::response::Parts, cause: &str) -> Self {
+        Self {
+            is_broken: !back::response::is_framed(head.version, &head.headers),
+            ..Self::broken(cause.to_owned())
+        }
+    }
+
     /// Returns the outcome of the run.
     pub(crate) const fn outcome(&self) -> pool::Outcome {
         if self.is_broken {
@@ -116,8 +125,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the answer breaks off, is above [`ANSWER_MAX_BYTES`], or is a stream
-/// without its last event.
+/// Fails if the answer breaks off, is above [`ANSWER_MAX_BYTES`], is a stream without its
+/// last event, or ends within its JSON value.
 pub(crate) async fn read_whole(
     mut permit: permit::Permit,
     head: &http::response::Parts,
@@ -133,6 +142,11 @@
         }
     };
     if !is_stream {
+        if is_partial_json(head, &data) {
+            let failure = Failure::ended(head, "the answer ended within its JSON value");
+            permit.finish(failure.outcome());
+            return Err(failure);
+        }
         // A whole answer may be empty.
         watch.record_data(&mut permit);
     }
@@ -150,14 +164,23 @@
         permit.finish(pool::Outcome::Complete);
         return Ok(front::Body::from(data));
     }
-    let failure = Failure {
-        is_broken: !back::response::is_framed(head.version, &head.headers),
-        ..Failure::broken("the endpoint closed the stream early".to_owned())
-    };
+    let failure = Failure::ended(head, "the endpoint closed the stream early");
     permit.finish(failure.outcome());
     Err(failure)
 }
 
+/// Returns whether an answer that its head declares to be JSON ends within its value. How
+/// the body is framed does not show this.
+fn is_partial_json(head: &http::response::Parts, data: &[u8]) -> bool {
+    let is_json = back::response::media_type(&head.headers)
+        .is_some_and(|kind| kind.eq_ignore_ascii_case("application/json"));
+    // An answer without a body has no value.
+    if !is_json || data.is_empty() {
+        return false;
+    }
+    serde_json::from_slice::<serde::de::IgnoredAny>(data).is_err_and(|error| error.is_eof())
+}
+
 /// Reads the data of a whole answer.
 ///
 /// # Errors
