fix(edge): miss an event of which a part has arrived

Callers got a complete answer without its last event: a stream broke within an event, and the endpoint that went on sent no event and ended its body.

Cause: an empty rest was whole by its framing, also where a part of a further event had arrived.

The relay remembers that a part follows the last event that was passed on, until a run sends an event. A run that ends without one counts as broken, and another endpoint is asked or the stream is cut.

--- a/crates/back/src/event.rs
+++ b/crates/back/src/event.rs
@@ -109,17 +109,26 @@
     ///
     /// # Errors
     ///
-    /// Fails if the stream has ended within an event or a line. An event without its blank
-    /// line is not complete.
+    /// Fails if the stream has ended within an event or a line, which it keeps. An event
+    /// without its blank line is not complete.
     pub fn finish(&mut self) -> Result<Bytes, Error> {
-        let rest = self.rest();
-        let is_line = rest.last().is_none_or(|byte| LINE_ENDS.contains(byte));
-        match is_line && is_comment(&rest) {
-            true => Ok(rest),
-            false => Err(Error { bytes: rest.len() }),
+        match self.is_within_event() {
+            true => Err(Error {
+                bytes: self.pending(),
+            }),
+            false => Ok(self.rest()),
         }
     }
 
+    /// Returns whether a part of an event or of a line follows the last complete event.
+    pub fn is_within_event(&self) -> bool {
+        let is_line = self
+            .buffer
+            .last()
+            .is_none_or(|byte| LINE_ENDS.contains(byte));
+        !(is_line && is_comment(&self.buffer))
+    }
+
     const fn reset(&mut self) {
         self.searched = 0;
         self.comments = 0;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -33,6 +33,8 @@
     sources: Vec<source::Source>,
     /// Id of the last event that was passed on.
     last: Option<u64>,
+    /// Whether a run that broke has sent a part of the event after that one.
+    has_more: bool,
     has_begun: bool,
     /// Whether the answer is a success, which another run may go on with.
     is_success: bool,
@@ -82,6 +84,7 @@
         flow,
         sources: vec![source::Source::new(answer, last.is_some())],
         last,
+        has_more: false,
         has_begun: !status.is_success(),
         is_success: status.is_success(),
         is_over: false,
@@ -111,6 +114,11 @@
                     self.last = last;
                     return Ok(Some(events));
                 }
+                Turn::End(index) if self.has_more => {
+                    let cause = "the rest of the stream lacks an event that had begun";
+                    self.record_lost(index, cause.to_owned());
+                    self.replace_lost().await?;
+                }
                 Turn::End(index) => {
                     self.keep_only(index);
                     self.finish();
@@ -236,6 +244,7 @@
         }
         for source in &mut self.sources {
             source.is_silent = false;
+            self.has_more &= source.events == 0;
             if core::mem::replace(&mut source.has_begun, true) {
                 source.answer.guard.record_events(gap, source.events);
                 continue;
@@ -267,7 +276,9 @@
 
     fn record_lost(&mut self, index: usize, cause: String) {
         let now = self.flow.host.clock.now();
-        let answer = self.sources.remove(index).answer;
+        let source = self.sources.remove(index);
+        self.has_more |= source.is_within_event();
+        let answer = source.answer;
         let inputs = format_args!(
             "endpoint={} last={:?} framed={} cause={cause}",
             answer.pick.id, self.last, answer.is_framed
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -85,8 +85,14 @@
         }
     }
 
+    /// Returns whether the run has sent a part of the event after its last complete one.
+    pub(crate) fn is_within_event(&self) -> bool {
+        self.splitter.is_within_event()
+    }
+
     /// Reads what follows the last complete event at the end of the answer.
     fn read_rest(&mut self, after: Option<u64>) -> Read {
+        self.events = 0;
         let rest = match self.is_text {
             true => Ok(self.splitter.rest()),
             false => self.splitter.finish(),
