fix(back): ask at the end of a response whether the request has arrived

Callers got the first part of an answer as a whole one: an endpoint answered an upload of 3 MB at once with a 200 without a length, sent a part, ended its side of the connection and reset it later. Directly and through another host.

Cause: our system takes up to 4 MB that the receiver has no room for, so that the request looked sent at the end of the response.

back::response::Stream asks the system at the end of a connection what the receiver has not acknowledged (TCP_INFO, by the nix library: it names the bytes that SIOCOUTQ would count, for which no library has a safe call). An end before that is a broken connection. Whoever reads declared lengths needs no call: edge asks only between the start of a request and the head of a response that declares its length.

--- a/crates/back/src/connector.rs
+++ b/crates/back/src/connector.rs
@@ -48,7 +48,7 @@
         })??;
         let inner = self.inner.call(uri).await?.into_inner();
         Ok(stream::Stream {
-            inner: rt::TokioIo::new(response::Stream::new(inner)),
+            inner: rt::TokioIo::new(response::Stream::tcp(inner)),
             _slot: slot,
         })
     }
--- a/crates/back/src/lib.rs
+++ b/crates/back/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod client;
 mod connector;
+mod delivery;
 mod error;
 mod error_chain;
 pub mod event;
--- a/crates/back/src/response.rs
+++ b/crates/back/src/response.rs
@@ -5,15 +5,20 @@
 //!
 //! - A response has a final status; see [`check`].
 //! - A response without a declared length ends with its connection. It is whole only if the
-//!   request was sent before; see [`Stream`].
+//!   request has arrived before; see [`Stream`].
 
 use core::fmt;
 use core::pin;
 use core::task;
 use std::io;
+use std::sync;
+use std::sync::atomic;
 
 use http::header;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net;
+
+use crate::delivery;
 
 /// The status of a response is not a final one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,25 +62,66 @@
     kind.split(';').next().map(str::trim)
 }
 
-/// Connection that fails if the receiver of a request ends it while a part of the request
-/// waits to be sent. A library that reads a response without a declared length would take
-/// that for the end of the response, although a reset may follow.
+/// Lets the user of a [`Stream`] say whether its end may be that of a response. Clones share
+/// the state.
+#[derive(Clone, Debug)]
+pub struct End(sync::Arc<atomic::AtomicBool>);
+
+impl End {
+    /// Sets whether the end of the connection may be that of a response. It may, until the
+    /// head of a response declares its length.
+    pub fn set_possible(&self, is_possible: bool) {
+        self.0.store(is_possible, atomic::Ordering::Relaxed);
+    }
+
+    fn is_possible(&self) -> bool {
+        self.0.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// Connection that fails if the receiver of a request ends it before the request has
+/// arrived. A library that reads a response without a declared length would take that for
+/// the end of the response, although a reset may follow.
+///
+/// What the system of the receiver has taken counts as arrived, read or not.
 #[derive(Debug)]
 pub struct Stream<S> {
     inner: S,
     /// Whether the last write is pending or has failed.
     is_sending: bool,
+    end: End,
+    /// Returns whether all that was written has arrived.
+    is_delivered: fn(&S) -> bool,
+}
+
+impl Stream<net::TcpStream> {
+    /// Returns a connection on which nothing waits to be sent. At its end, it asks the
+    /// system what the receiver has acknowledged.
+    pub fn tcp(inner: net::TcpStream) -> Self {
+        Self {
+            is_delivered: delivery::is_complete,
+            ..Self::new(inner)
+        }
+    }
 }
 
 impl<S> Stream<S> {
-    /// Returns a connection on which nothing waits to be sent.
-    pub const fn new(inner: S) -> Self {
+    /// Returns a connection on which nothing waits to be sent, and of which the system
+    /// does not tell what has arrived.
+    pub fn new(inner: S) -> Self {
         Self {
             inner,
             is_sending: false,
+            end: End(sync::Arc::new(atomic::AtomicBool::new(true))),
+            is_delivered: |_| true,
         }
     }
 
+    /// Returns the state of the end of the connection.
+    pub fn end(&self) -> End {
+        self.end.clone()
+    }
+
     /// Returns the connection beneath.
     pub const fn get_ref(&self) -> &S {
         &self.inner
@@ -100,8 +146,10 @@
         let has_room = buffer.remaining() > 0;
         task::ready!(pin::Pin::new(&mut self.inner).poll_read(context, buffer))?;
         let is_end = has_room && buffer.filled().len() == before;
-        if is_end && self.is_sending {
-            let text = "the connection ended before the request was sent";
+        let is_early =
+            || self.is_sending || (self.end.is_possible() && !(self.is_delivered)(&self.inner));
+        if is_end && is_early() {
+            let text = "the connection ended before the request had arrived";
             return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, text)));
         }
         task::Poll::Ready(Ok(()))
--- a/crates/back/tests/response.rs
+++ b/crates/back/tests/response.rs
@@ -87,6 +87,9 @@
 /// Size of a request that exceeds the buffers of a connection.
 const LONG_BYTES: usize = 16 << 20;
 
+/// Size of a request that the system of the sender takes, but not that of the receiver.
+const MEDIUM_BYTES: usize = 3_000_000;
+
 /// Time in which a write that can end does.
 const PAUSE: time::Duration = time::Duration::from_millis(20);
 
@@ -94,9 +97,10 @@
 #[tokio::test]
 async fn a_response_without_a_length_that_ends_before_the_request_is_an_error(
     #[values(back::Reuse::Pooled, back::Reuse::Fresh)] reuse: back::Reuse,
+    #[values(MEDIUM_BYTES, LONG_BYTES)] bytes: usize,
 ) {
     let address = endpoint("HTTP/1.1 200 OK\r\n\r\npart").await;
-    let answer = exchange(address, LONG_BYTES, reuse).await;
+    let answer = exchange(address, bytes, reuse).await;
     assert!(answer.is_err(), "{answer:?}");
 }
 
--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -55,6 +55,7 @@
     task: tokio::task::AbortHandle,
     /// Bytes that the endpoint may send.
     allowance: intake::Allowance,
+    end: back::response::End,
     /// Address of the endpoint.
     pub(crate) address: net::SocketAddr,
     /// Whether the connection has carried a request before.
@@ -80,7 +81,9 @@
             })??;
         stream.set_nodelay(true)?;
         let allowance = intake::Allowance::unbounded();
-        let stream = back::response::Stream::new(stream);
+        let stream = back::response::Stream::tcp(stream);
+        let end = stream.end();
+        end.set_possible(false);
         let stream = intake::Stream::new(stream, allowance.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
@@ -96,6 +99,7 @@
             sender,
             task: task.abort_handle(),
             allowance,
+            end,
             address,
             is_reused: false,
         })
@@ -109,6 +113,7 @@
     /// endpoint.
     pub(crate) async fn send(&mut self, request: Request) -> Result<Response, Failure> {
         self.allowance.set(HEAD_MAX_BYTES);
+        self.end.set_possible(true);
         let sent = self.sender.try_send_request(request).await;
         self.allowance.set(usize::MAX);
         let response = sent.map_err(|mut failure| {
@@ -122,6 +127,8 @@
                 false => Failure::Broken(cause),
             }
         })?;
+        let is_framed = back::response::is_framed(response.version(), response.headers());
+        self.end.set_possible(!is_framed);
         match back::response::check(&response) {
             Ok(()) => Ok(response),
             Err(cause) => Err(Failure::Broken(cause.to_string())),
