fix(edge): miss an event that a silent run has begun

Callers got a complete answer without its last event: a run fell silent within an event, and another endpoint ended its answer for the rest without any.

Cause: only runs that broke counted as having begun an event.

Runs that are still open count as well; the silent one goes on.

Test failed before: edge error_after_break, 1 of 20 cases; all pass.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -114,7 +114,7 @@
                     self.last = last;
                     return Ok(Some(events));
                 }
-                Turn::End(index) if self.has_more => {
+                Turn::End(index) if self.lacks_event(index) => {
                     let cause = "the rest of the stream lacks an event that had begun";
                     self.record_lost(index, cause.to_owned());
                     self.replace_lost().await?;
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Returns whether another run than that at this place of the list has sent a part of
+    /// an event that was not passed on.
+    fn lacks_event(&self, index: usize) -> bool {
+        let mut others = self.sources.iter().enumerate();
+        self.has_more || others.any(|(place, source)| place != index && source.is_within_event())
+    }
+
     /// Waits for the next change of the runs and of the open attempts.
     async fn turn(&mut self) -> Turn {
         let due = Instant::now() + self.flow.job.left(self.flow.host.clock.now());
--- a/crates/edge/tests/error_after_break.rs
+++ b/crates/edge/tests/error_after_break.rs
@@ -193,6 +193,28 @@
     assert!(!answer.is_whole, "the stream looks complete: {answer:?}");
 }
 
+// The run that sent a part of the event may be silent and still open.
+#[tokio::test]
+async fn a_stream_whose_rest_lacks_the_event_of_a_silent_run_is_not_complete() {
+    let script = |request: &endpoint::Request| match request.header("last-event-id") {
+        None => vec![
+            endpoint::stream_head(request),
+            endpoint::chunk(&(endpoint::event(1) + &endpoint::event(2))),
+            endpoint::chunk(&endpoint::event(3)[..7]),
+            Step::Hang,
+        ],
+        Some(_) => nothing(request),
+    };
+    let one = endpoint::Endpoint::start("e1", script).await;
+    let two = endpoint::Endpoint::start("e2", script).await;
+    let host = common::host(&[&one, &two]).await;
+    let text = common::request("POST", "/long/a", "r1", "", "p");
+    let answer = common::call(&host, &text).await;
+    assert_eq!(answer.text(), endpoint::event(1) + &endpoint::event(2));
+    assert!(!answer.is_whole, "the stream looks complete: {answer:?}");
+    assert_eq!((one.count(), two.count()), (1, 1));
+}
+
 // Guards against events that come twice because the rest of a stream without ids cannot
 // be asked for.
 #[tokio::test]
