--- a/crates/back/src/response.rs
+++ b/crates/back/src/response.rs
@@ -62,8 +62,7 @@
     kind.split(';').next().map(str::trim)
 }
 
-/// Lets the user of a [`Stream`] say whether its end may be that of a response. Clones share
-/// the state.
+/// What the user of a [`Stream`] knows of its end. Clones share the state.
 #[derive(Clone, Debug)]
 pub struct End(sync::Arc<atomic::AtomicBool>);
 
@@ -89,6 +88,7 @@
     inner: S,
     /// Whether the last write is pending or has failed.
     is_sending: bool,
+    /// Whether its end may be that of a response, for which the request must have arrived.
     end: End,
     /// Returns whether all that was written has arrived.
     is_delivered: fn(&S) -> bool,
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Returns the state of the end of the connection.
+    /// Returns what is known of the end of the connection; it may be that of a response.
     pub fn end(&self) -> End {
         self.end.clone()
     }
@@ -127,6 +127,11 @@
         &self.inner
     }
 
+    /// Returns whether the end of the connection came before the request had arrived.
+    fn is_early(&self) -> bool {
+        self.is_sending || (self.end.is_possible() && !(self.is_delivered)(&self.inner))
+    }
+
     fn record_write(
         &mut self,
         result: task::Poll<io::Result<usize>>,
@@ -146,9 +151,7 @@
         let has_room = buffer.remaining() > 0;
         task::ready!(pin::Pin::new(&mut self.inner).poll_read(context, buffer))?;
         let is_end = has_room && buffer.filled().len() == before;
-        let is_early =
-            || self.is_sending || (self.end.is_possible() && !(self.is_delivered)(&self.inner));
-        if is_end && is_early() {
+        if is_end && self.is_early() {
             let text = "the connection ended before the request had arrived";
             return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, text)));
         }
