test(host): give up an event that exceeds the bound

Cause: no test sent an event above the 1 MiB that serve holds back since, so that the bound could not fail.

An endpoint sends two events and 1.2 MB of a third without an end, then hangs. A resumable stream goes on elsewhere, any other ends with an error event, and the endpoint's connection is closed, before the stall time-out.

--- a/crates/host/tests/stream_ends.rs
+++ b/crates/host/tests/stream_ends.rs
@@ -179,6 +179,13 @@
 
 /// Starts a host in front of endpoints whose streams may be resumed in the pool `braille`.
 async fn host(endpoints: &[script::Endpoint]) -> host::Host {
+    host_with_stall(endpoints, STALL).await
+}
+
+async fn host_with_stall(
+    endpoints: &[script::Endpoint],
+    stall_timeout: time::Duration,
+) -> host::Host {
     let addresses: Vec<_> = endpoints.iter().map(script::Endpoint::address).collect();
     let mut further = LABEL.to_owned();
     for (index, address) in addresses.iter().enumerate() {
@@ -188,7 +195,7 @@
         );
     }
     let mut options = common::options("host-1", &addresses, &[], &further);
-    options.stall_timeout = STALL;
+    options.stall_timeout = stall_timeout;
     host::Host::start(options).await.expect("the host starts")
 }
 
@@ -431,3 +438,50 @@
     assert_eq!(requests, 1, "{answer:?}");
     host.shutdown().await;
 }
+
+/// Bytes of an event that exceeds what a host holds back, which is 1 MiB.
+const LONG_BYTES: usize = 1_200_000;
+
+// Guards against an endpoint that fills the memory of the host with one event.
+#[rstest]
+#[case::resumed("braille", 1, (1, 0))]
+#[case::not_resumable("label", 3, (0, 1))]
+#[tokio::test]
+async fn an_event_that_does_not_end_is_given_up(
+    #[case] pool: &str,
+    #[case] broken: usize,
+    #[case] ends: (usize, usize),
+) {
+    let asked = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let served = sync::Arc::default();
+    let mut endpoints = Vec::new();
+    for _ in 0..3 {
+        let asked = asked.clone();
+        let script = move |request: &script::Request| {
+            let is_broken =
+                request.tag() == TAG && asked.fetch_add(1, atomic::Ordering::SeqCst) < broken;
+            if !is_broken {
+                return Framing::Connection.answer(&events(request));
+            }
+            vec![
+                script::stream_head(),
+                script::events(request, 0, 2),
+                Step::Bytes(b"data: ".to_vec()),
+                Step::Bytes(vec![b'x'; LONG_BYTES]),
+                Step::Hang,
+            ]
+        };
+        endpoints.push(script::Endpoint::start(&served, script).await);
+    }
+    // A host that waits for the stall time-out instead would be too late.
+    let host = host_with_stall(&endpoints, WAIT_MAX * 2).await;
+    for number in 0..EARLIER {
+        send(&host, pool, &format!("e{number}"), &[]).await;
+    }
+    let answer = send(&host, pool, TAG, &[]).await;
+    assert!(answer.is_sound(), "{answer:?}");
+    assert_eq!((answer.ends(), answer.errors()), ends, "{answer:?}");
+    let cancelled: usize = endpoints.iter().map(script::Endpoint::cancelled).sum();
+    assert_eq!(cancelled, 1, "{answer:?}");
+    host.shutdown().await;
+}
