--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -50,11 +50,15 @@
 
 /// Returns the head of a request without its end.
 pub fn head(method: &str, path: &str, id: &str, deadline_ms: u64) -> String {
+    head_with_key(method, path, id, deadline_ms, setup::KEY)
+}
+
+/// Returns the head of a request with this key, without its end.
+pub fn head_with_key(method: &str, path: &str, id: &str, deadline_ms: u64, key: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {}\r\nX-Carobbay-Request-Id: {id}\r\n\
-         X-Carobbay-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {}\r\n",
-        setup::HOST,
-        setup::KEY
+         X-Carobbay-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n",
+        setup::HOST
     )
 }
 
--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -46,10 +46,17 @@
     }
 
     /// Starts a host. `first` is the first of its ports.
-    pub fn start(name: &str, ip: Ipv4Addr, first: u16, store: std::net::SocketAddr, seeds: &[std::net::SocketAddr]) -> std::io::Result<Self> {
+    pub fn start(
+        site: &setup::Site,
+        name: &str,
+        ip: Ipv4Addr,
+        first: u16,
+        store: std::net::SocketAddr,
+        seeds: &[std::net::SocketAddr],
+    ) -> std::io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("carobbay-review-{}-{name}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        fs::write(folder.join("boot.yaml"), setup::settings(name, ip, first, seeds, store))?;
+        fs::write(folder.join("boot.yaml"), setup::settings(site, name, ip, first, seeds, store))?;
         let child = spawn(&folder, first)?;
         let host = Self { name: name.to_owned(), ip, first, folder, child };
         record::line(&format!("host {name}: started as process {}", host.child.id()));
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,8 +6,10 @@
 //! `TROUBLE=0` in the environment the disruption is left out.
 
 mod client;
+mod config;
 mod crowd;
 mod host;
+mod link;
 mod memory;
 mod net;
 mod ordinary;
@@ -58,6 +60,7 @@
         "parts" => parts::run(has_trouble),
         "memory" => memory::run(has_trouble),
         "slow" => slow::run(has_trouble),
+        "config" => config::run(has_trouble),
         "pages" => pages::run(has_trouble),
         _ => Err("no such scenario".into()),
     };
--- a/review/standin-3/memory.rs
+++ b/review/standin-3/memory.rs
@@ -63,7 +63,7 @@
     let mut ends = Vec::new();
     for (number, ip) in ips.iter().enumerate() {
         let name = format!("front-brescia-{}", number + 1);
-        let mut host = Host::start(&name, *ip, first, store.address, &seeds)?;
+        let mut host = Host::start(&setup::GANCI, &name, *ip, first, store.address, &seeds)?;
         host.wait_until_ready()?;
         let mut ended = 0;
         for time in 1..=TIMES {
--- a/review/standin-3/pages.rs
+++ b/review/standin-3/pages.rs
@@ -66,7 +66,7 @@
         store.set_meanwhile(Box::new(drain.clone()));
     }
     let started = record::now();
-    let host = Host::start("front-brescia-1", ip, first, store.address, &seeds)?;
+    let host = Host::start(&setup::GANCI, "front-brescia-1", ip, first, store.address, &seeds)?;
     host.wait_until_ready()?;
     if !has_trouble {
         // The same changes, once the host has read the whole list.
--- a/review/standin-3/setup.rs
+++ b/review/standin-3/setup.rs
@@ -1,5 +1,5 @@
-//! Settings, configuration and entries of workers, with the figures of the small
-//! deployment ganci-alpini.
+//! Settings, configuration and entries of workers, with the figures of the deployments
+//! ganci-alpini and derwent-shuffle-grown.
 
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -18,20 +18,52 @@
 /// Ports of a host, from the first one on.
 pub const PORTS: u16 = 8;
 
+/// What the settings of a deployment's machines have in common.
+pub struct Site {
+    zone: &'static str,
+    region: &'static str,
+    limits: &'static str,
+    bounds: &'static str,
+}
+
+/// The machines of ganci-alpini.
+pub const GANCI: Site = Site {
+    zone: "brescia",
+    region: "lombardia",
+    limits: "{ cpuShare: 0.17, cores: 1, memoryMb: 96, maxFds: 2870, linkMbps: 700.0, diskMb: 0 }",
+    bounds: "{ seedLagS: 3, reuseAfterS: 2, stableWindowMs: 3000, drainMs: 2000, graceS: 8, \
+             lossSlackMs: 200, configMs: 2000, rollbackSlackMs: 250, maxSkewMs: 5000, \
+             budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 116, recoverS: 12, ttl_max_s: 5 }",
+};
+
+/// The smallest machines of derwent-shuffle-grown.
+pub const DERWENT: Site = Site {
+    zone: "hobart-a",
+    region: "tas-south",
+    limits: "{ cpuShare: 0.12, cores: 1, memoryMb: 160, maxFds: 4100, linkMbps: 10.0, diskMb: 0 }",
+    bounds: "{ seedLagS: 3, reuseAfterS: 2, stableWindowMs: 4000, drainMs: 3000, graceS: 8, \
+             lossSlackMs: 200, configMs: 3000, rollbackSlackMs: 250, maxSkewMs: 6000, \
+             budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 206, recoverS: 15, ttl_max_s: 5 }",
+};
+
 /// Returns the settings file of a host whose ports begin at `first`.
-pub fn settings(name: &str, ip: Ipv4Addr, first: u16, seeds: &[SocketAddr], store: SocketAddr) -> String {
+pub fn settings(
+    site: &Site,
+    name: &str,
+    ip: Ipv4Addr,
+    first: u16,
+    seeds: &[SocketAddr],
+    store: SocketAddr,
+) -> String {
+    let Site { zone, region, limits, bounds } = site;
     let port = |index: u16| format!("\"{ip}:{}\"", first + index);
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!(
         "node: \"{name}\"\nrole: \"router\"\nmachineClass: \"front\"\nip: \"{ip}\"\n\
-         zone: \"brescia\"\nregion: \"lombardia\"\nlisten:\n  front: {}\n  ready: {}\n  \
+         zone: \"{zone}\"\nregion: \"{region}\"\nlisten:\n  front: {}\n  ready: {}\n  \
          control: {}\n  directory: {}\ninternalPorts: [{}, {}]\nseeds: [{}]\n\
-         bootstrap: true\nlimits:\n  cpuShare: 0.17\n  cores: 1\n  memoryMb: 96\n  \
-         maxFds: 2870\n  linkMbps: 700.0\n  diskMb: 0\nheartbeatMs: 1200\nbounds:\n  \
-         seedLagS: 3\n  reuseAfterS: 2\n  stableWindowMs: 3000\n  drainMs: 2000\n  graceS: 8\n  \
-         lossSlackMs: 200\n  configMs: 2000\n  rollbackSlackMs: 250\n  maxSkewMs: 5000\n  \
-         budgetRatio: 0.2\n  budgetWindowS: 10\n  budgetSlack: 116\n  recoverS: 12\n  ttl_max_s: 5\n\
-         platform:\n  address: \"{store}\"\n  form: \"read\"\n",
+         bootstrap: true\nlimits: {limits}\nheartbeatMs: 1200\nbounds: {bounds}\n\
+         platform: {{ address: \"{store}\", form: \"read\" }}\n",
         port(0),
         port(1),
         port(2),
@@ -44,6 +76,11 @@
 
 /// Returns the configuration.
 pub fn config() -> String {
+    config_of(7, 0, &[KEY])
+}
+
+/// Returns a version of the configuration with further routes and these keys.
+pub fn config_of(version: u64, further_routes: usize, keys: &[&str]) -> String {
     let route = |name: &str, prefix: &str, kind: &str, rest: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"public\":false,{rest}}}"
@@ -52,7 +89,7 @@
     let plain = format!(
         "\"timeoutMs\":{TIMEOUT_MS},\"targetLatencyMs\":300,\"priority\":2,\"service\":\"bottega\",\"maxAttempts\":"
     );
-    let routes = [
+    let mut routes = vec![
         route(
             "r-quote",
             "/quote/",
@@ -62,14 +99,24 @@
         route("r-order", "/order/", "non_idempotent", &format!("{plain}1")),
         route("r-stock", "/stock/", "idempotent", &format!("{plain}2")),
     ];
+    routes.extend((0..further_routes).map(|number| {
+        route(
+            &format!("r-{number:07}"),
+            &format!("/lohu{number:05}/"),
+            "streaming",
+            "\"timeoutMs\":4000,\"targetLatencyMs\":500,\"priority\":1,\"service\":\"pool\",\"maxAttempts\":2,\"sticky\":true,\"resumable\":true,\"gapAimMs\":300",
+        )
+    }));
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"services\":[\
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"pool\",\"healthPath\":\"/health\",\"maxConns\":771,\"protocol\":\"h1\",\"tls\":false,\
          \"engine\":{{\"slots\":64,\"kvCapacity\":271071,\"kvTokenBytes\":18432,\"stride\":6,\"models\":[{{\"name\":\"m\"}}]}}}},\
          {{\"name\":\"bottega\",\"healthPath\":\"/health\",\"maxConns\":214,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-         \"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}",
-        routes.join(",")
+         \"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[{}],\"priority\":1}}]}}",
+        routes.join(","),
+        keys.join(",")
     )
 }
 
--- a/review/standin-3/slow.rs
+++ b/review/standin-3/slow.rs
@@ -55,7 +55,7 @@
     let ip = Ipv4Addr::new(127, 0, 76, 1);
     let first = Host::ports(ip)?;
     let seeds = [format!("{ip}:{}", first + 2).parse()?];
-    let host = Host::start("front-brescia-1", ip, first, store.address, &seeds)?;
+    let host = Host::start(&setup::GANCI, "front-brescia-1", ip, first, store.address, &seeds)?;
     host.wait_until_ready()?;
     thread::sleep(SETTLE);
     let front = host.front();
