--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -44,7 +44,10 @@
         }
     }
     let text = String::from_utf8_lossy(&answer);
-    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = text
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
     status.map_or(End::Closed, End::Status)
 }
 
--- a/review/standin-3/config.rs
+++ b/review/standin-3/config.rs
@@ -50,12 +50,23 @@
     let seeds = [format!("{}:{}", ips[0], first + 2).parse()?];
     // With FAST=1 the links carry 100 Mbit/s, for comparison.
     let is_fast = std::env::var("FAST").as_deref() == Ok("1");
-    let rate = if is_fast { 10.0 * LINK_BYTES_PER_SECOND } else { LINK_BYTES_PER_SECOND };
+    let rate = if is_fast {
+        10.0 * LINK_BYTES_PER_SECOND
+    } else {
+        LINK_BYTES_PER_SECOND
+    };
     let mut hosts = Vec::new();
     for (number, ip) in ips.into_iter().enumerate() {
         let name = format!("front-hobart-a-{}", number + 1);
         let link = link::start(store.address, rate)?;
-        hosts.push(Host::start(&setup::DERWENT, &name, ip, first, link, &seeds)?);
+        hosts.push(Host::start(
+            &setup::DERWENT,
+            &name,
+            ip,
+            first,
+            link,
+            &seeds,
+        )?);
     }
     for host in &hosts {
         host.wait_until_ready()?;
@@ -66,7 +77,10 @@
         version += 2;
         let config = setup::config_of(version, routes, &[setup::KEY]);
         store.write("op/config", Some(&config));
-        record::line(&format!("operator: version {version} acknowledged, {routes} further routes, {} bytes", config.len()));
+        record::line(&format!(
+            "operator: version {version} acknowledged, {routes} further routes, {} bytes",
+            config.len()
+        ));
         thread::sleep(PAUSE);
     }
     let before = served(&hosts, "before");
@@ -80,11 +94,22 @@
     }
     let back = record::now();
     thread::sleep(RECOVER);
-    let ready = hosts.iter().filter(|host| client::is_ready(host.ready())).count();
-    record::line(&format!("{ready} of {} hosts ready {} s after they are back", hosts.len(), (record::now() - back).as_secs()));
+    let ready = hosts
+        .iter()
+        .filter(|host| client::is_ready(host.ready()))
+        .count();
+    record::line(&format!(
+        "{ready} of {} hosts ready {} s after they are back",
+        hosts.len(),
+        (record::now() - back).as_secs()
+    ));
     let after = served(&hosts, "after");
     let is_judged = before * 4.0 >= 1.0;
-    Ok(if is_judged && after * 4.0 < 1.0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if is_judged && after * 4.0 < 1.0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// Sends requests to all hosts in turn; returns the share that was served.
@@ -101,6 +126,8 @@
         served += usize::from(end == End::Status(200));
         thread::sleep(REQUEST_PAUSE);
     }
-    record::line(&format!("{when} the fault: {served} of {sent} requests served"));
+    record::line(&format!(
+        "{when} the fault: {served} of {sent} requests served"
+    ));
     served as f64 / sent.max(1) as f64
 }
--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -24,7 +24,9 @@
 
 /// Ends all processes that were started.
 pub fn end_all() {
-    let running = RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let running = RUNNING
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
     for process in running.iter() {
         net::end_process(*process);
     }
@@ -54,12 +56,25 @@
         store: std::net::SocketAddr,
         seeds: &[std::net::SocketAddr],
     ) -> std::io::Result<Self> {
-        let folder = std::env::temp_dir().join(format!("carobbay-review-{}-{name}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("carobbay-review-{}-{name}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        fs::write(folder.join("boot.yaml"), setup::settings(site, name, ip, first, seeds, store))?;
+        fs::write(
+            folder.join("boot.yaml"),
+            setup::settings(site, name, ip, first, seeds, store),
+        )?;
         let child = spawn(&folder, first)?;
-        let host = Self { name: name.to_owned(), ip, first, folder, child };
-        record::line(&format!("host {name}: started as process {}", host.child.id()));
+        let host = Self {
+            name: name.to_owned(),
+            ip,
+            first,
+            folder,
+            child,
+        };
+        record::line(&format!(
+            "host {name}: started as process {}",
+            host.child.id()
+        ));
         Ok(host)
     }
 
@@ -67,7 +82,11 @@
     pub fn restart(&mut self) -> std::io::Result<()> {
         self.end();
         self.child = spawn(&self.folder, self.first)?;
-        record::line(&format!("host {}: started as process {}", self.name, self.child.id()));
+        record::line(&format!(
+            "host {}: started as process {}",
+            self.name,
+            self.child.id()
+        ));
         Ok(())
     }
 
@@ -76,7 +95,9 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let id = self.child.id();
-        let mut running = RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut running = RUNNING
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         running.retain(|process| *process != id);
     }
 
@@ -121,7 +142,9 @@
 /// Returns the resident memory of a process in bytes.
 pub fn memory_bytes(process: u32) -> Option<u64> {
     let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
     let kib: u64 = line.trim().split(' ').next()?.parse().ok()?;
     Some(kib * 1_024)
 }
@@ -135,7 +158,9 @@
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()?;
-    let mut running = RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let mut running = RUNNING
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
     running.push(child.id());
     Ok(child)
 }
--- a/review/standin-3/link.rs
+++ b/review/standin-3/link.rs
@@ -25,7 +25,9 @@
             };
             let free_at = free_at.clone();
             thread::spawn(move || pass(up_from, up_to, |_| {}));
-            thread::spawn(move || pass(store, host, |bytes| wait(&free_at, bytes, bytes_per_second)));
+            thread::spawn(move || {
+                pass(store, host, |bytes| wait(&free_at, bytes, bytes_per_second))
+            });
         }
     });
     Ok(address)
--- a/review/standin-3/memory.rs
+++ b/review/standin-3/memory.rs
@@ -4,8 +4,8 @@
 
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -57,7 +57,9 @@
         store.write(&format!("servers/{id}"), Some(&entry));
         workers.push(worker);
     }
-    let ips: Vec<Ipv4Addr> = (1..=HOSTS as u8).map(|number| Ipv4Addr::new(127, 0, 74, number)).collect();
+    let ips: Vec<Ipv4Addr> = (1..=HOSTS as u8)
+        .map(|number| Ipv4Addr::new(127, 0, 74, number))
+        .collect();
     let first = Host::ports(ips[0])?;
     let seeds = [format!("{}:{}", ips[0], first + 2).parse()?];
     let mut ends = Vec::new();
@@ -67,14 +69,21 @@
         host.wait_until_ready()?;
         let mut ended = 0;
         for time in 1..=TIMES {
-            record::line(&format!("host {name}: {} bytes before the crowd", host.memory_bytes().unwrap_or(0)));
+            record::line(&format!(
+                "host {name}: {} bytes before the crowd",
+                host.memory_bytes().unwrap_or(0)
+            ));
             ended += usize::from(meet_crowd(&mut host, has_trouble, time)?);
         }
         record::line(&format!("host {name}: ended {ended} times over its memory"));
         ends.push(ended);
     }
     let over = ends.iter().filter(|ended| **ended >= TIMES).count();
-    Ok(if over >= HOSTS { Verdict::Broken } else { Verdict::Held })
+    Ok(if over >= HOSTS {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// Lets the crowd come to a host once, beside bookings. Returns whether the process
--- a/review/standin-3/net.rs
+++ b/review/standin-3/net.rs
@@ -63,11 +63,21 @@
     let target = Address::new(to);
     // SAFETY: The pointers are valid during the calls, and the lengths are theirs.
     let is_connected = unsafe {
-        setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &time, size_of::<Time>() as u32) == 0
+        setsockopt(
+            descriptor,
+            SOL_SOCKET,
+            SO_SNDTIMEO,
+            &time,
+            size_of::<Time>() as u32,
+        ) == 0
             && bind(descriptor, &source, length) == 0
             && connect(descriptor, &target, length) == 0
     };
-    if is_connected { Ok(stream) } else { Err(io::Error::last_os_error()) }
+    if is_connected {
+        Ok(stream)
+    } else {
+        Err(io::Error::last_os_error())
+    }
 }
 
 /// Ends a process of the scenario.
@@ -101,7 +111,11 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for index in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * index) & 63) as usize];
-            text.push(if index <= part.len() { char::from(digit) } else { '=' });
+            text.push(if index <= part.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/standin-3/ordinary.rs
+++ b/review/standin-3/ordinary.rs
@@ -5,10 +5,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::Verdict;
 use crate::client;
 use crate::record;
 use crate::setup;
-use crate::Verdict;
 
 /// Number of clients.
 const CLIENTS: usize = 12;
@@ -51,14 +51,23 @@
         let head = client::head("GET", "/stock/1", &id, DEADLINE_MS);
         let request = head + "Connection: close\r\n\r\n";
         let sent = record::now();
-        let end = client::call(front, request.as_bytes(), Duration::from_millis(DEADLINE_MS));
+        let end = client::call(
+            front,
+            request.as_bytes(),
+            Duration::from_millis(DEADLINE_MS),
+        );
         let took = record::now() - sent;
         record::line(&format!(
             "client: {id} sent at {} ms, {end:?} after {} ms",
             sent.as_millis(),
             took.as_millis()
         ));
-        calls.push(Call { client, sent, took, end });
+        calls.push(Call {
+            client,
+            sent,
+            took,
+            end,
+        });
         thread::sleep(PAUSE);
     }
     calls
@@ -69,10 +78,19 @@
 /// answer here.
 pub fn judge(calls: &[Call]) -> Verdict {
     let timeout = Duration::from_millis(setup::TIMEOUT_MS);
-    let served = calls.iter().filter(|call| call.end == client::End::Status(200)).count();
+    let served = calls
+        .iter()
+        .filter(|call| call.end == client::End::Status(200))
+        .count();
     let late: Vec<&Call> = calls.iter().filter(|call| call.took > timeout).collect();
-    let none = late.iter().filter(|call| call.took > timeout + SLACK).count();
-    let never = calls.iter().filter(|call| call.end == client::End::Nothing).count();
+    let none = late
+        .iter()
+        .filter(|call| call.took > timeout + SLACK)
+        .count();
+    let never = calls
+        .iter()
+        .filter(|call| call.end == client::End::Nothing)
+        .count();
     record::line(&format!(
         "ordinary requests: {} sent, {served} served, {} unanswered at {} ms, {none} of them without an answer 500 ms later, {never} without any answer in {DEADLINE_MS} ms",
         calls.len(),
--- a/review/standin-3/pages.rs
+++ b/review/standin-3/pages.rs
@@ -52,7 +52,10 @@
             store.write("servers/a-bottega-1", Some(&entry));
             let acknowledged = record::now();
             let last = format!("servers/m-pool-{:04}", MODEL_WORKERS - 1);
-            store.write(&last, Some(&setup::entry("pool", models, 64, "draining", 2)));
+            store.write(
+                &last,
+                Some(&setup::entry("pool", models, 64, "draining", 2)),
+            );
             record::line(&format!(
                 "store: draining of a-bottega-1 acknowledged at {} ms, then that of the last model worker",
                 acknowledged.as_millis()
@@ -66,7 +69,14 @@
         store.set_meanwhile(Box::new(drain.clone()));
     }
     let started = record::now();
-    let host = Host::start(&setup::GANCI, "front-brescia-1", ip, first, store.address, &seeds)?;
+    let host = Host::start(
+        &setup::GANCI,
+        "front-brescia-1",
+        ip,
+        first,
+        store.address,
+        &seeds,
+    )?;
     host.wait_until_ready()?;
     if !has_trouble {
         // The same changes, once the host has read the whole list.
@@ -88,11 +98,17 @@
     // `acknowledged` is not before the acknowledgement, so nothing counts too early.
     let late = leaving.runs();
     let late = late.iter().filter(|run| run.at > acknowledged + DRAIN);
-    let late: Vec<String> = late.map(|run| format!("{} at {} ms", run.id, run.at.as_millis())).collect();
+    let late: Vec<String> = late
+        .map(|run| format!("{} at {} ms", run.id, run.at.as_millis()))
+        .collect();
     record::line(&format!(
         "requests that reached a-bottega-1 later than {} ms after the acknowledgement: {}",
         DRAIN.as_millis(),
         late.join(", ")
     ));
-    Ok(if late.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if late.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
--- a/review/standin-3/parts.rs
+++ b/review/standin-3/parts.rs
@@ -50,13 +50,23 @@
     let ip = Ipv4Addr::new(127, 0, 73, 2);
     let first = Host::ports(ip)?;
     let seeds = [format!("{ip}:{}", first + 2).parse()?];
-    let host = Host::start(&setup::GANCI, "front-brescia-1", ip, first, store.address, &seeds)?;
+    let host = Host::start(
+        &setup::GANCI,
+        "front-brescia-1",
+        ip,
+        first,
+        store.address,
+        &seeds,
+    )?;
     host.wait_until_ready()?;
     thread::sleep(SETTLE);
     let front = host.front();
     let until = Instant::now() + TIME;
     // PARTS=3 sends as many requests with prompts as the sheet has them, for comparison.
-    let parts = std::env::var("PARTS").ok().and_then(|parts| parts.parse().ok()).unwrap_or(PARTS);
+    let parts = std::env::var("PARTS")
+        .ok()
+        .and_then(|parts| parts.parse().ok())
+        .unwrap_or(PARTS);
     let caller = has_trouble.then(|| {
         thread::spawn(move || {
             let start = Instant::now();
@@ -70,17 +80,29 @@
                     let sent = Instant::now();
                     let end = client::call(front, &request, Duration::from_millis(DEADLINE_MS));
                     let took = sent.elapsed().as_millis();
-                    record::line(&format!("caller: quote-{number} of {} header bytes, {end:?} after {took} ms", request.len()));
+                    record::line(&format!(
+                        "caller: quote-{number} of {} header bytes, {end:?} after {took} ms",
+                        request.len()
+                    ));
                     end
                 }));
             }
-            requests.into_iter().filter_map(|request| request.join().ok()).collect::<Vec<_>>()
+            requests
+                .into_iter()
+                .filter_map(|request| request.join().ok())
+                .collect::<Vec<_>>()
         })
     });
     let calls = ordinary::call(front, TIME);
     if let Some(Ok(ends)) = caller.map(thread::JoinHandle::join) {
-        let served = ends.iter().filter(|end| **end == client::End::Status(200)).count();
-        record::line(&format!("caller: {served} of {} requests with {parts} parts served", ends.len()));
+        let served = ends
+            .iter()
+            .filter(|end| **end == client::End::Status(200))
+            .count();
+        record::line(&format!(
+            "caller: {served} of {} requests with {parts} parts served",
+            ends.len()
+        ));
     }
     Ok(ordinary::judge(&calls))
 }
@@ -91,7 +113,9 @@
         // Spreads the ids over four hexadecimal digits.
         (number as usize * parts + index).wrapping_mul(40_503) % 65_536
     };
-    let prompt: Vec<String> = (0..parts).map(|index| format!("{:04x}:1", id(index))).collect();
+    let prompt: Vec<String> = (0..parts)
+        .map(|index| format!("{:04x}:1", id(index)))
+        .collect();
     let head = client::head("GET", "/quote/1", &format!("quote-{number}"), DEADLINE_MS);
     format!(
         "{head}X-Carobbay-Model: m\r\nX-Carobbay-Token-Counts: {parts},54\r\n\
--- a/review/standin-3/record.rs
+++ b/review/standin-3/record.rs
@@ -17,7 +17,9 @@
 
 /// Returns the time since the start of the scenario.
 pub fn now() -> Duration {
-    RECORD.get().map_or(Duration::ZERO, |(start, _)| start.elapsed())
+    RECORD
+        .get()
+        .map_or(Duration::ZERO, |(start, _)| start.elapsed())
 }
 
 /// Writes a line.
--- a/review/standin-3/setup.rs
+++ b/review/standin-3/setup.rs
@@ -55,7 +55,12 @@
     seeds: &[SocketAddr],
     store: SocketAddr,
 ) -> String {
-    let Site { zone, region, limits, bounds } = site;
+    let Site {
+        zone,
+        region,
+        limits,
+        bounds,
+    } = site;
     let port = |index: u16| format!("\"{ip}:{}\"", first + index);
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!(
--- a/review/standin-3/slow.rs
+++ b/review/standin-3/slow.rs
@@ -55,12 +55,21 @@
     let ip = Ipv4Addr::new(127, 0, 76, 1);
     let first = Host::ports(ip)?;
     let seeds = [format!("{ip}:{}", first + 2).parse()?];
-    let host = Host::start(&setup::GANCI, "front-brescia-1", ip, first, store.address, &seeds)?;
+    let host = Host::start(
+        &setup::GANCI,
+        "front-brescia-1",
+        ip,
+        first,
+        store.address,
+        &seeds,
+    )?;
     host.wait_until_ready()?;
     thread::sleep(SETTLE);
     let front = host.front();
     if has_trouble {
-        let crowd: Vec<TcpStream> = (0..CONNECTIONS).filter_map(|number| join(front, number)).collect();
+        let crowd: Vec<TcpStream> = (0..CONNECTIONS)
+            .filter_map(|number| join(front, number))
+            .collect();
         record::line(&format!("crowd: {} connections opened", crowd.len()));
         thread::spawn(move || trickle(crowd));
     }
@@ -110,7 +119,11 @@
 /// Checks the rule RECOVER: a host that says that it is ready takes a new connection within
 /// `stableWindowMs` while seven clients or more try. A connection that is closed without an
 /// answer was not taken.
-fn judge(calls: &[ordinary::Call], (begin, end): (Duration, Duration), unready: &[Duration]) -> Verdict {
+fn judge(
+    calls: &[ordinary::Call],
+    (begin, end): (Duration, Duration),
+    unready: &[Duration],
+) -> Verdict {
     let mut taken: Vec<Duration> = calls
         .iter()
         .filter(|call| matches!(call.end, End::Status(_)))
@@ -119,12 +132,20 @@
     taken.extend([begin, end]);
     taken.sort_unstable();
     let spans = taken.windows(2).map(|pair| (pair[0], pair[1]));
-    let longest = spans.max_by_key(|(from, to)| *to - *from).unwrap_or_default();
+    let longest = spans
+        .max_by_key(|(from, to)| *to - *from)
+        .unwrap_or_default();
     let (from, to) = longest;
-    let tried = calls.iter().filter(|call| call.sent > from && call.sent < to);
-    let clients: std::collections::BTreeSet<usize> = tried.clone().map(|call| call.client).collect();
+    let tried = calls
+        .iter()
+        .filter(|call| call.sent > from && call.sent < to);
+    let clients: std::collections::BTreeSet<usize> =
+        tried.clone().map(|call| call.client).collect();
     let not_ready = unready.iter().filter(|at| **at > from && **at < to).count();
-    let served = calls.iter().filter(|call| call.end == End::Status(200)).count();
+    let served = calls
+        .iter()
+        .filter(|call| call.end == End::Status(200))
+        .count();
     record::line(&format!(
         "ordinary requests: {} sent, {served} served; no new connection taken for {} ms, in which {} clients tried {} times and {not_ready} checks found the host not ready",
         calls.len(),
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -101,7 +101,9 @@
         let parameter = |name: &str| {
             let fields = query.split('&').filter_map(|field| field.split_once('='));
             let mut found = fields.filter(|(field, _)| *field == name);
-            found.next().map_or_else(String::new, |(_, value)| decode(value))
+            found
+                .next()
+                .map_or_else(String::new, |(_, value)| decode(value))
         };
         match path {
             "/kv-key" => self.item(&parameter("key")),
@@ -172,9 +174,9 @@
                 .filter(|(key, _, revision)| key.starts_with(prefix) && *revision > after)
                 .map(|(key, value, revision)| match value {
                     Some(value) => item(key, value, *revision),
-                    None => format!(
-                        "{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}"
-                    ),
+                    None => {
+                        format!("{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}")
+                    }
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -105,7 +105,11 @@
     fn respond(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
         let state = &self.state;
         let is_leaving = state.is_leaving.load(Ordering::SeqCst);
-        let leaving = if is_leaving { "Server-Leaving: 1\r\nConnection: close\r\n" } else { "" };
+        let leaving = if is_leaving {
+            "Server-Leaving: 1\r\nConnection: close\r\n"
+        } else {
+            ""
+        };
         let load = format!(
             "X-Carobbay-Server-Load: {},0,{}\r\n{leaving}",
             state.running.load(Ordering::SeqCst),
