feat(edge): tell slow transfers of the state from changes that are not heard of

Now a failed fetch states its bytes, time and versions, the first word of a newer version and a fetched one have lines of their own, and plan_lag_ms, state_fetch_ms, state_bytes_fetched and state_bytes_served measure both sides. No decision changes.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -1,5 +1,6 @@
 use core::time;
 use std::net;
+use std::sync::atomic;
 
 use base::mutex;
 use rand::seq::IteratorRandom;
@@ -56,14 +57,33 @@
                 .filter(|_| may_be_same)
                 .map(|own| snapshot::content(own.plan())),
         };
-        let snapshot = match peers::fetch(&self.host.client, from, known).await {
+        let source = from.to_string();
+        let received = atomic::AtomicUsize::new(0);
+        let fetched = peers::fetch(&self.host.client, from, known, &received).await;
+        let took = self.host.clock.now().saturating_sub(requested_at);
+        let bytes = received.load(atomic::Ordering::Relaxed) as u64;
+        self.host.record_fetch(fetched.is_ok(), bytes, took);
+        let snapshot = match fetched {
             Ok(snapshot) => snapshot,
             Err(cause) => {
-                log::warn!(target: "edge", peer = from.to_string().as_str(); "state not fetched: {cause}");
+                log::warn!(
+                    target: "edge",
+                    peer = source.as_str(), bytes = bytes, took_ms = took.as_millis() as u64,
+                    version = version.to_string().as_str(),
+                    announced = announced.to_string().as_str();
+                    "state not fetched: {cause}"
+                );
                 return;
             }
         };
-        let source = from.to_string();
+        if snapshot.plan.is_some() {
+            log::info!(
+                target: "edge",
+                peer = source.as_str(), bytes = bytes, took_ms = took.as_millis() as u64,
+                version = snapshot.plan_version().to_string().as_str();
+                "configuration fetched"
+            );
+        }
         // Before the endpoints, so that no request reaches those that are evacuated.
         let now = self.host.clock.now();
         self.host
--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -81,6 +81,7 @@
         }
         mutex::lock(&self.membership)
             .set_version(version.revision, mesh::digest_content(version.era));
+        self.record_in_force(version);
         self.metrics.set("plan_revision", &[], version.revision);
         self.metrics.set("plan_era", &[], version.era);
         self.changed.notify_one();
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -9,6 +9,7 @@
 use base::mutex;
 use rand::SeedableRng;
 
+use crate::announced;
 use crate::builds;
 use crate::confirmation;
 use crate::connections;
@@ -44,6 +45,7 @@
     pub(crate) clock: clock::Clock,
     pub(crate) table: arc_swap::ArcSwapOption<plan::Table>,
     pub(crate) eras: sync::Mutex<eras::Eras>,
+    pub(crate) announced: sync::Mutex<announced::Announced>,
     /// Newest era of the platform that is known.
     pub(crate) era: atomic::AtomicU64,
     pub(crate) balancer: sync::Mutex<steer::Balancer>,
@@ -120,6 +122,7 @@
             clock,
             table: arc_swap::ArcSwapOption::empty(),
             eras: sync::Mutex::default(),
+            announced: sync::Mutex::default(),
             era: atomic::AtomicU64::new(0),
             balancer: sync::Mutex::new(steer::Balancer::new(options.steer.clone())),
             registry: sync::Mutex::new(registry::Registry::new(options.removal_grace)),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 //! and `peers` exchange state with other hosts.
 
 mod admit;
+mod announced;
 mod answered;
 mod attempt;
 mod blame;
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -233,6 +233,7 @@
                     drop(membership);
                     let version = digest_version(&digest);
                     if version > self.host.plan_version() {
+                        self.host.record_announced(version, &from.to_string());
                         let endpoints = plan::Version::default();
                         tokio::spawn(self.clone().catch_up(from, version, endpoints));
                     }
@@ -366,6 +367,9 @@
             host.confirm_plan_at(confirmed);
         }
         let lacks_endpoints = endpoints > own_endpoints && host.uses_peer_endpoints(now);
+        if plan > own_plan {
+            host.record_announced(plan, &from.to_string());
+        }
         if plan > own_plan || lacks_endpoints {
             let peer = net::SocketAddr::new(from.ip(), host.options.peer_listen.port());
             let mesh = self.clone();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,6 +1,7 @@
 use core::time;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 
 use http_body_util::BodyExt;
 
@@ -57,7 +58,11 @@
                 }
             };
             match encoded {
-                Ok(bytes) => *response.body_mut() = axum::body::Body::from(bytes),
+                Ok(bytes) => {
+                    host.metrics
+                        .add("state_bytes_served", &[], bytes.len() as u64);
+                    *response.body_mut() = axum::body::Body::from(bytes);
+                }
                 Err(cause) => {
                     log::error!(target: "edge", "state not encoded: {cause}");
                     *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
@@ -69,7 +74,7 @@
 }
 
 /// Fetches the state of another host. `known` is the configuration that this host
-/// has.
+/// has. Counts the bytes of the answer in `received` as they arrive.
 ///
 /// # Errors
 ///
@@ -79,9 +84,10 @@
     client: &back::Client,
     from: net::SocketAddr,
     known: snapshot::Known,
+    received: &atomic::AtomicUsize,
 ) -> Result<snapshot::Snapshot, String> {
     let url = format!("http://{from}{STATE_PATH}?{}", known.query());
-    let reading = get(client, url, back::Reuse::Fresh, STATE_BYTES_MAX);
+    let reading = get(client, url, back::Reuse::Fresh, (STATE_BYTES_MAX, received));
     let body = tokio::time::timeout(FETCH_TIMEOUT, reading)
         .await
         .map_err(|_| "no answer in time".to_owned())??;
@@ -100,7 +106,9 @@
     stream: witness::Stream,
 ) -> Result<witness::Witness, String> {
     let url = format!("http://{from}{STREAM_PATH}?{}", stream.query());
-    let body = get(client, url, back::Reuse::Pooled, WITNESS_BYTES_MAX).await?;
+    let received = atomic::AtomicUsize::new(0);
+    let bounds = (WITNESS_BYTES_MAX, &received);
+    let body = get(client, url, back::Reuse::Pooled, bounds).await?;
     witness::Witness::decode(&body).map_err(|cause| cause.to_string())
 }
 
@@ -108,7 +116,7 @@
     client: &back::Client,
     url: String,
     reuse: back::Reuse,
-    bytes_max: usize,
+    (bytes_max, received): (usize, &atomic::AtomicUsize),
 ) -> Result<bytes::Bytes, String> {
     let request = http::Request::get(url)
         .body(http_body_util::Full::default())
@@ -120,7 +128,12 @@
     if !response.status().is_success() {
         return Err(format!("status {}", response.status().as_u16()));
     }
-    let body = http_body_util::Limited::new(response.into_body(), bytes_max)
+    let body = response.into_body().map_frame(|frame| {
+        let length = frame.data_ref().map_or(0, bytes::Bytes::len);
+        received.fetch_add(length, atomic::Ordering::Relaxed);
+        frame
+    });
+    let body = http_body_util::Limited::new(body, bytes_max)
         .collect()
         .await
         .map_err(|cause| cause.to_string())?;
