--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Plan`] is one revision of what operators configure. [`Table`] indexes it
 //! for the request path: it finds the route by host name and longest prefix,
-//! the team by key, the service by weight and the rank of a request.
+//! the team by key, the service by weight and the rank of a request. A [`Delta`] turns
+//! one plan into the next one.
 //!
 //! The crate holds data and look-ups only. Crate `steer` selects the endpoint
 //! within a service. Despite its name, crate `route` does not use these routes:
@@ -11,6 +12,7 @@
 
 mod build;
 mod cold;
+pub mod delta;
 mod endpoint;
 mod engine;
 mod evacuation;
@@ -26,6 +28,7 @@
 
 pub use build::Build;
 pub use cold::Cold;
+pub use delta::Delta;
 pub use endpoint::{Endpoint, Phase};
 pub use engine::Engine;
 pub use evacuation::Evacuation;
