fix(edge): read the state of another host for as long as bytes arrive

Callers saw requests handled by an old configuration long after a newer one was in force at other hosts (CONFIG). Cause: a fetch had 700 ms for the whole answer, however many bytes were arriving; what a given-up fetch had carried was lost and had filled the link of the source. Now only the time until the answer begins and the pauses within it are bounded, so that a transfer over a slow link ends once.

A state that stalls is still given up.

--- a/crates/back/src/lib.rs
+++ b/crates/back/src/lib.rs
@@ -21,6 +21,7 @@
 mod reuse;
 mod slots;
 mod stream;
+pub mod transfer;
 mod uses;
 mod version;
 
--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -1,6 +1,5 @@
 use core::time;
 use std::net;
-use std::sync::atomic;
 
 use base::mutex;
 use rand::seq::IteratorRandom;
@@ -58,17 +57,16 @@
                 .map(|own| snapshot::content(own.plan())),
         };
         let source = from.to_string();
-        let received = atomic::AtomicUsize::new(0);
-        let fetched = peers::fetch(&self.host.client, from, known, &received).await;
+        let fetched = peers::fetch(&self.host.client, from, known).await;
         let took = self.host.clock.now().saturating_sub(requested_at);
-        let bytes = received.load(atomic::Ordering::Relaxed) as u64;
+        let bytes = fetched.as_ref().map_or(0, |(_, bytes)| *bytes as u64);
         self.host.record_fetch(fetched.is_ok(), bytes, took);
         let snapshot = match fetched {
-            Ok(snapshot) => snapshot,
+            Ok((snapshot, _)) => snapshot,
             Err(cause) => {
                 log::warn!(
                     target: "edge",
-                    peer = source.as_str(), bytes = bytes, took_ms = took.as_millis() as u64,
+                    peer = source.as_str(), took_ms = took.as_millis() as u64,
                     version = version.to_string().as_str(),
                     announced = announced.to_string().as_str();
                     "state not fetched: {cause}"
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,9 +1,6 @@
 use core::time;
 use std::net;
 use std::sync;
-use std::sync::atomic;
-
-use http_body_util::BodyExt;
 
 use crate::forward;
 use crate::forwarder;
@@ -20,8 +17,8 @@
 /// Largest answer about a stream that is read.
 const WITNESS_BYTES_MAX: usize = 64 * 1024;
 
-/// Time-out for fetching another host's state.
-const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// Longest time until the answer of another host begins, and longest pause within it.
+const PAUSE_MAX: time::Duration = time::Duration::from_millis(700);
 
 /// Largest state that is read: a configuration and some thousand endpoints.
 const STATE_BYTES_MAX: usize = 8 * 1024 * 1024;
@@ -73,25 +70,22 @@
     }
 }
 
-/// Fetches the state of another host. `known` is the configuration that this host
-/// has. Counts the bytes of the answer in `received` as they arrive.
+/// Fetches the state of another host. `known` is the state that this host has. Returns
+/// it with its bytes.
 ///
 /// # Errors
 ///
-/// Fails if the host cannot be reached or does not answer in time, or if the
-/// state is malformed.
+/// Fails if the host cannot be reached or does not answer in time, if its answer stalls,
+/// or if the state is malformed. An answer that arrives slowly is no failure.
 pub(crate) async fn fetch(
     client: &back::Client,
     from: net::SocketAddr,
     known: snapshot::Known,
-    received: &atomic::AtomicUsize,
-) -> Result<snapshot::Snapshot, String> {
+) -> Result<(snapshot::Snapshot, usize), String> {
     let url = format!("http://{from}{STATE_PATH}?{}", known.query());
-    let reading = get(client, url, back::Reuse::Fresh, (STATE_BYTES_MAX, received));
-    let body = tokio::time::timeout(FETCH_TIMEOUT, reading)
-        .await
-        .map_err(|_| "no answer in time".to_owned())??;
-    snapshot::Snapshot::decode(&body).map_err(|cause| cause.to_string())
+    let body = get(client, url, back::Reuse::Fresh, STATE_BYTES_MAX).await?;
+    let snapshot = snapshot::Snapshot::decode(&body).map_err(|cause| cause.to_string())?;
+    Ok((snapshot, body.len()))
 }
 
 /// Asks another host what it knows of the build of a stream.
@@ -106,9 +100,7 @@
     stream: witness::Stream,
 ) -> Result<witness::Witness, String> {
     let url = format!("http://{from}{STREAM_PATH}?{}", stream.query());
-    let received = atomic::AtomicUsize::new(0);
-    let bounds = (WITNESS_BYTES_MAX, &received);
-    let body = get(client, url, back::Reuse::Pooled, bounds).await?;
+    let body = get(client, url, back::Reuse::Pooled, WITNESS_BYTES_MAX).await?;
     witness::Witness::decode(&body).map_err(|cause| cause.to_string())
 }
 
@@ -116,26 +108,23 @@
     client: &back::Client,
     url: String,
     reuse: back::Reuse,
-    (bytes_max, received): (usize, &atomic::AtomicUsize),
+    bytes_max: usize,
 ) -> Result<bytes::Bytes, String> {
     let request = http::Request::get(url)
         .body(http_body_util::Full::default())
         .map_err(|cause| cause.to_string())?;
-    let response = client
-        .send(request, reuse)
+    let response = tokio::time::timeout(PAUSE_MAX, client.send(request, reuse))
         .await
+        .map_err(|_| "no answer in time".to_owned())?
         .map_err(|cause| cause.to_string())?;
     if !response.status().is_success() {
         return Err(format!("status {}", response.status().as_u16()));
     }
-    let body = response.into_body().map_frame(|frame| {
-        let length = frame.data_ref().map_or(0, bytes::Bytes::len);
-        received.fetch_add(length, atomic::Ordering::Relaxed);
-        frame
-    });
-    let body = http_body_util::Limited::new(body, bytes_max)
-        .collect()
+    let options = back::transfer::Options {
+        bytes_max,
+        pause_max: PAUSE_MAX,
+    };
+    back::transfer::collect(response.into_body(), options)
         .await
-        .map_err(|cause| cause.to_string())?;
-    Ok(body.to_bytes())
+        .map_err(|cause| cause.to_string())
 }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod link;
 pub mod mortal;
+pub mod narrow;
 pub mod silence;
 
 use core::time;
