fix(edge): a change of the configuration costs a host bytes by its own size

Callers saw requests handled by version N or older more than configMs after a newer one was acknowledged (CONFIG). Hosts now keep the latest changes as deltas and send those that a host lacks, and leave out a list of endpoints that it has. The result is checked by a hash; a host whose own configuration of that version is another one takes the whole. Hosts of earlier builds neither ask for changes nor get any.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -4,6 +4,7 @@
 use base::mutex;
 use rand::seq::IteratorRandom;
 
+use crate::history;
 use crate::mesh;
 use crate::peers;
 use crate::snapshot;
@@ -55,33 +56,34 @@
                 .as_ref()
                 .filter(|_| may_be_same)
                 .map(|own| snapshot::content(own.plan())),
+            endpoints: Some(self.host.endpoint_version()),
         };
-        let source = from.to_string();
-        let fetched = peers::fetch(&self.host.client, from, known).await;
-        let took = self.host.clock.now().saturating_sub(requested_at);
-        let bytes = fetched.as_ref().map_or(0, |(_, bytes)| *bytes as u64);
-        self.host.record_fetch(fetched.is_ok(), bytes, took);
-        let snapshot = match fetched {
-            Ok((snapshot, _)) => snapshot,
+        let Some(mut snapshot) = self.get(from, known, announced).await else {
+            return;
+        };
+        let changed = snapshot
+            .update
+            .as_ref()
+            .filter(|update| update.has_changes())
+            .zip(own.as_ref())
+            .map(|(update, own)| update.apply(own.plan()));
+        let changed = match changed.transpose() {
+            Ok(changed) => changed,
             Err(cause) => {
                 log::warn!(
-                    target: "edge",
-                    peer = source.as_str(), took_ms = took.as_millis() as u64,
-                    version = version.to_string().as_str(),
-                    announced = announced.to_string().as_str();
-                    "state not fetched: {cause}"
+                    target: "edge", peer = from.to_string().as_str(),
+                    version = version.to_string().as_str();
+                    "a change does not fit the configuration in force, the whole is fetched: {cause}"
                 );
-                return;
+                let Some(whole) = self.get(from, snapshot::Known::default(), announced).await
+                else {
+                    return;
+                };
+                snapshot = whole;
+                None
             }
         };
-        if snapshot.plan.is_some() {
-            log::info!(
-                target: "edge",
-                peer = source.as_str(), bytes = bytes, took_ms = took.as_millis() as u64,
-                version = snapshot.plan_version().to_string().as_str();
-                "configuration fetched"
-            );
-        }
+        let source = from.to_string();
         // Before the endpoints, so that no request reaches those that are evacuated.
         let now = self.host.clock.now();
         self.host
@@ -100,12 +102,16 @@
                 era: plan_version.era,
                 ..own.plan().clone()
             });
-        if let Some(plan) = snapshot.plan.or(same) {
+        if let Some(plan) = snapshot.plan.or(changed).or(same) {
             self.host.apply_plan(plan, &source);
         }
+        let has_list = !snapshot
+            .update
+            .as_ref()
+            .is_some_and(|update| update.has_same_endpoints);
         let follows = self.host.uses_peer_endpoints(requested_at);
         let mut registry = mutex::lock(&self.host.registry);
-        if follows && registry.version() < endpoint_version {
+        if follows && has_list && registry.version() < endpoint_version {
             let now = self.host.clock.now();
             registry.set_colds(now, &snapshot.endpoints, &snapshot.cold.entries);
             registry.replace_from_peer(now, snapshot.endpoints, endpoint_version);
@@ -122,6 +128,45 @@
         }
     }
 
+    /// Fetches a state; logs a failure, and the arrival of a configuration.
+    async fn get(
+        &self,
+        from: net::SocketAddr,
+        known: snapshot::Known,
+        announced: plan::Version,
+    ) -> Option<snapshot::Snapshot> {
+        let requested_at = self.host.clock.now();
+        let source = from.to_string();
+        let fetched = peers::fetch(&self.host.client, from, known).await;
+        let took = self.host.clock.now().saturating_sub(requested_at);
+        let bytes = fetched.as_ref().map_or(0, |(_, bytes)| *bytes as u64);
+        self.host.record_fetch(fetched.is_ok(), bytes, took);
+        let snapshot = match fetched {
+            Ok((snapshot, _)) => snapshot,
+            Err(cause) => {
+                log::warn!(
+                    target: "edge",
+                    peer = source.as_str(), took_ms = took.as_millis() as u64,
+                    version = known.version.to_string().as_str(),
+                    announced = announced.to_string().as_str();
+                    "state not fetched: {cause}"
+                );
+                return None;
+            }
+        };
+        let update = snapshot.update.as_ref();
+        let has_changes = update.is_some_and(history::Update::has_changes);
+        if snapshot.plan.is_some() || has_changes {
+            log::info!(
+                target: "edge",
+                peer = source.as_str(), bytes = bytes, took_ms = took.as_millis() as u64,
+                version = snapshot.plan_version().to_string().as_str(), whole = !has_changes;
+                "configuration fetched"
+            );
+        }
+        Some(snapshot)
+    }
+
     /// Fetches state from random seeds until this host is ready, in case the
     /// platform does not answer it.
     pub(crate) async fn fetch_from_seeds(self) {
--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -45,10 +45,15 @@
             .collect();
         let table = sync::Arc::new(plan::Table::new(plan));
         // Two sources may call this concurrently; the higher version wins.
-        self.table.rcu(|current| match current {
+        let replaced = self.table.rcu(|current| match current {
             Some(current) if current.plan().version() >= version => Some(current.clone()),
             _ => Some(table.clone()),
         });
+        if let Some(replaced) = replaced
+            && replaced.plan().version() < version
+        {
+            mutex::lock(&self.history).record(replaced.plan(), table.plan());
+        }
         if let Some(server) = &*mutex::lock(&self.server)
             && let Some(current) = &*self.table.load()
         {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -17,6 +17,7 @@
 use crate::expose;
 use crate::extension;
 use crate::gossip;
+use crate::history;
 use crate::ingress;
 use crate::log_budget;
 use crate::mesh;
@@ -46,6 +47,7 @@
     pub(crate) table: arc_swap::ArcSwapOption<plan::Table>,
     pub(crate) eras: sync::Mutex<eras::Eras>,
     pub(crate) announced: sync::Mutex<announced::Announced>,
+    pub(crate) history: sync::Mutex<history::History>,
     /// Newest era of the platform that is known.
     pub(crate) era: atomic::AtomicU64,
     pub(crate) balancer: sync::Mutex<steer::Balancer>,
@@ -123,6 +125,7 @@
             table: arc_swap::ArcSwapOption::empty(),
             eras: sync::Mutex::default(),
             announced: sync::Mutex::default(),
+            history: sync::Mutex::default(),
             era: atomic::AtomicU64::new(0),
             balancer: sync::Mutex::new(steer::Balancer::new(options.steer.clone())),
             registry: sync::Mutex::new(registry::Registry::new(options.removal_grace)),
@@ -329,33 +332,48 @@
         }
     }
 
-    /// Returns the state for another host. It includes the configuration unless the
-    /// other host has it, or a newer one.
+    /// Returns the state for another host: what differs from the state that it has, as far
+    /// as that is known here, and the whole otherwise.
     pub(crate) fn snapshot(&self, known: snapshot::Known) -> snapshot::Snapshot {
         let now = self.clock.now();
         let registry = mutex::lock(&self.registry);
         let table = self.table.load();
         let plan = table.as_ref().map(|table| table.plan());
         let plan_version = plan.map_or_else(plan::Version::default, plan::Plan::version);
-        let is_known = |plan: &plan::Plan| {
-            plan_version <= known.version || known.content == Some(snapshot::content(plan))
+        let plan = plan.filter(|plan| {
+            plan_version > known.version && known.content != Some(snapshot::content(plan))
+        });
+        let update = known.endpoints.map(|endpoints| {
+            let history = &mut mutex::lock(&self.history);
+            let changes = plan.map(|plan| history::Update::new(history, plan, known.version));
+            let mut update = changes.unwrap_or_default();
+            update.has_same_endpoints = endpoints == registry.version();
+            update
+        });
+        let has_changes = update.as_ref().is_some_and(history::Update::has_changes);
+        let has_same_endpoints = update
+            .as_ref()
+            .is_some_and(|update| update.has_same_endpoints);
+        let endpoints = match has_same_endpoints {
+            true => Vec::new(),
+            false => registry.endpoints(),
         };
         snapshot::Snapshot {
-            plan: plan.filter(|plan| !is_known(plan)).cloned(),
+            plan: plan.filter(|_| !has_changes).cloned(),
             plan_revision: plan_version.revision,
             endpoint_revision: registry.version().revision,
-            builds: registry
-                .endpoints()
-                .into_iter()
-                .map(|endpoint| endpoint.build)
+            builds: endpoints
+                .iter()
+                .map(|endpoint| endpoint.build.clone())
                 .collect(),
-            endpoints: registry.endpoints(),
+            endpoints,
             // CAST: A process does not run long enough to exceed the range.
             age_ms: self.plan_age(now).as_millis() as u64,
             extension: extension::Extension::new(plan_version, registry.version()),
             evacuated: self.evacuation_summary(now),
             cold: self.cold_state(now, &registry),
             held: registry.held(now),
+            update,
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -57,6 +57,7 @@
 mod gossip;
 mod guard;
 mod headers;
+mod history;
 mod host;
 mod incoming;
 mod ingress;
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -1,6 +1,7 @@
 use xxhash_rust::xxh3;
 
 use crate::extension;
+use crate::history;
 
 /// Configuration and endpoints of one host, for a host that does not read the
 /// platform itself. Encoded by position, so the order and types of the fields
@@ -31,6 +32,9 @@
     /// carried out. They follow the cold endpoints.
     #[serde(skip)]
     pub(crate) held: Vec<(String, u32)>,
+    /// What the other host lacks, if it asked for that. It follows the removals.
+    #[serde(skip)]
+    pub(crate) update: Option<history::Update>,
 }
 
 /// What one host knows of cold endpoints.
@@ -93,13 +97,18 @@
         let bytes = postcard::to_extend(&self.evacuated, bytes)?;
         let facts = self.plan.as_ref().map(Facts::of);
         let bytes = postcard::to_extend(&facts.unwrap_or_default(), bytes)?;
-        if self.cold.settings.is_empty() && self.held.is_empty() {
+        let ends_early = self.update.is_none() && self.held.is_empty();
+        if ends_early && self.cold.settings.is_empty() {
             return Ok(bytes);
         }
         let bytes = postcard::to_extend(&self.cold, bytes)?;
-        match self.held.is_empty() {
-            true => Ok(bytes),
-            false => postcard::to_extend(&self.held, bytes),
+        if ends_early {
+            return Ok(bytes);
+        }
+        let bytes = postcard::to_extend(&self.held, bytes)?;
+        match &self.update {
+            Some(update) => postcard::to_extend(update, bytes),
+            None => Ok(bytes),
         }
     }
 
@@ -121,7 +130,10 @@
                 (snapshot.cold, rest) = postcard::take_from_bytes(rest)?;
             }
             if !rest.is_empty() {
-                snapshot.held = postcard::from_bytes(rest)?;
+                (snapshot.held, rest) = postcard::take_from_bytes(rest)?;
+            }
+            if !rest.is_empty() {
+                snapshot.update = Some(postcard::from_bytes(rest)?);
             }
         }
         for (endpoint, build) in snapshot.endpoints.iter_mut().zip(&mut snapshot.builds) {
@@ -150,23 +162,30 @@
     }
 }
 
-/// Configuration that a host has when it asks for a snapshot.
+/// State that a host has when it asks for a snapshot.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Known {
+    /// Version of the configuration.
     pub(crate) version: plan::Version,
     /// Hash of the configuration; absent without one.
     pub(crate) content: Option<u64>,
+    /// Version of the list of endpoints; absent if the host takes whole states only, as
+    /// those of earlier builds.
+    pub(crate) endpoints: Option<plan::Version>,
 }
 
 impl Known {
     /// Returns the query that states it.
     pub(crate) fn query(&self) -> back::Query {
         let plan::Version { era, revision } = self.version;
-        let query = back::Query::new("plan", revision).with("era", era);
-        match self.content {
-            Some(content) => query.with("content", content),
-            None => query,
+        let mut query = back::Query::new("plan", revision).with("era", era);
+        if let Some(content) = self.content {
+            query = query.with("content", content);
+        }
+        if let Some(plan::Version { era, revision }) = self.endpoints {
+            query = query.with("endpoints", revision).with("endpoint_era", era);
         }
+        query
     }
 
     /// Parses a query; missing fields have the defaults.
@@ -176,10 +195,12 @@
             let (_, value) = fields.find(|(key, _)| *key == name)?;
             value.parse().ok()
         };
-        let version = |name| field(name).unwrap_or(0);
+        let number = |name| field(name).unwrap_or(0);
         Self {
-            version: plan::Version::new(version("era"), version("plan")),
+            version: plan::Version::new(number("era"), number("plan")),
             content: field("content"),
+            endpoints: field("endpoints")
+                .map(|revision| plan::Version::new(number("endpoint_era"), revision)),
         }
     }
 }
