test(edge): decode states with an update as earlier builds do

A state of the earlier build is still a prefix of one with an update, and a truncated one is an error or ends between two fields.

--- a/crates/edge/tests/messages/main.rs
+++ b/crates/edge/tests/messages/main.rs
@@ -11,6 +11,9 @@
 #[path = "../../src/gossip.rs"]
 mod gossip;
 #[expect(dead_code, reason = "the host uses the rest")]
+#[path = "../../src/history.rs"]
+mod history;
+#[expect(dead_code, reason = "the host uses the rest")]
 #[path = "../../src/snapshot.rs"]
 mod snapshot;
 
@@ -89,9 +92,12 @@
             summaries: cold(),
         };
     }
-    if last == "held" {
+    if ["held", "update"].contains(&last) {
         snapshot.held = vec![("e2".into(), 900)];
     }
+    if last == "update" {
+        snapshot.update = Some(history::Update::default());
+    }
     snapshot
 }
 
@@ -172,7 +178,7 @@
 
 #[rstest]
 fn the_earlier_build_finds_its_part_of_a_snapshot(
-    #[values("evacuated", "cold", "held")] new: &str,
+    #[values("evacuated", "cold", "held", "update")] new: &str,
 ) {
     let snapshot = extended(new);
     let encoded = snapshot.encode().expect("encoded");
@@ -235,7 +241,7 @@
 
 #[rstest]
 fn a_truncated_snapshot_is_an_error_or_has_a_part_of_the_fields(
-    #[values("evacuated", "cold", "held")] new: &str,
+    #[values("evacuated", "cold", "held", "update")] new: &str,
 ) {
     let snapshot = place(extended(new));
     let bytes = extended(new).encode().expect("encoded");
@@ -257,12 +263,16 @@
                 format!("{:?}", snapshot.cold)
             );
         }
-        assert!(decoded.held.is_empty());
+        if !decoded.held.is_empty() {
+            assert_eq!((new, &decoded.held), ("update", &snapshot.held));
+        }
+        assert!(decoded.update.is_none());
     }
     let fields = match new {
         "evacuated" => 4,
         "cold" => 5,
-        _ => 6,
+        "held" => 6,
+        _ => 7,
     };
     assert_eq!(whole, fields);
 }
