fix(edge): spread transfers of the configuration over all hosts that have it

Cause: a host asked the one that announced a change first, as all others did; that one's link was divided among all of them, and those that had the change meanwhile gave nothing. Now a host remembers what others have said of their state and asks a random one of those with the newest, near ones first.

--- a/crates/edge/src/announced.rs
+++ b/crates/edge/src/announced.rs
@@ -58,8 +58,7 @@
     }
 
     /// Counts a fetch of the state of another host.
-    pub(crate) fn record_fetch(&self, is_fetched: bool, bytes: u64, took: time::Duration) {
-        let result = if is_fetched { "fetched" } else { "failed" };
+    pub(crate) fn record_fetch(&self, result: &str, bytes: u64, took: time::Duration) {
         let tags = [("result", result)];
         self.metrics.time("state_fetch_ms", &tags, took);
         self.metrics.add("state_bytes_fetched", &tags, bytes);
--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -1,13 +1,17 @@
 use core::time;
+use std::collections;
 use std::net;
 
 use base::mutex;
+use rand::RngExt;
 use rand::seq::IteratorRandom;
 
+use crate::bulk;
 use crate::history;
 use crate::mesh;
 use crate::peers;
 use crate::snapshot;
+use crate::sources;
 
 /// Time for which a watcher waits for the platform to deliver a change that
 /// another host already has, before fetching it from that host.
@@ -17,30 +21,69 @@
 /// The first wait gives the platform time to answer.
 const SEED_PERIOD: time::Duration = time::Duration::from_millis(400);
 
+/// Time for which a host is not asked again after it was busy. A random part is added, so
+/// that those it refused do not come back together.
+const BUSY_REST: time::Duration = time::Duration::from_millis(40);
+
+/// Time for which a host is not asked again after a failure.
+const FAILURE_REST: time::Duration = time::Duration::from_millis(1_000);
+
 impl mesh::Mesh {
-    /// Fetches newer state from another host unless the platform delivers it
-    /// first. Does nothing if another fetch is in progress.
-    pub(crate) async fn catch_up(
-        self,
-        from: net::SocketAddr,
-        plan: plan::Version,
-        endpoints: plan::Version,
-    ) {
+    /// Fetches the newer state that other hosts announce, until none has any, unless the
+    /// platform delivers it first. Does nothing if another fetch is in progress.
+    pub(crate) async fn catch_up(self) {
         let Ok(_guard) = self.fetch_lock.try_lock() else {
             return;
         };
-        let now = self.host.clock.now();
-        if !self.host.uses_peer_endpoints(now) {
+        if !self.host.uses_peer_endpoints(self.host.clock.now()) {
             tokio::time::sleep(FETCH_DELAY).await;
         }
-        let lacks_plan = self.host.plan_version() < plan;
-        let lacks_endpoints = self.host.endpoint_version() < endpoints
-            && self.host.uses_peer_endpoints(self.host.clock.now());
-        if lacks_plan || lacks_endpoints {
-            self.fetch(from, plan).await;
+        loop {
+            match self.choose_source() {
+                sources::Choice::Nothing => return,
+                sources::Choice::Ask(source, announced) => self.fetch(source, announced).await,
+                sources::Choice::Wait(until) => {
+                    let left = until.saturating_sub(self.host.clock.now());
+                    tokio::time::sleep(left).await;
+                }
+            }
         }
     }
 
+    fn choose_source(&self) -> sources::Choice {
+        let host = &self.host;
+        let now = host.clock.now();
+        let own = sources::Own {
+            plan: host.plan_version(),
+            endpoints: host
+                .uses_peer_endpoints(now)
+                .then(|| host.endpoint_version()),
+        };
+        let near: collections::HashSet<net::IpAddr> = {
+            let membership = mutex::lock(&host.membership);
+            let entries = membership.entries();
+            let near = entries
+                .filter(|(entry, _)| entry.data_centre == host.options.data_centre)
+                .map(|(entry, _)| entry.peer.ip());
+            near.collect()
+        };
+        let rng = &mut *mutex::lock(&host.rng);
+        let is_near = |ip| near.contains(&ip);
+        mutex::lock(&host.sources).choose(now, own, is_near, rng)
+    }
+
+    /// Takes note of a host that is busy, and of those that it names.
+    fn avoid_busy(&self, from: net::SocketAddr, busy: &bulk::Busy) {
+        let now = self.host.clock.now();
+        let jitter = mutex::lock(&self.host.rng).random_range(0.0..1.0);
+        let mut sources = mutex::lock(&self.host.sources);
+        for holder in &busy.holders {
+            sources.record_plan(now, *holder, busy.plan);
+        }
+        sources.record_plan(now, from, busy.plan);
+        sources.rest(from, now + BUSY_REST + BUSY_REST.mul_f64(jitter));
+    }
+
     /// Fetches the state of a host that announces this version of the configuration.
     async fn fetch(&self, from: net::SocketAddr, announced: plan::Version) {
         let requested_at = self.host.clock.now();
@@ -139,11 +182,21 @@
         let source = from.to_string();
         let fetched = peers::fetch(&self.host.client, from, known).await;
         let took = self.host.clock.now().saturating_sub(requested_at);
-        let bytes = fetched.as_ref().map_or(0, |(_, bytes)| *bytes as u64);
-        self.host.record_fetch(fetched.is_ok(), bytes, took);
+        let (result, bytes) = match &fetched {
+            Ok(peers::Fetched::State(_, bytes)) => ("fetched", *bytes as u64),
+            Ok(peers::Fetched::Busy(_)) => ("busy", 0),
+            Err(_) => ("failed", 0),
+        };
+        self.host.record_fetch(result, bytes, took);
         let snapshot = match fetched {
-            Ok((snapshot, _)) => snapshot,
+            Ok(peers::Fetched::State(snapshot, _)) => *snapshot,
+            Ok(peers::Fetched::Busy(busy)) => {
+                self.avoid_busy(from, &busy);
+                return None;
+            }
             Err(cause) => {
+                let until = self.host.clock.now() + FAILURE_REST;
+                mutex::lock(&self.host.sources).rest(from, until);
                 log::warn!(
                     target: "edge",
                     peer = source.as_str(), took_ms = took.as_millis() as u64,
@@ -154,6 +207,13 @@
                 return None;
             }
         };
+        // Also if it is older than announced: the host may have started again.
+        mutex::lock(&self.host.sources).record(
+            requested_at,
+            from,
+            snapshot.plan_version(),
+            snapshot.endpoint_version(),
+        );
         let update = snapshot.update.as_ref();
         let has_changes = update.is_some_and(history::Update::has_changes);
         if snapshot.plan.is_some() || has_changes {
@@ -183,6 +243,8 @@
             };
             if let Some(seed) = seed {
                 self.fetch(seed, plan::Version::default()).await;
+                // The seed may have been busy and have named others.
+                self.clone().catch_up().await;
             }
         }
     }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -32,6 +32,7 @@
 use crate::resend;
 use crate::resume;
 use crate::snapshot;
+use crate::sources;
 
 /// Share of the fleet's fixed retry allowance that the known hosts divide among
 /// themselves. The rest is a reserve for hosts that do not know of each other.
@@ -48,6 +49,9 @@
     pub(crate) eras: sync::Mutex<eras::Eras>,
     pub(crate) announced: sync::Mutex<announced::Announced>,
     pub(crate) history: sync::Mutex<history::History>,
+    pub(crate) sources: sync::Mutex<sources::Sources>,
+    /// Large transfers of the state to other hosts.
+    pub(crate) transfers: sync::Arc<tokio::sync::Semaphore>,
     /// Newest era of the platform that is known.
     pub(crate) era: atomic::AtomicU64,
     pub(crate) balancer: sync::Mutex<steer::Balancer>,
@@ -126,6 +130,8 @@
             eras: sync::Mutex::default(),
             announced: sync::Mutex::default(),
             history: sync::Mutex::default(),
+            sources: sync::Mutex::default(),
+            transfers: sync::Arc::new(tokio::sync::Semaphore::new(options.transfers_max.max(1))),
             era: atomic::AtomicU64::new(0),
             balancer: sync::Mutex::new(steer::Balancer::new(options.steer.clone())),
             registry: sync::Mutex::new(registry::Registry::new(options.removal_grace)),
--- a/crates/edge/src/mesh.rs
+++ b/crates/edge/src/mesh.rs
@@ -234,8 +234,8 @@
                     let version = digest_version(&digest);
                     if version > self.host.plan_version() {
                         self.host.record_announced(version, &from.to_string());
-                        let endpoints = plan::Version::default();
-                        tokio::spawn(self.clone().catch_up(from, version, endpoints));
+                        mutex::lock(&self.host.sources).record_plan(now, from, version);
+                        tokio::spawn(self.clone().catch_up());
                     }
                 }
                 Ok((from, wire::Packet::Claim(_))) => {
@@ -366,14 +366,14 @@
         if is_current && !message.is_platform_unreachable {
             host.confirm_plan_at(confirmed);
         }
+        let peer = host.peer_at(from.ip());
+        mutex::lock(&host.sources).record(now, peer, plan, endpoints);
         let lacks_endpoints = endpoints > own_endpoints && host.uses_peer_endpoints(now);
         if plan > own_plan {
             host.record_announced(plan, &from.to_string());
         }
         if plan > own_plan || lacks_endpoints {
-            let peer = net::SocketAddr::new(from.ip(), host.options.peer_listen.port());
-            let mesh = self.clone();
-            tokio::spawn(mesh.catch_up(peer, plan, endpoints));
+            tokio::spawn(self.clone().catch_up());
         }
     }
 
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -31,6 +31,9 @@
     /// CPU time of the host in thousandths of a core. The hosts of a data
     /// centre with the most CPU time read the platform for the others.
     pub cpu_millicores: u16,
+    /// Large transfers of the state to other hosts that the link of the host bears at the
+    /// same time; at least one is allowed.
+    pub transfers_max: usize,
     /// Names of the headers that the host reads and sets.
     pub headers: headers::Headers,
     /// Upper bound of open connections of callers.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -2,6 +2,9 @@
 use std::net;
 use std::sync;
 
+use base::mutex;
+
+use crate::bulk;
 use crate::forward;
 use crate::forwarder;
 use crate::host;
@@ -41,7 +44,10 @@
             let mut response = http::Response::new(axum::body::Body::empty());
             let query = request.uri().query().unwrap_or_default();
             let encoded = match request.uri().path() {
-                STATE_PATH => host.snapshot(snapshot::Known::parse(query)).encode(),
+                STATE_PATH => {
+                    let known = snapshot::Known::parse(query);
+                    return state(&host, known, remote.ip()).await;
+                }
                 STREAM_PATH => match witness::Stream::parse(query) {
                     Some(stream) => host.witness(stream).encode(),
                     None => {
@@ -55,13 +61,9 @@
                 }
             };
             match encoded {
-                Ok(bytes) => {
-                    host.metrics
-                        .add("state_bytes_served", &[], bytes.len() as u64);
-                    *response.body_mut() = axum::body::Body::from(bytes);
-                }
+                Ok(bytes) => *response.body_mut() = axum::body::Body::from(bytes),
                 Err(cause) => {
-                    log::error!(target: "edge", "state not encoded: {cause}");
+                    log::error!(target: "edge", "answer to a host not encoded: {cause}");
                     *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
                 }
             }
@@ -70,8 +72,57 @@
     }
 }
 
-/// Fetches the state of another host. `known` is the state that this host has. Returns
-/// it with its bytes.
+/// Answers another host that has `known` with the state of this one.
+async fn state(
+    host: &sync::Arc<host::Host>,
+    known: snapshot::Known,
+    asks: net::IpAddr,
+) -> http::Response<axum::body::Body> {
+    let mut response = http::Response::new(axum::body::Body::empty());
+    let transfer = match host.is_bulk(known) {
+        true => host.begin_bulk().await.map(Some),
+        false => Ok(None),
+    };
+    let (encoded, transfer) = match transfer {
+        Ok(transfer) => (host.snapshot(known).encode(), transfer),
+        Err(busy) => {
+            host.metrics.count("state_refused", &[]);
+            *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+            (postcard::to_allocvec(&busy), None)
+        }
+    };
+    let bytes = match encoded {
+        Ok(bytes) => bytes,
+        Err(cause) => {
+            log::error!(target: "edge", "state not encoded: {cause}");
+            *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+            return response;
+        }
+    };
+    host.metrics
+        .add("state_bytes_served", &[], bytes.len() as u64);
+    *response.body_mut() = match transfer {
+        Some(transfer) => {
+            let (host, plan) = (host.clone(), host.plan_version());
+            transfer.body(bytes, move || {
+                let (now, peer) = (host.clock.now(), host.peer_at(asks));
+                mutex::lock(&host.sources).record_plan(now, peer, plan);
+            })
+        }
+        None => axum::body::Body::from(bytes),
+    };
+    response
+}
+
+/// State of another host, or why it has none to give now.
+#[derive(Debug)]
+pub(crate) enum Fetched {
+    /// The state, with the bytes of the answer.
+    State(Box<snapshot::Snapshot>, usize),
+    Busy(bulk::Busy),
+}
+
+/// Fetches the state of another host. `known` is the state that this host has.
 ///
 /// # Errors
 ///
@@ -81,11 +132,23 @@
     client: &back::Client,
     from: net::SocketAddr,
     known: snapshot::Known,
-) -> Result<(snapshot::Snapshot, usize), String> {
+) -> Result<Fetched, String> {
     let url = format!("http://{from}{STATE_PATH}?{}", known.query());
-    let body = get(client, url, back::Reuse::Fresh, STATE_BYTES_MAX).await?;
+    let (status, body) = get(client, url, back::Reuse::Fresh, STATE_BYTES_MAX).await?;
+    if status == http::StatusCode::SERVICE_UNAVAILABLE {
+        let busy = postcard::from_bytes(&body).map_err(|cause| cause.to_string())?;
+        return Ok(Fetched::Busy(busy));
+    }
+    check(status)?;
     let snapshot = snapshot::Snapshot::decode(&body).map_err(|cause| cause.to_string())?;
-    Ok((snapshot, body.len()))
+    Ok(Fetched::State(Box::new(snapshot), body.len()))
+}
+
+fn check(status: http::StatusCode) -> Result<(), String> {
+    match status.is_success() {
+        true => Ok(()),
+        false => Err(format!("status {}", status.as_u16())),
+    }
 }
 
 /// Asks another host what it knows of the build of a stream.
@@ -100,7 +163,8 @@
     stream: witness::Stream,
 ) -> Result<witness::Witness, String> {
     let url = format!("http://{from}{STREAM_PATH}?{}", stream.query());
-    let body = get(client, url, back::Reuse::Pooled, WITNESS_BYTES_MAX).await?;
+    let (status, body) = get(client, url, back::Reuse::Pooled, WITNESS_BYTES_MAX).await?;
+    check(status)?;
     witness::Witness::decode(&body).map_err(|cause| cause.to_string())
 }
 
@@ -109,7 +173,7 @@
     url: String,
     reuse: back::Reuse,
     bytes_max: usize,
-) -> Result<bytes::Bytes, String> {
+) -> Result<(http::StatusCode, bytes::Bytes), String> {
     let request = http::Request::get(url)
         .body(http_body_util::Full::default())
         .map_err(|cause| cause.to_string())?;
@@ -117,14 +181,11 @@
         .await
         .map_err(|_| "no answer in time".to_owned())?
         .map_err(|cause| cause.to_string())?;
-    if !response.status().is_success() {
-        return Err(format!("status {}", response.status().as_u16()));
-    }
+    let status = response.status();
     let options = back::transfer::Options {
         bytes_max,
         pause_max: PAUSE_MAX,
     };
-    back::transfer::collect(response.into_body(), options)
-        .await
-        .map_err(|cause| cause.to_string())
+    let body = back::transfer::collect(response.into_body(), options).await;
+    Ok((status, body.map_err(|cause| cause.to_string())?))
 }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -46,6 +46,7 @@
         seeds,
         peer_key: "test".into(),
         cpu_millicores: 100,
+        transfers_max: 1,
         headers: edge::Headers {
             reserved: vec![http::HeaderName::from_static("x-hold")],
             ..edge::Headers::default()
