fix(edge): look for another source while the known ones rest

A host that failed to answer is not asked for a second; until then the host that had asked it did not take the state from others that announced it meanwhile.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -25,6 +25,10 @@
 /// that those it refused do not come back together.
 const BUSY_REST: time::Duration = time::Duration::from_millis(40);
 
+/// Longest wait before the choice is made again, as another host may have announced the
+/// state meanwhile.
+const WAIT_MAX: time::Duration = time::Duration::from_millis(50);
+
 /// Time for which a host is not asked again after a failure.
 const FAILURE_REST: time::Duration = time::Duration::from_millis(1_000);
 
@@ -44,7 +48,7 @@
                 sources::Choice::Ask(source, announced) => self.fetch(source, announced).await,
                 sources::Choice::Wait(until) => {
                     let left = until.saturating_sub(self.host.clock.now());
-                    tokio::time::sleep(left).await;
+                    tokio::time::sleep(left.min(WAIT_MAX)).await;
                 }
             }
         }
