fix(edge): a change of the endpoints costs a host bytes by its own size

The same cause as of changes of the configuration, in the list of endpoints: a host that was behind took the whole list for each endpoint that came, left or began to leave. Hosts keep the latest changes of the list as well and send those that another one lacks. The hash of the result is that of the whole list of the source, so that the outcome is the same as before; lists that differ at one version, as removals are held back at times, take the whole.

A starting host that is not ready asked a seed while it fetched from another host; it now takes one state at a time.

--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -108,19 +108,13 @@
         let Some(mut snapshot) = self.get(from, known, announced).await else {
             return;
         };
-        let changed = snapshot
-            .update
-            .as_ref()
-            .filter(|update| update.has_changes())
-            .zip(own.as_ref())
-            .map(|(update, own)| update.apply(own.plan()));
-        let changed = match changed.transpose() {
+        let changed = match self.apply_update(&mut snapshot, own.as_deref()) {
             Ok(changed) => changed,
             Err(cause) => {
                 log::warn!(
                     target: "edge", peer = from.to_string().as_str(),
                     version = version.to_string().as_str();
-                    "a change does not fit the configuration in force, the whole is fetched: {cause}"
+                    "a change does not fit the state in use, the whole is fetched: {cause}"
                 );
                 let Some(whole) = self.get(from, snapshot::Known::default(), announced).await
                 else {
@@ -175,6 +169,28 @@
         }
     }
 
+    /// Completes a state that leaves out what this host has. Returns the configuration that
+    /// follows from the one in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the changes are malformed, or if they were made of another state.
+    fn apply_update(
+        &self,
+        snapshot: &mut snapshot::Snapshot,
+        own: Option<&plan::Table>,
+    ) -> Result<Option<plan::Plan>, String> {
+        let Some(update) = &snapshot.update else {
+            return Ok(None);
+        };
+        let list = mutex::lock(&self.host.registry).endpoints();
+        if let Some(list) = update.apply_list(list)? {
+            snapshot.endpoints = list;
+        }
+        let changed = own.map(|own| update.apply(own.plan()));
+        changed.unwrap_or(Ok(None))
+    }
+
     /// Fetches a state; logs a failure, and the arrival of a configuration.
     async fn get(
         &self,
@@ -245,11 +261,18 @@
                 let mut rng = mutex::lock(&self.host.rng);
                 others.choose(&mut *rng).copied()
             };
-            if let Some(seed) = seed {
-                self.fetch(seed, plan::Version::default()).await;
-                // The seed may have been busy and have named others.
-                self.clone().catch_up().await;
+            let Some(seed) = seed else {
+                continue;
+            };
+            // A slow link carries one state in half of the time that two take.
+            let guard = self.fetch_lock.lock().await;
+            if self.host.is_ready() {
+                return;
             }
+            self.fetch(seed, plan::Version::default()).await;
+            drop(guard);
+            // The seed may have been busy and have named others.
+            self.clone().catch_up().await;
         }
     }
 }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -298,6 +298,7 @@
 
     pub(crate) fn use_endpoints(&self, registry: &registry::Registry) {
         let endpoints = registry.endpoints();
+        mutex::lock(&self.history).record_list(registry.version(), &endpoints);
         let count = endpoints.len();
         let mixed = mutex::lock(&self.builds).update(self.clock.now(), &endpoints);
         self.publish_builds(&mixed);
@@ -349,20 +350,21 @@
         let plan = plan.filter(|plan| {
             plan_version > known.version && known.content != Some(snapshot::content(plan))
         });
-        let update = known.endpoints.map(|endpoints| {
+        let endpoints = registry.endpoints();
+        let update = known.endpoints.map(|known_list| {
             let history = &mut mutex::lock(&self.history);
-            let changes = plan.map(|plan| history::Update::new(history, plan, known.version));
-            let mut update = changes.unwrap_or_default();
-            update.has_same_endpoints = endpoints == registry.version();
+            let mut update = history::Update::default();
+            if let Some(plan) = plan {
+                update.add_plan(history, known.version, plan);
+            }
+            update.add_list(history, known_list, (registry.version(), &endpoints));
             update
         });
         let has_changes = update.as_ref().is_some_and(history::Update::has_changes);
-        let has_same_endpoints = update
-            .as_ref()
-            .is_some_and(|update| update.has_same_endpoints);
-        let endpoints = match has_same_endpoints {
+        let has_list = update.as_ref().is_some_and(history::Update::has_list);
+        let endpoints = match has_list {
             true => Vec::new(),
-            false => registry.endpoints(),
+            false => endpoints,
         };
         snapshot::Snapshot {
             plan: plan.filter(|_| !has_changes).cloned(),
