--- a/crates/edge/src/catch_up.rs
+++ b/crates/edge/src/catch_up.rs
@@ -82,7 +82,7 @@
         let jitter = mutex::lock(&self.host.rng).random_range(0.0..1.0);
         let mut sources = mutex::lock(&self.host.sources);
         for holder in &busy.holders {
-            sources.record_plan(now, *holder, busy.plan);
+            sources.record_holder(now, *holder, busy.plan);
         }
         sources.record_plan(now, from, busy.plan);
         sources.rest(from, now + BUSY_REST + BUSY_REST.mul_f64(jitter));
--- a/crates/edge/src/history.rs
+++ b/crates/edge/src/history.rs
@@ -169,7 +169,7 @@
     list_changes: Vec<Vec<u8>>,
     /// Hash of the result.
     list_content: u64,
-    /// Whether the list of endpoints is left out because the host has it.
+    /// Whether the list of endpoints is left out because the host has it, or a newer one.
     pub(crate) has_same_endpoints: bool,
 }
 
@@ -195,7 +195,8 @@
         known: plan::Version,
         (version, list): (plan::Version, &[plan::Endpoint]),
     ) {
-        self.has_same_endpoints = known == version;
+        // Hosts that read the platform at different times give one list different versions.
+        self.has_same_endpoints = known >= version;
         if self.has_same_endpoints {
             return;
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,7 +25,8 @@
 //! on, from `builds`, `origins` and the `witness` of other hosts; and `remainder` passes on what `plain` does
 //! not buffer; `exchange` builds the answers for callers, and
 //! `reply` the HTTP form of refusals; `mesh`, `gossip`, `publish`, `catch_up`
-//! and `peers` exchange state with other hosts.
+//! and `peers` exchange state with other hosts, `sources` says which of them to ask,
+//! `history` which changes they lack, and `bulk` bounds the large answers.
 
 mod admit;
 mod announced;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -106,7 +106,7 @@
             let (host, plan) = (host.clone(), host.plan_version());
             transfer.body(bytes, move || {
                 let (now, peer) = (host.clock.now(), host.peer_at(asks));
-                mutex::lock(&host.sources).record_plan(now, peer, plan);
+                mutex::lock(&host.sources).record_holder(now, peer, plan);
             })
         }
         None => axum::body::Body::from(bytes),
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -63,6 +63,18 @@
         source.heard = now;
     }
 
+    /// Records that another host says that this one has a configuration.
+    pub(crate) fn record_holder(
+        &mut self,
+        now: time::Duration,
+        address: net::SocketAddr,
+        plan: plan::Version,
+    ) {
+        let source = self.0.entry(address).or_default();
+        source.plan = source.plan.max(plan);
+        source.heard = now;
+    }
+
     /// Records the state that a host has.
     pub(crate) fn record(
         &mut self,
--- a/crates/edge/tests/sources.rs
+++ b/crates/edge/tests/sources.rs
@@ -100,6 +100,14 @@
     assert_eq!(choice, sources::Choice::Nothing);
 }
 
+#[test]
+fn what_another_host_says_does_not_set_a_host_back() {
+    let mut sources = sources::Sources::default();
+    sources.record(ms(0), address(1), version(33), version(5));
+    sources.record_holder(ms(10), address(1), version(32));
+    assert_eq!(sources.holders(version(33), 8, &mut rng()), [address(1)]);
+}
+
 #[test]
 fn a_host_that_says_nothing_any_more_is_forgotten() {
     let mut sources = sources::Sources::default();
